--- /dev/null
+++ b/internal/node/bmsettings/node.go
@@ -0,0 +1,60 @@
+package bmsettings
+
+import "basilmoor.example/basilmoor"
+
+// Node is the settings of a node.
+type Node struct {
+	Host   string
+	Place  string
+	Region string
+
+	CallersAddress string
+	PeersAddress   string
+	AdminAddress   string
+
+	// AdvertiseAddress is what peers dial; empty for the actual listener.
+	AdvertiseAddress string
+
+	StoreURL    string
+	HostListURL string
+
+	FleetSecret    string
+	OperatorTokens []OperatorToken
+
+	StopLimit     basilmoor.Millis
+	FirstByte     basilmoor.Millis
+	BetweenBytes  basilmoor.Millis
+	StoreTimeout  basilmoor.Millis
+	StoreReads    int
+	StoreWrites   int
+	QueueRequests int
+	QueueBytes    int
+	LogLevel      string
+}
+
+// NodeSet declares the settings of a node and the value they are read into.
+func NodeSet() (*Set, *Node) {
+	n := &Node{}
+	s := NewSet("node", "Runs the process of one entry host: callers' listener, broker, claims and configuration.")
+	s.Name(&n.Host, "host", "", "name of this host, unique in the fleet")
+	s.Name(&n.Place, "place", "", "data centre of this host")
+	s.Name(&n.Region, "region", "", "region of the place")
+	s.Address(&n.CallersAddress, "callers-address", "127.0.0.1:8080", "listener for callers")
+	s.Address(&n.PeersAddress, "peers-address", "127.0.0.1:8081", "listener for the other nodes")
+	s.Address(&n.AdminAddress, "admin-address", "127.0.0.1:8082", "listener for operators")
+	s.OptionalAddress(&n.AdvertiseAddress, "advertise-address", "address at which peers reach this host, if not peers-address")
+	s.URL(&n.StoreURL, "store-url", "", "base URL of the platform's key-value service")
+	s.URL(&n.HostListURL, "host-list-url", "", "base URL of the platform's list of hosts")
+	s.Secret(&n.FleetSecret, "fleet-secret", "secret that all nodes of the fleet share")
+	s.OperatorTokens(&n.OperatorTokens, "operator-tokens", "who may use the administration API")
+	s.Millis(&n.StopLimit, "stop-limit-ms", 10*basilmoor.Minute, 0, 60*basilmoor.Minute, "longest wait for requests in progress at a planned stop")
+	s.Millis(&n.FirstByte, "first-byte-ms", basilmoor.Minute, 100, 10*basilmoor.Minute, "longest silence of a target before the first byte of its response")
+	s.Millis(&n.BetweenBytes, "between-bytes-ms", 10*basilmoor.Second, 100, 10*basilmoor.Minute, "longest silence of a target inside a response")
+	s.Millis(&n.StoreTimeout, "store-timeout-ms", 2*basilmoor.Second, 10, basilmoor.Minute, "bound of one call to the store")
+	s.Int(&n.StoreReads, "store-reads-per-second", 50, 1, 2000, "budget of reads from the store")
+	s.Int(&n.StoreWrites, "store-writes-per-second", 50, 1, 500, "budget of writes to the store")
+	s.Int(&n.QueueRequests, "queue-requests", 20000, 1, 1000000, "bound of waiting requests in a pool")
+	s.Int(&n.QueueBytes, "queue-bytes", 256<<20, 1<<20, 16<<30, "bound of waiting bodies in a pool")
+	s.OneOf(&n.LogLevel, "log-level", "info", []string{"debug", "info", "warn", "error"}, "lowest level that is logged")
+	return s, n
+}
