--- /dev/null
+++ b/internal/node/bmadmin/server.go
@@ -0,0 +1,203 @@
+package bmadmin
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"basilmoor.example/basilmoor/internal/node/bmsettings"
+)
+
+// maxNoteBytes bounds a release note: 25,000 workspaces at about 200 bytes.
+const maxNoteBytes = 8 << 20
+
+// Server is the handler of the administration API.
+type Server struct {
+	backend Backend
+	tokens  []bmsettings.OperatorToken
+	log     zerolog.Logger
+	mux     *http.ServeMux
+}
+
+// New returns the handler. Only the given tokens are let in.
+func New(backend Backend, tokens []bmsettings.OperatorToken, log zerolog.Logger) *Server {
+	s := &Server{
+		backend: backend,
+		tokens:  tokens,
+		log:     log,
+		mux:     http.NewServeMux(),
+	}
+	s.handle("GET /v1/status", bmsettings.RoleViewer, s.status)
+	s.handle("GET /v1/metrics", bmsettings.RoleViewer, s.metrics)
+	s.handle("GET /v1/crashes", bmsettings.RoleViewer, s.crashes)
+	s.handle("POST /v1/notes/check", bmsettings.RoleViewer, s.checkNote)
+	s.handle("POST /v1/notes", bmsettings.RoleOperator, s.acceptNote)
+	s.handle("DELETE /v1/crashes/{digest}", bmsettings.RoleOperator, s.liftCrash)
+	return s
+}
+
+// ServeHTTP serves one call.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(w, r)
+}
+
+// call is a handler that knows which operator calls.
+type call func(w http.ResponseWriter, r *http.Request, operator string) error
+
+func (s *Server) handle(pattern string, need bmsettings.Role, c call) {
+	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		token, ok := s.authenticate(r)
+		if !ok {
+			writeProblem(w, problem(http.StatusUnauthorized, "operator token required", ""))
+			return
+		}
+		if need == bmsettings.RoleOperator && token.Role != bmsettings.RoleOperator {
+			writeProblem(w, problem(http.StatusForbidden, "role operator required", "the token has role "+string(token.Role)))
+			return
+		}
+		if err := c(w, r, token.Name); err != nil {
+			s.fail(w, r, err)
+		}
+	})
+}
+
+// authenticate compares with every token, so that the time does not tell which
+// one is close.
+func (s *Server) authenticate(r *http.Request) (bmsettings.OperatorToken, bool) {
+	value, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return bmsettings.OperatorToken{}, false
+	}
+	sum := sha256.Sum256([]byte(value))
+	digest := []byte(hex.EncodeToString(sum[:]))
+	var found bmsettings.OperatorToken
+	match := false
+	for _, t := range s.tokens {
+		if subtle.ConstantTimeCompare(digest, []byte(t.Digest)) == 1 {
+			found = t
+			match = true
+		}
+	}
+	return found, match
+}
+
+func (s *Server) fail(w http.ResponseWriter, r *http.Request, err error) {
+	var p *ProblemError
+	if errors.As(err, &p) {
+		writeProblem(w, p.Problem)
+		return
+	}
+	s.log.Error().Err(err).Str("path", r.URL.Path).Msg("administration call failed")
+	writeProblem(w, problem(http.StatusInternalServerError, "internal error", ""))
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request, _ string) error {
+	return writeJSON(w, s.backend.Status())
+}
+
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request, _ string) error {
+	return writeJSON(w, s.backend.Counters())
+}
+
+func (s *Server) crashes(w http.ResponseWriter, _ *http.Request, _ string) error {
+	type crash struct {
+		Digest  string   `json:"digest"`
+		Targets []string `json:"targets"`
+		AgeMS   int64    `json:"age-ms"`
+		Lifted  bool     `json:"lifted"`
+	}
+	list := []crash{}
+	for _, c := range s.backend.Crashes() {
+		list = append(list, crash{
+			Digest:  strconv.FormatUint(c.Digest, 16),
+			Targets: c.Targets,
+			AgeMS:   int64(c.Age),
+			Lifted:  c.Lifted,
+		})
+	}
+	return writeJSON(w, list)
+}
+
+func (s *Server) liftCrash(w http.ResponseWriter, r *http.Request, operator string) error {
+	digest, err := strconv.ParseUint(r.PathValue("digest"), 16, 64)
+	if err != nil {
+		return &ProblemError{
+			Problem: problem(http.StatusBadRequest, "malformed digest", "a hexadecimal number of up to 16 digits is needed"),
+		}
+	}
+	if !s.backend.LiftCrash(digest) {
+		return &ProblemError{
+			Problem: problem(http.StatusNotFound, "unknown digest", ""),
+		}
+	}
+	s.log.Info().Str("operator", operator).Uint64("digest", digest).Msg("held-back request allowed again")
+	w.WriteHeader(http.StatusNoContent)
+	return nil
+}
+
+func (s *Server) checkNote(w http.ResponseWriter, r *http.Request, _ string) error {
+	note, err := readNote(w, r)
+	if err != nil {
+		return err
+	}
+	plan, err := s.backend.CheckNote(r.Context(), note)
+	if err != nil {
+		return err
+	}
+	return writeJSON(w, struct {
+		Plan string `json:"plan"`
+	}{
+		Plan: plan,
+	})
+}
+
+func (s *Server) acceptNote(w http.ResponseWriter, r *http.Request, operator string) error {
+	note, err := readNote(w, r)
+	if err != nil {
+		return err
+	}
+	a, err := s.backend.AcceptNote(r.Context(), note, operator)
+	if err != nil {
+		return err
+	}
+	s.log.Info().Str("operator", operator).Str("note", a.Note).Int64("version", a.Version).Msg("release note accepted")
+	return writeJSON(w, a)
+}
+
+func readNote(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	note, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxNoteBytes))
+	if err != nil {
+		return nil, &ProblemError{
+			Problem: problem(http.StatusRequestEntityTooLarge, "release note too large", err.Error()),
+		}
+	}
+	return note, nil
+}
+
+func problem(status int, title, detail string) Problem {
+	return Problem{
+		Type:   "about:blank",
+		Title:  title,
+		Status: status,
+		Detail: detail,
+	}
+}
+
+func writeProblem(w http.ResponseWriter, p Problem) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+func writeJSON(w http.ResponseWriter, v any) error {
+	w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(w).Encode(v)
+}
