--- /dev/null
+++ b/internal/schedule/bmcapacity/observe.go
@@ -0,0 +1,101 @@
+package bmcapacity
+
+import "basilmoor.example/basilmoor"
+
+// Observe records what a host saw of a request. Reports of requests that have
+// ended are ignored, as are reports of unknown requests without a demand.
+func (p *Pool) Observe(now basilmoor.Millis, o basilmoor.Observation) {
+	switch o.Stage {
+	case basilmoor.StageReturned:
+		p.returned(now, o)
+	case basilmoor.StageFinished, basilmoor.StageFailed:
+		p.ended(now, o)
+	case basilmoor.StageDispatched, basilmoor.StageFirstToken, basilmoor.StageProgress:
+		p.running(now, o)
+	}
+}
+
+func (p *Pool) returned(now basilmoor.Millis, o basilmoor.Observation) {
+	f, ok := p.flights[o.Request]
+	if !ok || f.dispatched || f.target.spec.Name != o.Target {
+		return
+	}
+	p.end(now, f, endedReturned)
+}
+
+func (p *Pool) ended(now basilmoor.Millis, o basilmoor.Observation) {
+	f, ok := p.flights[o.Request]
+	if ok {
+		if o.Stage == basilmoor.StageFinished && f.streaming {
+			f.target.progress(now, f, o.Tokens, o.Elapsed)
+		}
+		p.end(now, f, endedRun)
+		return
+	}
+	// The end may overtake nothing on an ordered stream, but a repeated
+	// dispatch report after it must not count the request again.
+	d := basilmoor.Demand{Request: o.Request}
+	if o.Demand != nil {
+		d = *o.Demand
+	}
+	p.history.add(now, d, endedRun)
+}
+
+func (p *Pool) running(now basilmoor.Millis, o basilmoor.Observation) {
+	f := p.adopt(now, o)
+	if f == nil {
+		return
+	}
+	f.dispatched = true
+	f.last = now
+	switch o.Stage {
+	case basilmoor.StageFirstToken:
+		f.target.firstToken(now, f, o.Elapsed)
+	case basilmoor.StageProgress:
+		f.target.firstToken(now, f, o.Elapsed)
+		f.target.progress(now, f, o.Tokens, o.Elapsed)
+	}
+}
+
+// adopt returns the flight that an observation belongs to. A request that is
+// unknown, whose grant lapsed, or that runs elsewhere than assumed is counted
+// on the target that the host names.
+func (p *Pool) adopt(now basilmoor.Millis, o basilmoor.Observation) *flight {
+	f, ok := p.flights[o.Request]
+	if ok && f.target.spec.Name == o.Target {
+		return f
+	}
+	t, known := p.targets[o.Target]
+	if ok {
+		if f.dispatched || !known {
+			return nil
+		}
+		d := f.demand
+		f.target.remove(f)
+		delete(p.flights, o.Request)
+		return p.place(now, d, t, true)
+	}
+	e, remembered := p.history.ended[o.Request]
+	if !known || remembered && e.ending == endedRun {
+		return nil
+	}
+	if o.Demand != nil {
+		return p.place(now, *o.Demand, t, true)
+	}
+	if remembered {
+		return p.place(now, e.demand, t, true)
+	}
+	return nil
+}
+
+// Report records a load report. Reports are late: they are used only as a
+// hint, see target.hinted.
+func (p *Pool) Report(now basilmoor.Millis, r basilmoor.LoadReport) {
+	t, ok := p.targets[r.Target]
+	if !ok {
+		return
+	}
+	t.report = r
+	t.reported = now - r.Age
+	t.hasLoad = true
+}
--- /dev/null
+++ b/internal/schedule/bmcapacity/target.go
@@ -0,0 +1,137 @@
+package bmcapacity
+
+import (
+	"basilmoor.example/basilmoor"
+)
+
+const (
+	// recentWeight is the weight of a new sample in the current speed of a
+	// target: three samples of a target that became four times slower exceed
+	// the straggler factor, a single outlier of that size does not.
+	recentWeight = 0.4
+
+	// steadyWeight is the weight of a new sample in the long-run speed.
+	steadyWeight = 0.02
+
+	// memoryShare is the share of an engine's KV cache up to which estimated
+	// tokens in flight are granted.
+	memoryShare = 0.95
+)
+
+// target is the learned state of one target.
+type target struct {
+	spec    basilmoor.Target
+	listed  bool
+	flights map[basilmoor.RequestID]*flight
+	tokens  int // estimated tokens in flight
+	backlog int // uncached prompt tokens without a first token
+
+	limit   float64 // learned bound of requests in flight
+	pace    float64 // recent milliseconds between tokens, 0 if unknown
+	steady  float64 // long-run milliseconds between tokens, 0 if unknown
+	prefill float64 // milliseconds per uncached prompt token, 0 if unknown
+	sampled basilmoor.Millis
+
+	reduced  bool
+	prefixes *prefixCache
+
+	report   basilmoor.LoadReport
+	reported basilmoor.Millis // when the measurement was taken
+	hasLoad  bool
+}
+
+func newTarget(spec basilmoor.Target) *target {
+	return &target{
+		spec:     spec,
+		listed:   true,
+		flights:  map[basilmoor.RequestID]*flight{},
+		limit:    float64(max(spec.Slots, 1)),
+		prefixes: newPrefixCache(spec.CacheTokens),
+	}
+}
+
+func (t *target) update(spec basilmoor.Target) {
+	if spec.Slots != t.spec.Slots {
+		t.limit = float64(max(spec.Slots, 1))
+	}
+	if spec.CacheTokens != t.spec.CacheTokens {
+		t.prefixes.resize(spec.CacheTokens)
+	}
+	t.spec = spec
+	t.listed = true
+}
+
+// slots is the number of requests that the target may have in flight now.
+func (t *target) slots(cfg Config) int {
+	slots := int(t.limit)
+	if t.reduced {
+		slots = int(float64(t.spec.Slots) * cfg.ReducedSlotsShare)
+	}
+	return max(slots, 1)
+}
+
+// free tells whether a slot can be granted. The condition does not depend on
+// the size of the demand: otherwise small demands of a low tier would take the
+// memory that a large one of a higher tier waits for.
+func (t *target) free(cfg Config) bool {
+	if !t.listed || t.spec.Leaving {
+		return false
+	}
+	if len(t.flights) >= t.slots(cfg) {
+		return false
+	}
+	return t.spec.CacheTokens == 0 || float64(t.tokens) < memoryShare*float64(t.spec.CacheTokens)
+}
+
+func (t *target) add(f *flight) {
+	f.target = t
+	t.flights[f.demand.Request] = f
+	t.tokens += f.demand.Tokens()
+	if !f.streaming {
+		t.backlog += f.ahead
+	}
+}
+
+func (t *target) remove(f *flight) {
+	delete(t.flights, f.demand.Request)
+	t.tokens -= f.demand.Tokens()
+	if !f.streaming {
+		t.backlog -= f.ahead
+	}
+}
+
+// firstToken learns from the time to first token of f.
+func (t *target) firstToken(now basilmoor.Millis, f *flight, elapsed basilmoor.Millis) {
+	if f.streaming {
+		return
+	}
+	f.streaming = true
+	t.backlog -= f.ahead
+	f.elapsed = elapsed
+	t.sampled = max(t.sampled, now)
+	if f.ahead > 0 && elapsed > 0 {
+		t.prefill = blend(t.prefill, float64(elapsed)/float64(f.ahead), 0.1)
+	}
+}
+
+// progress learns from the tokens since the last report of f.
+func (t *target) progress(now basilmoor.Millis, f *flight, tokens int, elapsed basilmoor.Millis) {
+	if tokens <= f.tokens || elapsed <= f.elapsed {
+		return
+	}
+	sample := float64(elapsed-f.elapsed) / float64(tokens-f.tokens)
+	f.tokens = tokens
+	f.elapsed = elapsed
+	t.sampled = now
+	t.pace = blend(t.pace, sample, recentWeight)
+	if !t.reduced {
+		t.steady = blend(t.steady, sample, steadyWeight)
+	}
+}
+
+func blend(old, sample, weight float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return old + weight*(sample-old)
+}
