Add the platform's stand-ins and the clients of its store and host list

Cause: the other areas need a store, engines, services and a list of hosts to run against, and the platform itself is not part of the repository.

Change: bmstore and bmhostlist speak to the platform over HTTP/1.1 without resending writes. bmstandinstore, bmstandinengine, bmstandinservice and bmstandinhosts serve the same protocols with faults on request; basilmoor-standin runs each as a process. A crashed target closes its listener so that connection attempts are refused, as with a dead process, and a control listener stays open to revive it.

--- /dev/null
+++ b/internal/platform/bmstore/operations.go
@@ -0,0 +1,267 @@
+package bmstore
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"basilmoor.example/basilmoor"
+)
+
+const (
+	versionHeader  = "Store-Version"
+	revisionHeader = "Store-Revision"
+
+	// maxSmallBytes bounds responses that carry no value.
+	maxSmallBytes = 64 << 10
+
+	// maxBatchBytes bounds responses that carry many values: 64 values of the
+	// largest size, in base64.
+	maxBatchBytes = 64 * basilmoor.MaxValueBytes * 4 / 3
+)
+
+// Get returns the entry of key, or a *basilmoor.NotFoundError.
+func (c *Client) Get(ctx context.Context, key string) (basilmoor.Entry, error) {
+	if err := checkKey(key); err != nil {
+		return basilmoor.Entry{}, err
+	}
+	k := call{
+		operation: "get " + key,
+		subject:   key,
+		method:    http.MethodGet,
+		path:      keyPath(key),
+		maxBytes:  basilmoor.MaxValueBytes,
+	}
+	a, err := c.do(ctx, k)
+	if err != nil {
+		return basilmoor.Entry{}, err
+	}
+	return c.entry(ctx, k, a, a.body)
+}
+
+// entry reads the version and the revision from the response headers.
+func (c *Client) entry(ctx context.Context, k call, a answer, value []byte) (basilmoor.Entry, error) {
+	version, err := strconv.ParseInt(a.header.Get(versionHeader), 10, 64)
+	if err != nil {
+		return basilmoor.Entry{}, c.unavailable(ctx, k, errors.Wrap(err, versionHeader))
+	}
+	revision, err := strconv.ParseInt(a.header.Get(revisionHeader), 10, 64)
+	if err != nil {
+		return basilmoor.Entry{}, c.unavailable(ctx, k, errors.Wrap(err, revisionHeader))
+	}
+	return basilmoor.Entry{
+		Key:      k.subject,
+		Value:    value,
+		Version:  version,
+		Revision: revision,
+	}, nil
+}
+
+// List returns the entries whose key starts with prefix, in key order.
+func (c *Client) List(ctx context.Context, prefix string) ([]basilmoor.Entry, error) {
+	k := call{
+		operation: "list " + prefix,
+		subject:   prefix,
+		method:    http.MethodGet,
+		path:      "/v1/list",
+		query: url.Values{
+			"prefix": {prefix},
+		},
+		maxBytes: maxBatchBytes,
+	}
+	var list struct {
+		Entries []wireEntry `json:"entries"`
+	}
+	if err := c.doJSON(ctx, k, &list); err != nil {
+		return nil, err
+	}
+	entries := make([]basilmoor.Entry, 0, len(list.Entries))
+	for _, e := range list.Entries {
+		entries = append(entries, e.entry())
+	}
+	return entries, nil
+}
+
+// CompareAndSwap writes value if the key's version is still version.
+//
+// Errors: *basilmoor.ConflictError; *basilmoor.NotFoundError if the lease does
+// not exist; *basilmoor.UnavailableError if the effect is unknown.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, version int64, value []byte, lease string) (basilmoor.Entry, error) {
+	if err := checkKey(key); err != nil {
+		return basilmoor.Entry{}, err
+	}
+	query := url.Values{
+		"if-version": {strconv.FormatInt(version, 10)},
+	}
+	if lease != "" {
+		query.Set("lease", lease)
+	}
+	k := call{
+		operation: "put " + key,
+		subject:   key,
+		missing:   lease,
+		method:    http.MethodPut,
+		path:      keyPath(key),
+		query:     query,
+		body:      value,
+		write:     true,
+		want:      version,
+		maxBytes:  maxSmallBytes,
+	}
+	a, err := c.do(ctx, k)
+	if err != nil {
+		return basilmoor.Entry{}, err
+	}
+	return c.entry(ctx, k, a, value)
+}
+
+// Delete removes the key if its version is still version.
+func (c *Client) Delete(ctx context.Context, key string, version int64) error {
+	if err := checkKey(key); err != nil {
+		return err
+	}
+	_, err := c.do(ctx, call{
+		operation: "delete " + key,
+		subject:   key,
+		method:    http.MethodDelete,
+		path:      keyPath(key),
+		query: url.Values{
+			"if-version": {strconv.FormatInt(version, 10)},
+		},
+		write:    true,
+		want:     version,
+		maxBytes: maxSmallBytes,
+	})
+	return err
+}
+
+// Watch waits up to wait milliseconds for changes below prefix after the given
+// revision.
+func (c *Client) Watch(ctx context.Context, prefix string, revision int64, wait basilmoor.Millis) ([]basilmoor.Event, int64, error) {
+	k := call{
+		operation: "watch " + prefix,
+		subject:   prefix,
+		method:    http.MethodGet,
+		path:      "/v1/watch",
+		query: url.Values{
+			"prefix":  {prefix},
+			"after":   {strconv.FormatInt(revision, 10)},
+			"wait-ms": {strconv.FormatInt(int64(wait), 10)},
+		},
+		extra:    wait,
+		maxBytes: maxBatchBytes,
+	}
+	var batch struct {
+		Events   []wireEvent `json:"events"`
+		Revision int64       `json:"revision"`
+	}
+	if err := c.doJSON(ctx, k, &batch); err != nil {
+		return nil, 0, err
+	}
+	events := make([]basilmoor.Event, 0, len(batch.Events))
+	for _, e := range batch.Events {
+		events = append(events, basilmoor.Event{
+			Entry:   e.entry(),
+			Deleted: e.Deleted,
+		})
+	}
+	return events, batch.Revision, nil
+}
+
+// GrantLease makes a lease that lapses ttl milliseconds after its last
+// renewal.
+func (c *Client) GrantLease(ctx context.Context, ttl basilmoor.Millis) (string, error) {
+	var lease struct {
+		ID string `json:"id"`
+	}
+	err := c.doJSON(ctx, call{
+		operation: "grant lease",
+		method:    http.MethodPost,
+		path:      "/v1/leases",
+		query: url.Values{
+			"ttl-ms": {strconv.FormatInt(int64(ttl), 10)},
+		},
+		write:    true,
+		maxBytes: maxSmallBytes,
+	}, &lease)
+	return lease.ID, err
+}
+
+// RenewLease renews a lease, or returns a *basilmoor.NotFoundError if it
+// lapsed.
+func (c *Client) RenewLease(ctx context.Context, lease string) error {
+	return c.changeLease(ctx, "renew", http.MethodPut, lease)
+}
+
+// RevokeLease ends a lease and deletes its keys.
+func (c *Client) RevokeLease(ctx context.Context, lease string) error {
+	return c.changeLease(ctx, "revoke", http.MethodDelete, lease)
+}
+
+func (c *Client) changeLease(ctx context.Context, verb, method, lease string) error {
+	_, err := c.do(ctx, call{
+		operation: verb + " lease " + lease,
+		subject:   lease,
+		method:    method,
+		path:      "/v1/leases/" + url.PathEscape(lease),
+		write:     true,
+		maxBytes:  maxSmallBytes,
+	})
+	return err
+}
+
+func (c *Client) doJSON(ctx context.Context, k call, v any) error {
+	a, err := c.do(ctx, k)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(a.body, v); err != nil {
+		return c.unavailable(ctx, k, errors.Wrap(err, "decode response"))
+	}
+	return nil
+}
+
+// checkKey refuses keys that a URL path cannot carry unchanged.
+func checkKey(key string) error {
+	for _, s := range strings.Split(key, "/") {
+		if s == "" || s == "." || s == ".." {
+			return errors.Errorf("store key %q: empty or relative segment", key)
+		}
+	}
+	return nil
+}
+
+// keyPath escapes each segment of key and keeps the slashes between them.
+func keyPath(key string) string {
+	segments := strings.Split(key, "/")
+	for i, s := range segments {
+		segments[i] = url.PathEscape(s)
+	}
+	return "/v1/keys/" + strings.Join(segments, "/")
+}
+
+type wireEntry struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Version  int64  `json:"version"`
+	Revision int64  `json:"revision"`
+}
+
+func (e wireEntry) entry() basilmoor.Entry {
+	return basilmoor.Entry{
+		Key:      e.Key,
+		Value:    e.Value,
+		Version:  e.Version,
+		Revision: e.Revision,
+	}
+}
+
+type wireEvent struct {
+	wireEntry
+	Deleted bool `json:"deleted"`
+}
--- /dev/null
+++ b/internal/standin/bmstandincmd/flags.go
@@ -0,0 +1,153 @@
+package bmstandincmd
+
+import (
+	"encoding/json"
+	"flag"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/standin/bmstandin"
+	"basilmoor.example/basilmoor/internal/standin/bmstandinengine"
+	"basilmoor.example/basilmoor/internal/standin/bmstandinhosts"
+	"basilmoor.example/basilmoor/internal/standin/bmstandinservice"
+	"basilmoor.example/basilmoor/internal/standin/bmstandinstore"
+)
+
+// millisValue is a flag whose value is a number of milliseconds.
+type millisValue struct {
+	target *basilmoor.Millis
+}
+
+// String returns the present value.
+func (v millisValue) String() string {
+	if v.target == nil {
+		return "0"
+	}
+	return strconv.FormatInt(int64(*v.target), 10)
+}
+
+// Set parses a number of milliseconds.
+func (v millisValue) Set(text string) error {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 {
+		return errors.New("want a number of milliseconds, at least 0")
+	}
+	*v.target = basilmoor.Millis(n)
+	return nil
+}
+
+// listValue is a flag whose value is a list with commas between its elements.
+type listValue struct {
+	target *[]string
+}
+
+// String returns the present value.
+func (v listValue) String() string {
+	if v.target == nil {
+		return ""
+	}
+	return strings.Join(*v.target, ",")
+}
+
+// Set parses a list. An empty text is an empty list.
+func (v listValue) Set(text string) error {
+	*v.target = nil
+	if text != "" {
+		*v.target = strings.Split(text, ",")
+	}
+	return nil
+}
+
+// jsonValue is a flag whose value is JSON.
+type jsonValue struct {
+	target any
+}
+
+// String returns nothing: the values have no default.
+func (v jsonValue) String() string { return "" }
+
+// Set decodes the value.
+func (v jsonValue) Set(text string) error {
+	return json.Unmarshal([]byte(text), v.target)
+}
+
+func storeFlags(f *flag.FlagSet) starter {
+	var s bmstandinstore.Settings
+	f.IntVar(&s.ReadsPerSecond, "reads-per-second", 0, "limit of reads, 0 for none")
+	f.IntVar(&s.WritesPerSecond, "writes-per-second", 0, "limit of writes, 0 for none")
+	f.IntVar(&s.History, "history", bmstandinstore.DefaultHistory, "changes kept for watches")
+	return func(clock basilmoor.Clock, l listeners) (*bmstandin.Server, func(), error) {
+		store, end := bmstandinstore.New(clock, s)
+		server, closeServer, err := bmstandin.Listen(l.address, l.control, store)
+		if err != nil {
+			end()
+			return nil, nil, err
+		}
+		return server, func() {
+			closeServer()
+			end()
+		}, nil
+	}
+}
+
+func engineFlags(f *flag.FlagSet) starter {
+	s := bmstandinengine.DefaultSettings()
+	f.StringVar(&s.Name, "name", s.Name, "name, the start of stream ids")
+	f.IntVar(&s.BatchLimit, "batch-limit", s.BatchLimit, "sequences in the batch")
+	f.IntVar(&s.CacheTokens, "cache-tokens", s.CacheTokens, "KV cache in tokens")
+	f.IntVar(&s.ContextTokens, "context-tokens", s.ContextTokens, "bound of prompt and output, 0 for none")
+	f.IntVar(&s.QueueLimit, "queue-limit", s.QueueLimit, "waiting requests before 429, 0 for no bound")
+	f.IntVar(&s.PrefillChunk, "prefill-chunk", s.PrefillChunk, "prompt tokens computed in one step")
+	f.IntVar(&s.PrefixCacheTokens, "prefix-cache-tokens", s.PrefixCacheTokens, "prefix cache in tokens")
+	f.Float64Var(&s.StepMillis, "step-ms", s.StepMillis, "base duration of a step")
+	f.Float64Var(&s.SequenceMillis, "sequence-ms", s.SequenceMillis, "duration of a step for each decoding sequence")
+	f.Float64Var(&s.PrefillMillis, "prefill-ms", s.PrefillMillis, "duration of a step for each prompt token")
+	f.Float64Var(&s.TransferMillis, "transfer-ms", s.TransferMillis, "duration of moving one token of KV cache")
+	f.Float64Var(&s.LoadMillis, "load-ms", s.LoadMillis, "duration of loading a model, adapter or version")
+	f.Float64Var(&s.TimeScale, "time-scale", s.TimeScale, "factor of the durations above")
+	f.Var(listValue{target: &s.Models}, "models", "loaded models; empty serves every model")
+	f.Var(listValue{target: &s.Adapters}, "adapters", "loaded adapters")
+	f.StringVar(&s.Version, "version", s.Version, "loaded version")
+	f.StringVar(&s.Role, "role", s.Role, "role")
+	f.BoolVar(&s.CheckFencing, "check-fencing", s.CheckFencing, "reject commands with an old fencing number")
+	f.BoolVar(&s.CancelOnDisconnect, "cancel-on-disconnect", s.CancelOnDisconnect, "cancel a sequence when its client leaves")
+	f.Var(millisValue{target: &s.LoadLag}, "load-lag-ms", "age of load reports")
+	f.Var(millisValue{target: &s.CacheEventDelay}, "cache-event-delay-ms", "age at which cache events become visible")
+	f.IntVar(&s.CacheEventHistory, "cache-event-history", s.CacheEventHistory, "cache events kept")
+	f.IntVar(&s.CacheEventDropEvery, "cache-event-drop-every", s.CacheEventDropEvery, "every n-th cache event is lost, 0 for none")
+	f.Var(millisValue{target: &s.KeepAlive}, "keep-alive-ms", "interval of comments on a stream without tokens, 0 for none")
+	f.Var(millisValue{target: &s.Retention}, "retention-ms", "time for which an ended stream can be read")
+	return func(clock basilmoor.Clock, l listeners) (*bmstandin.Server, func(), error) {
+		_, server, cleanup, err := bmstandinengine.Start(l.address, l.control, clock, s)
+		return server, cleanup, err
+	}
+}
+
+func serviceFlags(f *flag.FlagSet) starter {
+	s := bmstandinservice.Settings{
+		Name:    "service",
+		Latency: 10, // within the usual range of an order application
+		LoadLag: 2 * basilmoor.Second,
+	}
+	f.StringVar(&s.Name, "name", s.Name, "name on receipts")
+	f.Var(millisValue{target: &s.Latency}, "latency-ms", "duration of a request")
+	f.IntVar(&s.Workers, "workers", s.Workers, "requests that run at the same time, 0 for no bound")
+	f.Var(millisValue{target: &s.LoadLag}, "load-lag-ms", "age of load reports")
+	return func(clock basilmoor.Clock, l listeners) (*bmstandin.Server, func(), error) {
+		_, server, cleanup, err := bmstandinservice.Start(l.address, l.control, clock, s)
+		return server, cleanup, err
+	}
+}
+
+func hostsFlags(f *flag.FlagSet) starter {
+	var s bmstandinhosts.Settings
+	f.Var(millisValue{target: &s.Lag}, "lag-ms", "time after which a change becomes visible")
+	f.Var(jsonValue{target: &s.Hosts}, "hosts", "hosts at the start, as the JSON of PUT /v1/hosts")
+	f.Var(jsonValue{target: &s.Targets}, "targets", "targets at the start, as the JSON of PUT /v1/targets")
+	return func(clock basilmoor.Clock, l listeners) (*bmstandin.Server, func(), error) {
+		return bmstandin.Listen(l.address, l.control, bmstandinhosts.New(clock, s))
+	}
+}
--- /dev/null
+++ b/internal/standin/bmstandinhosts/hosts.go
@@ -0,0 +1,137 @@
+// Package bmstandinhosts stands in for the platform's list of hosts and
+// targets.
+//
+// Invariants: a reader sees every state of the lists in order, each as late as
+// the lag at that time.
+package bmstandinhosts
+
+import (
+	"net/http"
+	"sync"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/standin/bmstandin"
+)
+
+// Host is one entry host in the list.
+type Host struct {
+	Host    string `json:"host"`
+	Address string `json:"address"` // of the listener for peers
+	Place   string `json:"place"`
+	Region  string `json:"region"`
+	Leaving bool   `json:"leaving"`
+}
+
+// Target is one target in the list.
+type Target struct {
+	Name    string `json:"name"`
+	Leaving bool   `json:"leaving"`
+}
+
+// Settings configures a List.
+type Settings struct {
+	Lag     basilmoor.Millis // after which a change becomes visible
+	Hosts   []Host           // visible at once
+	Targets []Target         // visible at once
+}
+
+// Faults is the body of POST /v1/faults. Fields that are absent stay as they
+// are.
+type Faults struct {
+	// Outage closes the connection of every read without an answer.
+	Outage *bool `json:"outage,omitempty"`
+
+	// LagMillis changes the lag.
+	LagMillis *basilmoor.Millis `json:"lag-ms,omitempty"`
+}
+
+// List is an http.Handler with the protocol of the list. It is safe for
+// concurrent use.
+type List struct {
+	mux     *http.ServeMux
+	hosts   *bmstandin.Lagging[[]Host]
+	targets *bmstandin.Lagging[[]Target]
+
+	mu     sync.Mutex
+	outage bool
+}
+
+var _ http.Handler = (*List)(nil)
+
+// New returns a list.
+func New(clock basilmoor.Clock, settings Settings) *List {
+	l := &List{
+		mux:     http.NewServeMux(),
+		hosts:   bmstandin.NewLagging(clock, settings.Lag, settings.Hosts),
+		targets: bmstandin.NewLagging(clock, settings.Lag, settings.Targets),
+	}
+	l.mux.HandleFunc("GET /v1/hosts", func(w http.ResponseWriter, _ *http.Request) { show(w, l, l.hosts) })
+	l.mux.HandleFunc("GET /v1/targets", func(w http.ResponseWriter, _ *http.Request) { show(w, l, l.targets) })
+	l.mux.HandleFunc("PUT /v1/hosts", func(w http.ResponseWriter, r *http.Request) { replace(w, r, l.hosts) })
+	l.mux.HandleFunc("PUT /v1/targets", func(w http.ResponseWriter, r *http.Request) { replace(w, r, l.targets) })
+	l.mux.HandleFunc("POST /v1/faults", l.postFaults)
+	return l
+}
+
+// ServeHTTP handles one call.
+func (l *List) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l.mux.ServeHTTP(w, r)
+}
+
+// SetHosts replaces the list of hosts.
+func (l *List) SetHosts(hosts []Host) {
+	l.hosts.Record(append([]Host(nil), hosts...))
+}
+
+// SetTargets replaces the list of targets.
+func (l *List) SetTargets(targets []Target) {
+	l.targets.Record(append([]Target(nil), targets...))
+}
+
+// SetFaults changes the faults.
+func (l *List) SetFaults(f Faults) {
+	if f.LagMillis != nil {
+		l.hosts.SetLag(*f.LagMillis)
+		l.targets.SetLag(*f.LagMillis)
+	}
+	if f.Outage != nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.outage = *f.Outage
+	}
+}
+
+func (l *List) postFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if !bmstandin.ReadJSON(w, r, &f) {
+		return
+	}
+	l.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (l *List) inOutage() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.outage
+}
+
+func show[T any](w http.ResponseWriter, l *List, list *bmstandin.Lagging[[]T]) {
+	if l.inOutage() {
+		bmstandin.Drop()
+	}
+	items, _ := list.Report()
+	if items == nil {
+		items = []T{}
+	}
+	bmstandin.WriteJSON(w, http.StatusOK, items)
+}
+
+func replace[T any](w http.ResponseWriter, r *http.Request, list *bmstandin.Lagging[[]T]) {
+	var items []T
+	if !bmstandin.ReadJSON(w, r, &items) {
+		return
+	}
+	list.Record(items)
+	w.WriteHeader(http.StatusNoContent)
+}
