Add request aggregate, dispatch and callers' gateway

Change: bmrequest holds the states of a request and decides whether bytes may still be handed to a connection. bmdispatch sends one request over HTTP/1.1 so that net/http can't resend it (body that is read once, no GetBody, no key header, one connection per exchange), records the first byte handed over, abandons silent connections, resumes engine streams and cancels them. bmgateway admits, waits for grants, retries before the first byte, streams, claims and records. bmclaim, bmcrash and bmlimit follow.

Run: go test -race ./internal/request/... passes. TestOneDispatch (19 faults, GET and POST, with and without key, fresh and reused connection: 152 cases) was seen failing first: with a plain request on the transport (no body or GetBody, Idempotency-Key kept) and without the one-connection rule of an exchange, 72 cases fail, 12 of them because the target received the request twice.

--- /dev/null
+++ b/internal/request/bmgateway/gateway_test.go
@@ -0,0 +1,209 @@
+package bmgateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"basilmoor.example/basilmoor"
+)
+
+const chatRequest = `{"model":"m1","max_tokens":30,"messages":[{"role":"user","content":"plant these seeds"}]}`
+
+// Guards against bad input that reaches the scheduler, and against a refusal
+// that does not say that nothing ran.
+func TestBadInputIsRefused(t *testing.T) {
+	tests := map[string]struct {
+		method  string
+		path    string
+		body    string
+		headers []string
+		status  int
+		reason  basilmoor.Reason
+	}{
+		"no token":          {"POST", ChatPath, chatRequest, []string{"Authorization", ""}, 401, basilmoor.ReasonUnauthorized},
+		"wrong scheme":      {"POST", ChatPath, chatRequest, []string{"Authorization", "Basic secret"}, 401, basilmoor.ReasonUnauthorized},
+		"unknown workspace": {"POST", ChatPath, chatRequest, []string{"Authorization", "Bearer x"}, 401, basilmoor.ReasonUnauthorized},
+		"unknown model":     {"POST", ChatPath, strings.Replace(chatRequest, "m1", "m2", 1), nil, 404, basilmoor.ReasonUnknownKind},
+		"unknown path":      {"GET", "/other", "", nil, 404, basilmoor.ReasonUnknownKind},
+		"not JSON":          {"POST", ChatPath, "{", nil, 400, basilmoor.ReasonMalformed},
+		"two values":        {"POST", ChatPath, chatRequest + "{}", nil, 400, basilmoor.ReasonMalformed},
+		"no messages":       {"POST", ChatPath, `{"model":"m1"}`, nil, 400, basilmoor.ReasonMalformed},
+		"negative tokens":   {"POST", ChatPath, strings.Replace(chatRequest, "30", "-1", 1), nil, 400, basilmoor.ReasonMalformed},
+		"content number":    {"POST", ChatPath, `{"model":"m1","messages":[{"content":3}]}`, nil, 400, basilmoor.ReasonMalformed},
+		"dot segments":      {"GET", "/stock/../orders", "", nil, 400, basilmoor.ReasonMalformed},
+		"encoded dots":      {"GET", "/stock/%2e%2e/orders", "", nil, 400, basilmoor.ReasonMalformed},
+		"empty segment":     {"GET", "/stock//x", "", nil, 400, basilmoor.ReasonMalformed},
+		"large body":        {"POST", "/stock", strings.Repeat("x", MaxBodyBytes+1), nil, 413, basilmoor.ReasonTooLarge},
+		"large headers":     {"GET", "/stock", "", []string{"X-Large", strings.Repeat("x", MaxHeaderBytes)}, 431, basilmoor.ReasonTooLarge},
+		"method":            {"GET", ChatPath, "", nil, 405, basilmoor.ReasonMethodNotAllowed},
+		"trace":             {"TRACE", "/stock", "", nil, 405, basilmoor.ReasonMethodNotAllowed},
+		"no key":            {"POST", "/orders", "{}", nil, 400, basilmoor.ReasonKeyRequired},
+		"long key":          {"POST", "/orders", "{}", []string{HeaderIdempotencyKey, strings.Repeat("k", 256)}, 400, basilmoor.ReasonMalformed},
+		"unknown tier":      {"GET", "/stock", "", []string{HeaderTier, "gold"}, 400, basilmoor.ReasonMalformed},
+	}
+	f := newFixture(t, nil)
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			res := f.send(t, tt.method, tt.path, tt.body, tt.headers...)
+			require.Equal(t, tt.status, res.StatusCode)
+			require.Equal(t, "application/problem+json", res.Header.Get("Content-Type"))
+			require.NotEmpty(t, res.Header.Get("Basilmoor-Request-Id"))
+			require.Equal(t, "not-run", res.Header.Get("Basilmoor-Outcome"))
+			var body problemBody
+			require.NoError(t, json.Unmarshal([]byte(res.body), &body))
+			require.Equal(t, tt.reason, body.Reason)
+			require.Equal(t, tt.status, body.Status)
+			require.Equal(t, basilmoor.OutcomeNotRun, body.Outcome)
+		})
+	}
+	require.Empty(t, f.scheduler.acquired())
+	require.Zero(t, f.gateway.InProgress())
+}
+
+// Guards against a demand that misstates the request, a lost or changed
+// response, a leaked token, and a response without its outcome.
+func TestResponsesPass(t *testing.T) {
+	engine := serveTarget(t, basilmoor.EngineTarget, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if string(body) != chatRequest || r.Header.Get("Authorization") != "" || r.Header.Get("Basilmoor-Request-Id") == "" {
+			w.WriteHeader(http.StatusTeapot)
+			return
+		}
+		if r.Header.Get("Accept") != "text/event-stream" {
+			w.Header().Set("X-Engine", "e")
+			_, _ = io.WriteString(w, `{"id":"c"}`)
+			return
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, ": ping\n\ndata: {\"a\":1}\n\ndata: {\"a\":2}\n\ndata: [DONE]\n\n")
+	})
+	f := newFixture(t, nil, engine)
+
+	res := f.send(t, "POST", ChatPath, chatRequest)
+	require.Equal(t, 200, res.StatusCode)
+	require.Equal(t, `{"id":"c"}`, res.body)
+	require.Equal(t, "e", res.Header.Get("X-Engine"))
+	require.Equal(t, "done", res.Header.Get("Basilmoor-Outcome"))
+	require.Equal(t, "h1-7-1", res.Header.Get("Basilmoor-Request-Id"))
+
+	res = f.send(t, "POST", ChatPath, chatRequest, "Accept", "text/event-stream", HeaderTier, "high")
+	require.Equal(t, ": ping\n\ndata: {\"a\":1}\n\ndata: {\"a\":2}\n\ndata: [DONE]\n\n", res.body)
+	require.Equal(t, "done", res.Trailer.Get("Basilmoor-Outcome"))
+
+	d := f.scheduler.acquired()[1]
+	require.Equal(t, 1, d.Tier, "a caller raised its tier")
+	require.Equal(t, "models", d.Pool)
+	require.Equal(t, 4, d.PromptTokens)
+	require.Equal(t, 30, d.OutputTokens)
+	require.Equal(t, basilmoor.StageFinished, f.scheduler.observed()[2])
+
+	res = f.send(t, "POST", ChatPath, strings.Replace(chatRequest, "plant", "water", 1), HeaderTier, "low")
+	require.Equal(t, http.StatusTeapot, res.StatusCode)
+	require.Equal(t, "done", res.outcome())
+	require.Equal(t, 2, f.scheduler.acquired()[2].Tier)
+}
+
+// Guards against a broken response that looks complete to its caller.
+func TestBrokenResponses(t *testing.T) {
+	target := serveTarget(t, basilmoor.EngineTarget, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case ChatPath:
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "data: {\"a\":1}\n\ndata: {\"b")
+		case "/stock/chunked":
+			_, _ = io.WriteString(w, "part")
+		case "/stock/sized":
+			w.Header().Set("Content-Length", "10")
+			_, _ = io.WriteString(w, "part")
+		case "/stock/silent":
+			panic(http.ErrAbortHandler)
+		case "/stock/busy":
+			w.Header().Set("Retry-After", "17")
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	f := newFixture(t, nil, target)
+
+	res := f.send(t, "POST", ChatPath, chatRequest)
+	require.Equal(t, "data: {\"a\":1}\n\nevent: error\ndata: {\"outcome\":\"incomplete\",\"reason\":\"target-failed\"}\n\n", res.body)
+	require.NoError(t, res.readErr)
+	require.Equal(t, "incomplete", res.outcome())
+
+	res = f.send(t, "GET", "/stock/chunked", "")
+	require.Error(t, res.readErr, "a body that broke off ended cleanly")
+
+	res = f.send(t, "GET", "/stock/sized", "")
+	require.Equal(t, 502, res.StatusCode)
+	require.Equal(t, "incomplete", res.outcome())
+
+	res = f.send(t, "GET", "/stock/silent", "")
+	require.Equal(t, 502, res.StatusCode)
+	require.Equal(t, "unknown", res.outcome())
+
+	res = f.send(t, "GET", "/stock/busy", "")
+	require.Equal(t, 503, res.StatusCode)
+	require.Equal(t, "not-run", res.outcome())
+	require.Equal(t, "17", res.Header.Get("Retry-After"))
+	require.Len(t, f.scheduler.acquired(), 5, "a request was dispatched again")
+}
+
+// Guards against a request that is lost, or sent twice, when its first target
+// is dead or its grant has expired.
+func TestRetryBeforeFirstByte(t *testing.T) {
+	hits := make(chan string, 10)
+	alive := serveTarget(t, basilmoor.ServiceTarget, func(w http.ResponseWriter, r *http.Request) {
+		hits <- r.URL.RequestURI()
+		fmt.Fprint(w, "ok")
+	})
+	f := newFixture(t, nil, deadTarget(t), alive)
+	res := f.send(t, "GET", "/stock?q=a%20b", "")
+	require.Equal(t, "ok", res.body)
+	require.Equal(t, "/stock?q=a%20b", <-hits)
+	require.Empty(t, hits)
+	require.Equal(t, []string{"dead"}, f.scheduler.acquired()[1].Excluded)
+	require.EqualValues(t, 1, f.metrics.Snapshot()["retries.connect-failed"])
+	require.Equal(t, basilmoor.StageReturned, f.scheduler.observed()[0])
+
+	f = newFixture(t, nil, deadTarget(t))
+	f.scheduler.invalid = 1
+	res = f.send(t, "GET", "/stock", "")
+	require.Equal(t, "not-run", res.outcome())
+	require.Contains(t, res.body, "target-unreachable")
+	require.Len(t, f.scheduler.acquired(), maxAttempts)
+	require.EqualValues(t, 1, f.metrics.Snapshot()["retries.grant-expired"])
+}
+
+// Guards against a stop that interrupts a running request or accepts a new one.
+func TestStop(t *testing.T) {
+	target := serveTarget(t, basilmoor.ServiceTarget, func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, "ok")
+	})
+	f := newFixture(t, nil, target)
+	f.scheduler.hold = make(chan struct{})
+	running := make(chan response)
+	go func() { running <- f.send(t, "GET", "/stock", "") }()
+	<-f.scheduler.waiting
+	require.Equal(t, 1, f.gateway.InProgress())
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.ErrorIs(t, f.gateway.Stop(ctx), context.Canceled)
+
+	res := f.send(t, "GET", "/stock", "")
+	require.Equal(t, 503, res.StatusCode)
+	require.Equal(t, "not-run", res.outcome())
+	require.Contains(t, res.body, `"stopping"`)
+	close(f.scheduler.hold)
+	require.Equal(t, "ok", (<-running).body)
+	require.NoError(t, f.gateway.Stop(context.Background()))
+	require.Zero(t, f.gateway.InProgress())
+}
