Add catalog, release notes and their acceptance

Operators had no way to put a configuration into the store. The catalog is stored as a head and parts by content digest; a release note is checked as a whole, with all faults at once, and accepted with one compare-and-swap on the head.

Decisions: - A part names the version it was first written for. Every acceptor writes the record of the head it found before it replaces that head.

Faults put in to see the tests fail: without the digest checks, the pending swap, the overlap check, the record before the swap, the note in the head, the removal of old parts or the copy of token shards, a test of the package fails.

--- /dev/null
+++ b/internal/config/bmacceptance/errors.go
@@ -0,0 +1,124 @@
+package bmacceptance
+
+import (
+	"fmt"
+	"strings"
+
+	"basilmoor.example/basilmoor/internal/config/bmcatalog"
+	"basilmoor.example/basilmoor/internal/config/bmnote"
+)
+
+// NotAcceptedError tells that a note did not take effect and will not.
+type NotAcceptedError struct {
+	Note string
+	Err  error
+}
+
+func (e *NotAcceptedError) Error() string {
+	return fmt.Sprintf("note %s was not accepted: %v", e.Note, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *NotAcceptedError) Unwrap() error { return e.Err }
+
+// UnknownError tells that the store did not say whether a note took effect.
+type UnknownError struct {
+	Note    string
+	Version int64 // version that the note makes if it was accepted
+	Err     error
+}
+
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("it is unknown whether note %s was accepted as version %d: %v; "+
+		"apply the same note again when the store answers, which accepts it at most once, "+
+		"or look for its id in note-id and previous-notes of %s",
+		e.Note, e.Version, e.Err, bmcatalog.HeadKey)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// Overlap is an item that another note changed in between.
+type Overlap struct {
+	Item    bmnote.Item `json:"item"`
+	Note    string      `json:"note"`
+	Version int64       `json:"version"`
+}
+
+// ConflictError tells that notes accepted in between stand against a note.
+type ConflictError struct {
+	Note    string
+	Base    int64 // version for which the note was written or first checked
+	Current int64 // version in effect
+
+	// Between are the notes accepted after Base; nil if Base is too old for
+	// the head to name them.
+	Between []bmcatalog.NoteRef
+
+	// Overlaps are the items of the note that changed in between.
+	Overlaps []Overlap
+
+	// Invalid is set if the note touches other items but is no longer valid.
+	Invalid *bmnote.InvalidError
+}
+
+func (e *ConflictError) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "note %s conflicts with what changed between version %d and version %d", e.Note, e.Base, e.Current)
+	if e.Between == nil {
+		fmt.Fprintf(&b, ": base-version is older than the last %d notes", bmcatalog.MaxPreviousNotes)
+	}
+	for _, o := range e.Overlaps {
+		fmt.Fprintf(&b, "; %s by note %s (version %d)", o.Item, o.Note, o.Version)
+	}
+	if e.Invalid != nil {
+		fmt.Fprintf(&b, "; after %s: %v", noteNames(e.Between), e.Invalid)
+	}
+	return b.String()
+}
+
+// Unwrap returns the faults, if any.
+func (e *ConflictError) Unwrap() error {
+	if e.Invalid == nil {
+		return nil
+	}
+	return e.Invalid
+}
+
+func noteNames(refs []bmcatalog.NoteRef) string {
+	names := make([]string, 0, len(refs))
+	for _, r := range refs {
+		names = append(names, fmt.Sprintf("note %s (version %d)", r.ID, r.Version))
+	}
+	return strings.Join(names, ", ")
+}
+
+// NoteReusedError tells that a note id was accepted with other content.
+type NoteReusedError struct {
+	Note    string
+	Version int64
+}
+
+func (e *NoteReusedError) Error() string {
+	return fmt.Sprintf("note id %s was accepted with other content as version %d; choose another id", e.Note, e.Version)
+}
+
+// StoreBehindError tells that the store holds an older version than the fleet,
+// as after a restoration from a backup.
+type StoreBehindError struct {
+	Stored int64
+	Known  int64
+}
+
+func (e *StoreBehindError) Error() string {
+	return fmt.Sprintf("the store holds version %d, but version %d was accepted; restore the head before applying notes", e.Stored, e.Known)
+}
+
+// ContendedError tells that other notes were accepted during every try.
+type ContendedError struct {
+	Tries int
+}
+
+func (e *ContendedError) Error() string {
+	return fmt.Sprintf("other notes were accepted during each of %d tries", e.Tries)
+}
--- /dev/null
+++ b/internal/config/bmcatalog/content.go
@@ -0,0 +1,90 @@
+package bmcatalog
+
+import (
+	"slices"
+	"strings"
+
+	"basilmoor.example/basilmoor"
+)
+
+// Content is everything that operators configure. Each list is ordered by
+// name, and names are unique in a list. Lists must not be changed in place,
+// because snapshots share them.
+type Content struct {
+	Tiers      []basilmoor.Tier      `json:"tiers,omitempty"`
+	Workspaces []basilmoor.Workspace `json:"workspaces,omitempty"`
+	Kinds      []basilmoor.Kind      `json:"kinds,omitempty"`
+	Pools      []basilmoor.Pool      `json:"pools,omitempty"`
+	Targets    []basilmoor.Target    `json:"targets,omitempty"`
+}
+
+// Sorted returns a copy of c with each list ordered by name.
+func (c Content) Sorted() Content {
+	return Content{
+		Tiers:      sorted(c.Tiers, TierName),
+		Workspaces: sorted(c.Workspaces, WorkspaceName),
+		Kinds:      sorted(c.Kinds, KindName),
+		Pools:      sorted(c.Pools, PoolName),
+		Targets:    sorted(c.Targets, TargetName),
+	}
+}
+
+// TierName returns the name of a tier.
+func TierName(t basilmoor.Tier) string { return t.Name }
+
+// WorkspaceName returns the name of a workspace.
+func WorkspaceName(w basilmoor.Workspace) string { return w.Name }
+
+// KindName returns the name of a kind.
+func KindName(k basilmoor.Kind) string { return k.Name }
+
+// PoolName returns the name of a pool.
+func PoolName(p basilmoor.Pool) string { return p.Name }
+
+// TargetName returns the name of a target.
+func TargetName(t basilmoor.Target) string { return t.Name }
+
+func sorted[T any](items []T, name func(T) string) []T {
+	items = slices.Clone(items)
+	slices.SortFunc(items, func(a, b T) int { return strings.Compare(name(a), name(b)) })
+	return items
+}
+
+// EqualWorkspaces reports whether a and b are the same in every field.
+func EqualWorkspaces(a, b basilmoor.Workspace) bool {
+	if !slices.Equal(a.TokenDigests, b.TokenDigests) {
+		return false
+	}
+	return a.Name == b.Name && a.Weight == b.Weight && a.MaxConcurrent == b.MaxConcurrent &&
+		a.RatePerSecond == b.RatePerSecond && a.DefaultTier == b.DefaultTier
+}
+
+// EqualTargets reports whether a and b are the same in every field.
+func EqualTargets(a, b basilmoor.Target) bool {
+	if !slices.Equal(a.Models, b.Models) || !slices.Equal(a.Adapters, b.Adapters) {
+		return false
+	}
+	return a.Name == b.Name && a.Pool == b.Pool && a.Type == b.Type &&
+		a.Address == b.Address && a.Place == b.Place && a.Generation == b.Generation &&
+		a.Version == b.Version && a.Role == b.Role && a.Slots == b.Slots &&
+		a.CacheTokens == b.CacheTokens && a.ContextTokens == b.ContextTokens &&
+		a.ChecksFencing == b.ChecksFencing && a.Leaving == b.Leaving
+}
+
+func equalContent(a, b Content) bool {
+	return slices.Equal(a.Tiers, b.Tiers) &&
+		slices.EqualFunc(a.Workspaces, b.Workspaces, EqualWorkspaces) &&
+		slices.Equal(a.Kinds, b.Kinds) &&
+		slices.Equal(a.Pools, b.Pools) &&
+		slices.EqualFunc(a.Targets, b.Targets, EqualTargets)
+}
+
+// NormalPathPrefix returns the form in which path prefixes are compared:
+// without a slash at the end, but for the root.
+func NormalPathPrefix(prefix string) string {
+	trimmed := strings.TrimRight(prefix, "/")
+	if trimmed == "" {
+		return "/"
+	}
+	return trimmed
+}
--- /dev/null
+++ b/internal/config/bmcatalog/head.go
@@ -0,0 +1,150 @@
+package bmcatalog
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"github.com/pkg/errors"
+)
+
+// Schema is the version of the stored form.
+const Schema = 1
+
+// Keys of the store.
+const (
+	HeadKey        = "config/head"
+	PartKeyPrefix  = "config/parts/"
+	NoteKeyPrefix  = "config/notes/"
+	AuditKeyPrefix = "config/audit/"
+)
+
+// MaxPreviousNotes is the number of earlier notes that the head names. They
+// settle lost answers and conflicts without further reads.
+const MaxPreviousNotes = 64
+
+// PartRef names a part by its content.
+type PartRef struct {
+	Name   string `json:"name"`
+	Digest string `json:"digest"`
+}
+
+// NoteRef names an accepted release note.
+type NoteRef struct {
+	ID      string `json:"id"`
+	Version int64  `json:"version"`
+	Digest  string `json:"digest"`
+}
+
+// Head is the stored root of one version of the configuration.
+type Head struct {
+	Schema  int   `json:"schema"`
+	Version int64 `json:"version"`
+
+	// NoteID and NoteDigest identify the note that made this version.
+	NoteID     string `json:"note-id"`
+	NoteDigest string `json:"note-digest"`
+
+	// PreviousNotes are the notes before this one, the latest first.
+	PreviousNotes []NoteRef `json:"previous-notes,omitempty"`
+
+	// Parts are ordered by name.
+	Parts []PartRef `json:"parts"`
+
+	// DroppedParts are the digests that the version before listed and this
+	// one does not.
+	DroppedParts []string `json:"dropped-parts,omitempty"`
+
+	AcceptedBy string `json:"accepted-by"`
+	AcceptedAt string `json:"accepted-at"` // RFC 3339, UTC
+}
+
+// DigestError tells that bytes don't have the digest under which they are
+// known.
+type DigestError struct {
+	Name string
+	Want string
+	Got  string
+}
+
+func (e *DigestError) Error() string {
+	return fmt.Sprintf("%s has digest %s, want %s", e.Name, e.Got, e.Want)
+}
+
+// Digest returns the lower-case hexadecimal SHA-256 of value.
+func Digest(value []byte) string {
+	sum := sha256.Sum256(value)
+	return hex.EncodeToString(sum[:])
+}
+
+// PartKey returns the store's key of a part.
+func PartKey(digest string) string { return PartKeyPrefix + digest }
+
+// Note returns the reference of the note that made this version.
+func (h Head) Note() NoteRef {
+	return NoteRef{
+		ID:      h.NoteID,
+		Version: h.Version,
+		Digest:  h.NoteDigest,
+	}
+}
+
+// FindNote returns the reference of a note if it made this version or is among
+// the previous ones.
+func (h Head) FindNote(id string) (NoteRef, bool) {
+	if h.NoteID == id {
+		return h.Note(), true
+	}
+	for _, r := range h.PreviousNotes {
+		if r.ID == id {
+			return r, true
+		}
+	}
+	return NoteRef{}, false
+}
+
+// NotesAfter returns the notes of the versions after version, the oldest
+// first; false if the head doesn't reach back that far.
+func (h Head) NotesAfter(version int64) ([]NoteRef, bool) {
+	if version >= h.Version {
+		return nil, true
+	}
+	var refs []NoteRef
+	for i := len(h.PreviousNotes) - 1; i >= 0; i-- {
+		if h.PreviousNotes[i].Version > version {
+			refs = append(refs, h.PreviousNotes[i])
+		}
+	}
+	refs = append(refs, h.Note())
+	return refs, refs[0].Version == version+1
+}
+
+// Encode returns the stored form.
+func (h Head) Encode() ([]byte, error) {
+	value, err := json.Marshal(h)
+	return value, errors.Wrap(err, "encode head")
+}
+
+// DecodeHead decodes the stored form and checks that it is complete.
+func DecodeHead(value []byte) (Head, error) {
+	var h Head
+	if err := json.NewDecoder(bytes.NewReader(value)).Decode(&h); err != nil {
+		return Head{}, errors.Wrap(err, "decode head")
+	}
+	if h.Schema != Schema {
+		return Head{}, errors.Errorf("decode head: schema %d, want %d", h.Schema, Schema)
+	}
+	if h.Version < 1 || h.NoteID == "" {
+		return Head{}, errors.Errorf("decode head: version %d of note %q", h.Version, h.NoteID)
+	}
+	seen := make(map[string]bool, len(h.Parts))
+	for _, p := range h.Parts {
+		if seen[p.Name] {
+			return Head{}, errors.Errorf("decode head: part %s twice", p.Name)
+		}
+		seen[p.Name] = true
+	}
+	return h, nil
+}
