Add membership, calls between nodes and the broker service

A node needs to know the live hosts, reach them, and get grants from the broker of a pool wherever it runs.

bmmember is a state machine for heartbeats with a driver. Heartbeats pass on ticks and not ages: an age grows younger by the network's delay at each hop, so that hosts which hear of a dead host from each other could keep it alive.

bmpeer serves and calls over gRPC with the fleet secret and bounded messages, and dials anew once when an open connection delivers no byte within the bound.

bmscheduler hosts brokers and acquires grants, over a stream or on the same node, with a limited policy of its own while no broker is reachable.

Run: go test -race on the three packages, passed; golangci-lint fmt and run, no issue. First the test of two nodes let the manual clock run ahead of the loopback connections, so that the client fell back to its own policy; the test now paces the clock. Membership is not tested beyond rendezvous and the mesh's distances yet.

--- /dev/null
+++ b/internal/fleet/bmmember/beat.go
@@ -0,0 +1,71 @@
+package bmmember
+
+import "basilmoor.example/basilmoor"
+
+// Sighting is a member with its tick and the time since that increased.
+type Sighting struct {
+	Member basilmoor.Member
+	Tick   uint64
+	Age    basilmoor.Millis
+}
+
+// Summary identifies the members of a place without listing them.
+type Summary struct {
+	Place  string
+	Digest uint64
+	Tick   uint64
+}
+
+// Roster lists the live members of a place, ordered by host name, as one of
+// them vouched for them at the place's tick, Age ago.
+type Roster struct {
+	Place   string
+	Region  string
+	Tick    uint64
+	Age     basilmoor.Millis
+	Members []basilmoor.Member
+}
+
+// Beat is a heartbeat. Self lacks address, place and region if the receiver
+// holds them already.
+type Beat struct {
+	Self     basilmoor.Member
+	Sequence uint64 // orders the heartbeats of one incarnation
+	Tick     uint64 // periods since the start of the incarnation
+
+	// Introduce asks for the address, place and region of the receiver.
+	Introduce bool
+
+	// MeshDigest covers the members of the sender's mesh and MeshTicks the
+	// low bytes of their ticks; 0 if the receiver is outside of that mesh.
+	MeshDigest uint64
+	MeshTicks  []byte
+	Known      []Sighting
+
+	// RosterDigest covers the rosters of all places and RosterTicks the low
+	// bytes of their ticks; 0 in a fleet without rosters.
+	RosterDigest uint64
+	RosterTicks  []byte
+	Summaries    []Summary
+	Want         []string
+	Rosters      []Roster
+
+	Crashes []basilmoor.Crash
+}
+
+// Outgoing is a heartbeat to send.
+type Outgoing struct {
+	Peer basilmoor.Member
+	Beat Beat
+}
+
+// advance returns the tick whose low byte is b, if it is ahead of tick by less
+// than half of the range, else tick. What is passed on is a few seconds old at
+// most, and the range is 256 s.
+func advance(tick uint64, b byte) uint64 {
+	ahead := b - byte(tick)
+	if ahead < 128 {
+		return tick + uint64(ahead)
+	}
+	return tick
+}
--- /dev/null
+++ b/internal/fleet/bmpeer/claims.go
@@ -0,0 +1,143 @@
+package bmpeer
+
+import (
+	"context"
+	"crypto/sha256"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/fleet/bmpeerpb"
+)
+
+// claimServer serves a Claimer to other nodes.
+type claimServer struct {
+	bmpeerpb.UnimplementedClaimsServer
+	claimer basilmoor.Claimer
+}
+
+func (s *claimServer) Claim(ctx context.Context, in *bmpeerpb.ClaimRequest) (*bmpeerpb.ClaimResponse, error) {
+	r := basilmoor.ClaimRequest{
+		Workspace: in.GetWorkspace(),
+		Key:       in.GetKey(),
+		Host:      in.GetHost(),
+		Request:   basilmoor.RequestID(in.GetRequest()),
+	}
+	if len(in.GetBodyDigest()) != sha256.Size {
+		return nil, status.Error(codes.InvalidArgument, "body digest must have 32 bytes")
+	}
+	copy(r.BodyDigest[:], in.GetBodyDigest())
+	claim, err := s.claimer.Claim(ctx, r)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &bmpeerpb.ClaimResponse{
+		State:   string(claim.State),
+		Holder:  claim.Holder,
+		Request: string(claim.Request),
+		Answer:  encodeAnswer(claim.Answer),
+	}, nil
+}
+
+func (s *claimServer) Record(ctx context.Context, in *bmpeerpb.RecordRequest) (*bmpeerpb.RecordResponse, error) {
+	err := s.claimer.Record(ctx, basilmoor.ClaimRecord{
+		Workspace: in.GetWorkspace(),
+		Key:       in.GetKey(),
+		Request:   basilmoor.RequestID(in.GetRequest()),
+		State:     basilmoor.ClaimState(in.GetState()),
+		Answer:    decodeAnswer(in.GetAnswer()),
+	})
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &bmpeerpb.RecordResponse{}, nil
+}
+
+// remoteClaimer claims at another node. Its errors are *UnavailableError: the
+// claim may exist.
+type remoteClaimer struct {
+	pool    *Pool
+	address string
+}
+
+// Claimer returns the Claimer of the node at address.
+func (p *Pool) Claimer(address string) basilmoor.Claimer {
+	return &remoteClaimer{
+		pool:    p,
+		address: address,
+	}
+}
+
+func (c *remoteClaimer) Claim(ctx context.Context, r basilmoor.ClaimRequest) (basilmoor.Claim, error) {
+	in := &bmpeerpb.ClaimRequest{
+		Workspace:  r.Workspace,
+		Key:        r.Key,
+		BodyDigest: r.BodyDigest[:],
+		Host:       r.Host,
+		Request:    string(r.Request),
+	}
+	var out *bmpeerpb.ClaimResponse
+	err := c.pool.call(ctx, c.address, claimBound, func(ctx context.Context, cc grpc.ClientConnInterface) error {
+		var err error
+		out, err = bmpeerpb.NewClaimsClient(cc).Claim(ctx, in)
+		return err
+	})
+	if err != nil {
+		return basilmoor.Claim{}, unavailable("claim at peer", err)
+	}
+	return basilmoor.Claim{
+		State:   basilmoor.ClaimState(out.GetState()),
+		Holder:  out.GetHolder(),
+		Request: basilmoor.RequestID(out.GetRequest()),
+		Answer:  decodeAnswer(out.GetAnswer()),
+	}, nil
+}
+
+func (c *remoteClaimer) Record(ctx context.Context, r basilmoor.ClaimRecord) error {
+	in := &bmpeerpb.RecordRequest{
+		Workspace: r.Workspace,
+		Key:       r.Key,
+		Request:   string(r.Request),
+		State:     string(r.State),
+		Answer:    encodeAnswer(r.Answer),
+	}
+	err := c.pool.call(ctx, c.address, claimBound, func(ctx context.Context, cc grpc.ClientConnInterface) error {
+		_, err := bmpeerpb.NewClaimsClient(cc).Record(ctx, in)
+		return err
+	})
+	if err != nil {
+		return unavailable("record claim at peer", err)
+	}
+	return nil
+}
+
+func unavailable(operation string, err error) error {
+	return &basilmoor.UnavailableError{
+		Operation: operation,
+		Err:       err,
+	}
+}
+
+func encodeAnswer(a *basilmoor.Answer) *bmpeerpb.Answer {
+	if a == nil {
+		return nil
+	}
+	return &bmpeerpb.Answer{
+		Status:      int32(a.Status),
+		ContentType: a.ContentType,
+		Body:        a.Body,
+	}
+}
+
+func decodeAnswer(in *bmpeerpb.Answer) *basilmoor.Answer {
+	if in == nil {
+		return nil
+	}
+	return &basilmoor.Answer{
+		Status:      int(in.GetStatus()),
+		ContentType: in.GetContentType(),
+		Body:        in.GetBody(),
+	}
+}
--- /dev/null
+++ b/internal/fleet/bmpeer/convert.go
@@ -0,0 +1,151 @@
+package bmpeer
+
+import (
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/fleet/bmmember"
+	"basilmoor.example/basilmoor/internal/fleet/bmpeerpb"
+)
+
+// EncodeBeat returns the message of a heartbeat.
+func EncodeBeat(b bmmember.Beat) *bmpeerpb.Heartbeat {
+	out := &bmpeerpb.Heartbeat{
+		Self:         encodeMember(b.Self),
+		Sequence:     b.Sequence,
+		Introduce:    b.Introduce,
+		MeshDigest:   b.MeshDigest,
+		MeshTicks:    b.MeshTicks,
+		RosterDigest: b.RosterDigest,
+		RosterTicks:  b.RosterTicks,
+		Want:         b.Want,
+	}
+	out.Self.Tick = b.Tick
+	for _, k := range b.Known {
+		m := encodeMember(k.Member)
+		m.Tick = k.Tick
+		m.AgeMs = int64(k.Age)
+		out.Known = append(out.Known, m)
+	}
+	for _, s := range b.Summaries {
+		out.Summaries = append(out.Summaries, &bmpeerpb.Summary{
+			Place:  s.Place,
+			Digest: s.Digest,
+			Tick:   s.Tick,
+		})
+	}
+	for _, r := range b.Rosters {
+		out.Rosters = append(out.Rosters, encodeRoster(r))
+	}
+	for _, c := range b.Crashes {
+		out.Crashes = append(out.Crashes, &bmpeerpb.Crash{
+			Digest:  c.Digest,
+			Targets: c.Targets,
+			AgeMs:   int64(c.Age),
+			Lifted:  c.Lifted,
+		})
+	}
+	return out
+}
+
+// DecodeBeat returns the heartbeat of a message.
+func DecodeBeat(in *bmpeerpb.Heartbeat) bmmember.Beat {
+	b := bmmember.Beat{
+		Self:         decodeMember(in.GetSelf()),
+		Sequence:     in.GetSequence(),
+		Tick:         in.GetSelf().GetTick(),
+		Introduce:    in.GetIntroduce(),
+		MeshDigest:   in.GetMeshDigest(),
+		MeshTicks:    in.GetMeshTicks(),
+		RosterDigest: in.GetRosterDigest(),
+		RosterTicks:  in.GetRosterTicks(),
+		Want:         in.GetWant(),
+	}
+	for _, m := range in.GetKnown() {
+		b.Known = append(b.Known, bmmember.Sighting{
+			Member: decodeMember(m),
+			Tick:   m.GetTick(),
+			Age:    basilmoor.Millis(m.GetAgeMs()),
+		})
+	}
+	for _, s := range in.GetSummaries() {
+		b.Summaries = append(b.Summaries, bmmember.Summary{
+			Place:  s.GetPlace(),
+			Digest: s.GetDigest(),
+			Tick:   s.GetTick(),
+		})
+	}
+	for _, r := range in.GetRosters() {
+		b.Rosters = append(b.Rosters, decodeRoster(r))
+	}
+	for _, c := range in.GetCrashes() {
+		b.Crashes = append(b.Crashes, basilmoor.Crash{
+			Digest:  c.GetDigest(),
+			Targets: c.GetTargets(),
+			Age:     basilmoor.Millis(c.GetAgeMs()),
+			Lifted:  c.GetLifted(),
+		})
+	}
+	return b
+}
+
+func encodeRoster(r bmmember.Roster) *bmpeerpb.Roster {
+	out := &bmpeerpb.Roster{
+		Place:  r.Place,
+		Region: r.Region,
+		Tick:   r.Tick,
+		AgeMs:  int64(r.Age),
+	}
+	for _, m := range r.Members {
+		e := encodeMember(m)
+		e.Place = ""
+		e.Region = ""
+		out.Members = append(out.Members, e)
+	}
+	return out
+}
+
+// decodeRoster fills in the place and region that all members share.
+func decodeRoster(in *bmpeerpb.Roster) bmmember.Roster {
+	r := bmmember.Roster{
+		Place:  in.GetPlace(),
+		Region: in.GetRegion(),
+		Tick:   in.GetTick(),
+		Age:    basilmoor.Millis(in.GetAgeMs()),
+	}
+	for _, e := range in.GetMembers() {
+		m := decodeMember(e)
+		m.Place = r.Place
+		m.Region = r.Region
+		r.Members = append(r.Members, m)
+	}
+	return r
+}
+
+func encodeMember(m basilmoor.Member) *bmpeerpb.Member {
+	return &bmpeerpb.Member{
+		Host:          m.Host,
+		Address:       m.Address,
+		Place:         m.Place,
+		Region:        m.Region,
+		Incarnation:   m.Incarnation,
+		ConfigVersion: m.ConfigVersion,
+		ConfigNote:    m.ConfigNote,
+		Load:          int32(m.Load),
+		ShedLevel:     int32(m.ShedLevel),
+		Leaving:       m.Leaving,
+	}
+}
+
+func decodeMember(in *bmpeerpb.Member) basilmoor.Member {
+	return basilmoor.Member{
+		Host:          in.GetHost(),
+		Address:       in.GetAddress(),
+		Place:         in.GetPlace(),
+		Region:        in.GetRegion(),
+		Incarnation:   in.GetIncarnation(),
+		ConfigVersion: in.GetConfigVersion(),
+		ConfigNote:    in.GetConfigNote(),
+		Load:          int(in.GetLoad()),
+		ShedLevel:     int(in.GetShedLevel()),
+		Leaving:       in.GetLeaving(),
+	}
+}
--- /dev/null
+++ b/internal/fleet/bmpeer/membership.go
@@ -0,0 +1,47 @@
+package bmpeer
+
+import (
+	"context"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/fleet/bmmember"
+	"basilmoor.example/basilmoor/internal/fleet/bmpeerpb"
+)
+
+// Beater answers heartbeats.
+type Beater interface {
+	Handle(b bmmember.Beat) bmmember.Beat
+}
+
+type membershipServer struct {
+	bmpeerpb.UnimplementedMembershipServer
+	beater Beater
+}
+
+func (s *membershipServer) Beat(_ context.Context, in *bmpeerpb.Heartbeat) (*bmpeerpb.Heartbeat, error) {
+	if in.GetSelf().GetHost() == "" {
+		return nil, status.Error(codes.InvalidArgument, "heartbeat names no host")
+	}
+	return EncodeBeat(s.beater.Handle(DecodeBeat(in))), nil
+}
+
+var _ bmmember.Transport = (*Pool)(nil)
+
+// Beat exchanges one heartbeat with a peer.
+func (p *Pool) Beat(ctx context.Context, to basilmoor.Member, b bmmember.Beat) (bmmember.Beat, error) {
+	in := EncodeBeat(b)
+	var out *bmpeerpb.Heartbeat
+	err := p.call(ctx, to.Address, beatBound, func(ctx context.Context, cc grpc.ClientConnInterface) error {
+		var err error
+		out, err = bmpeerpb.NewMembershipClient(cc).Beat(ctx, in)
+		return err
+	})
+	if err != nil {
+		return bmmember.Beat{}, err
+	}
+	return DecodeBeat(out), nil
+}
--- /dev/null
+++ b/internal/fleet/bmpeer/peer_test.go
@@ -0,0 +1,349 @@
+package bmpeer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/fleet/bmmember"
+	"basilmoor.example/basilmoor/internal/fleet/bmpeerpb"
+)
+
+type fakeBeater struct {
+	mu  sync.Mutex
+	got []bmmember.Beat
+}
+
+func (b *fakeBeater) Handle(in bmmember.Beat) bmmember.Beat {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.got = append(b.got, in)
+	return in
+}
+
+// fakeClaimer holds one claim and the last record.
+type fakeClaimer struct {
+	request basilmoor.ClaimRequest
+	record  basilmoor.ClaimRecord
+	err     error
+}
+
+func (c *fakeClaimer) Claim(_ context.Context, r basilmoor.ClaimRequest) (basilmoor.Claim, error) {
+	c.request = r
+	return basilmoor.Claim{
+		State:   basilmoor.ClaimDone,
+		Holder:  "host-b",
+		Request: "r0",
+		Answer: &basilmoor.Answer{
+			Status:      201,
+			ContentType: "text/plain",
+			Body:        []byte("paid"),
+		},
+	}, c.err
+}
+
+func (c *fakeClaimer) Record(_ context.Context, r basilmoor.ClaimRecord) error {
+	c.record = r
+	return c.err
+}
+
+type fakeConfigPeer struct{}
+
+func (fakeConfigPeer) Fetch(_ context.Context, held []string) ([]byte, []basilmoor.ConfigPart, error) {
+	return []byte("head"), []basilmoor.ConfigPart{{
+		Digest: held[0],
+		Value:  make([]byte, 3<<20),
+	}}, nil
+}
+
+func serve(t *testing.T, cfg ServerConfig) string {
+	t.Helper()
+	cfg.Address = "127.0.0.1:0"
+	cfg.Secret = "right"
+	cfg.Clock = bmclock.NewManual(0)
+	s, cleanup, err := NewServer(cfg)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		cleanup()
+		<-done
+	})
+	return s.Address()
+}
+
+func newPool(t *testing.T, secret string) *Pool {
+	t.Helper()
+	p, cleanup, err := NewPool(PoolConfig{
+		Secret: secret,
+	})
+	require.NoError(t, err)
+	t.Cleanup(cleanup)
+	return p
+}
+
+// Guards against a call that is served without the fleet secret.
+func TestSecret(t *testing.T) {
+	tests := map[string]struct {
+		secret string
+		code   codes.Code
+	}{
+		"right": {
+			secret: "right",
+			code:   codes.OK,
+		},
+		"wrong": {
+			secret: "wrong",
+			code:   codes.Unauthenticated,
+		},
+		"prefix": {
+			secret: "righ",
+			code:   codes.Unauthenticated,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			beater := &fakeBeater{}
+			address := serve(t, ServerConfig{
+				Membership: beater,
+			})
+			_, err := newPool(t, tt.secret).Beat(context.Background(), basilmoor.Member{
+				Address: address,
+			}, fullBeat())
+			require.Equal(t, tt.code, status.Code(err))
+			require.Len(t, beater.got, map[bool]int{true: 1}[tt.code == codes.OK])
+		})
+	}
+}
+
+// Guards against a stream that is served without the fleet secret.
+func TestSecretOnStreams(t *testing.T) {
+	address := serve(t, ServerConfig{
+		Broker: bmpeerpb.UnimplementedBrokerServer{},
+	})
+	client, err := newPool(t, "wrong").Broker(address)
+	require.NoError(t, err)
+	stream, err := client.Schedule(context.Background())
+	require.NoError(t, err)
+	_, err = stream.Recv()
+	require.Equal(t, codes.Unauthenticated, status.Code(err))
+}
+
+func fullBeat() bmmember.Beat {
+	m := basilmoor.Member{
+		Host:          "host-a",
+		Address:       "127.0.0.1:7",
+		Place:         "bole",
+		Region:        "addis",
+		Incarnation:   5,
+		ConfigVersion: 6,
+		ConfigNote:    "note",
+		Load:          7,
+		ShedLevel:     2,
+		Leaving:       true,
+	}
+	return bmmember.Beat{
+		Self:       m,
+		Sequence:   8,
+		Tick:       9,
+		Introduce:  true,
+		MeshDigest: 10,
+		MeshTicks:  []byte{1, 2},
+		Known: []bmmember.Sighting{{
+			Member: m,
+			Tick:   3,
+			Age:    4,
+		}},
+		RosterDigest: 11,
+		RosterTicks:  []byte{3},
+		Summaries: []bmmember.Summary{{
+			Place:  "merkato",
+			Digest: 12,
+			Tick:   13,
+		}},
+		Want: []string{"piassa"},
+		Rosters: []bmmember.Roster{{
+			Place:   "bole",
+			Region:  "addis",
+			Tick:    14,
+			Age:     15,
+			Members: []basilmoor.Member{m},
+		}},
+		Crashes: []basilmoor.Crash{{
+			Digest:  16,
+			Targets: []string{"engine-1"},
+			Age:     17,
+			Lifted:  true,
+		}},
+	}
+}
+
+// Guards against a field of a heartbeat that is lost between nodes.
+func TestBeatOverTheWire(t *testing.T) {
+	beater := &fakeBeater{}
+	address := serve(t, ServerConfig{
+		Membership: beater,
+	})
+	reply, err := newPool(t, "right").Beat(context.Background(), basilmoor.Member{
+		Address: address,
+	}, fullBeat())
+	require.NoError(t, err)
+	require.Equal(t, fullBeat(), reply)
+	require.Equal(t, []bmmember.Beat{fullBeat()}, beater.got)
+}
+
+// Guards against a claim whose fields or error type are lost between nodes.
+func TestClaimsOverTheWire(t *testing.T) {
+	claimer := &fakeClaimer{}
+	remote := newPool(t, "right").Claimer(serve(t, ServerConfig{
+		Claims: claimer,
+	}))
+	request := basilmoor.ClaimRequest{
+		Workspace:  "w",
+		Key:        "k",
+		BodyDigest: [32]byte{1, 2},
+		Host:       "host-a",
+		Request:    "r1",
+	}
+	claim, err := remote.Claim(context.Background(), request)
+	require.NoError(t, err)
+	require.Equal(t, request, claimer.request)
+	require.Equal(t, []byte("paid"), claim.Answer.Body)
+	require.Equal(t, basilmoor.ClaimDone, claim.State)
+	record := basilmoor.ClaimRecord{
+		Workspace: "w",
+		Key:       "k",
+		Request:   "r1",
+		State:     basilmoor.ClaimReleased,
+	}
+	require.NoError(t, remote.Record(context.Background(), record))
+	require.Equal(t, record, claimer.record)
+	claimer.err = &basilmoor.UnavailableError{}
+	_, err = remote.Claim(context.Background(), request)
+	var unavailable *basilmoor.UnavailableError
+	require.ErrorAs(t, err, &unavailable)
+}
+
+// Guards against a configuration of several megabytes that doesn't fit.
+func TestFetchOverTheWire(t *testing.T) {
+	peer := newPool(t, "right").ConfigPeer(serve(t, ServerConfig{
+		Configuration: fakeConfigPeer{},
+	}))
+	head, parts, err := peer.Fetch(context.Background(), []string{"d1"})
+	require.NoError(t, err)
+	require.Equal(t, []byte("head"), head)
+	require.Len(t, parts[0].Value, 3<<20)
+}
+
+// Guards against the secret leaving the host in plain text.
+func TestPlainTextOnLoopbackOnly(t *testing.T) {
+	var plain *PlainTextError
+	_, _, err := NewServer(ServerConfig{
+		Address: "0.0.0.0:0",
+		Secret:  "right",
+	})
+	require.ErrorAs(t, err, &plain)
+	_, err = newPool(t, "right").Broker("192.0.2.1:70")
+	require.ErrorAs(t, err, &plain)
+}
+
+// proxy passes connections on to a server. While frozen, it keeps the existing
+// connections open and passes nothing on, and serves new ones.
+type proxy struct {
+	listener net.Listener
+	address  string
+	mu       sync.Mutex
+	frozen   []chan struct{}
+	accepted int
+}
+
+func newProxy(t *testing.T, address string) *proxy {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &proxy{
+		listener: l,
+		address:  address,
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go p.run()
+	return p
+}
+
+func (p *proxy) run() {
+	for {
+		in, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", p.address)
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		frozen := make(chan struct{})
+		p.frozen = append(p.frozen, frozen)
+		p.accepted++
+		p.mu.Unlock()
+		go p.pass(in, out, frozen)
+		go p.pass(out, in, frozen)
+	}
+}
+
+func (p *proxy) pass(to, from net.Conn, frozen <-chan struct{}) {
+	defer to.Close()
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		select {
+		case <-frozen:
+			continue
+		default:
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (p *proxy) freeze() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, f := range p.frozen {
+		close(f)
+	}
+	p.frozen = nil
+}
+
+// Guards against a peer that counts as failed because an open connection to it
+// has stopped responding while new ones work.
+func TestSilentConnectionIsDialledAnew(t *testing.T) {
+	p := newProxy(t, serve(t, ServerConfig{
+		Membership: &fakeBeater{},
+	}))
+	pool := newPool(t, "right")
+	peer := basilmoor.Member{
+		Address: p.listener.Addr().String(),
+	}
+	_, err := pool.Beat(context.Background(), peer, fullBeat())
+	require.NoError(t, err)
+	p.freeze()
+	_, err = pool.Beat(context.Background(), peer, fullBeat())
+	require.NoError(t, err)
+	require.Equal(t, 2, p.accepted)
+}
--- /dev/null
+++ b/internal/fleet/bmpeer/server.go
@@ -0,0 +1,142 @@
+package bmpeer
+
+import (
+	"context"
+	"net"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/fleet/bmpeerpb"
+)
+
+const (
+	// maxMessageBytes bounds the messages of all calls but Fetch. The largest
+	// is a recorded response, which has to fit into a value of the store.
+	maxMessageBytes = basilmoor.MaxValueBytes + 64<<10
+
+	// maxFetchBytes bounds a whole configuration: a head and 32 parts.
+	maxFetchBytes = 40 * basilmoor.MaxValueBytes
+
+	// windowBytes is the fixed flow-control window. A fixed one turns off the
+	// estimation of bandwidth, which adds two pings to every short call.
+	windowBytes = 1 << 20
+
+	// stopBound is the time that calls in progress get to end at a stop.
+	stopBound = 2 * basilmoor.Second
+)
+
+// ServerConfig are the parts that a Server serves. A nil part isn't served.
+type ServerConfig struct {
+	Address string // IP address and port to listen on
+	Secret  string
+	TLS     TLSFiles
+	Clock   basilmoor.Clock
+
+	Broker        bmpeerpb.BrokerServer
+	Claims        basilmoor.Claimer
+	Membership    Beater
+	Configuration basilmoor.ConfigPeer
+}
+
+// Server serves the calls of other nodes.
+type Server struct {
+	grpc     *grpc.Server
+	listener net.Listener
+	clock    basilmoor.Clock
+}
+
+// NewServer listens on the configured address. The returned function closes
+// the listener and all connections.
+func NewServer(cfg ServerConfig) (*Server, func(), error) {
+	if cfg.Secret == "" {
+		return nil, nil, errors.New("the fleet secret is empty")
+	}
+	if err := checkAddress(cfg.Address, cfg.TLS); err != nil {
+		return nil, nil, err
+	}
+	creds, err := transportCredentials(cfg.TLS)
+	if err != nil {
+		return nil, nil, err
+	}
+	listener, err := net.Listen("tcp", cfg.Address)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "listen for peers")
+	}
+	check := newSecretCheck(cfg.Secret)
+	s := &Server{
+		grpc: grpc.NewServer(
+			grpc.Creds(creds),
+			grpc.UnaryInterceptor(check.unary),
+			grpc.StreamInterceptor(check.stream),
+			grpc.MaxRecvMsgSize(maxMessageBytes),
+			grpc.StaticStreamWindowSize(windowBytes),
+			grpc.StaticConnWindowSize(windowBytes),
+		),
+		listener: listener,
+		clock:    cfg.Clock,
+	}
+	s.register(cfg)
+	return s, s.grpc.Stop, nil
+}
+
+func (s *Server) register(cfg ServerConfig) {
+	if cfg.Broker != nil {
+		bmpeerpb.RegisterBrokerServer(s.grpc, cfg.Broker)
+	}
+	if cfg.Claims != nil {
+		bmpeerpb.RegisterClaimsServer(s.grpc, &claimServer{
+			claimer: cfg.Claims,
+		})
+	}
+	if cfg.Membership != nil {
+		bmpeerpb.RegisterMembershipServer(s.grpc, &membershipServer{
+			beater: cfg.Membership,
+		})
+	}
+	if cfg.Configuration != nil {
+		bmpeerpb.RegisterConfigurationServer(s.grpc, &configurationServer{
+			peer: cfg.Configuration,
+		})
+	}
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Serve serves calls until ctx ends. Calls in progress then have a bound to
+// end; Schedule streams end when their service stops.
+func (s *Server) Serve(ctx context.Context) error {
+	done := make(chan error, 1)
+	go s.run(done)
+	select {
+	case err := <-done:
+		return errors.Wrap(err, "serve peers")
+	case <-ctx.Done():
+	}
+	stopped := make(chan struct{})
+	go s.runStop(stopped)
+	timer := s.clock.NewTimer(stopBound)
+	defer timer.Stop()
+	select {
+	case <-stopped:
+	case <-timer.C():
+		s.grpc.Stop()
+	}
+	if err := <-done; err != nil {
+		return errors.Wrap(err, "serve peers")
+	}
+	return ctx.Err()
+}
+
+func (s *Server) run(done chan<- error) {
+	done <- s.grpc.Serve(s.listener)
+}
+
+func (s *Server) runStop(stopped chan<- struct{}) {
+	s.grpc.GracefulStop()
+	close(stopped)
+}
--- /dev/null
+++ b/internal/schedule/bmscheduler/nodes_test.go
@@ -0,0 +1,284 @@
+package bmscheduler
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/core/bmmetrics"
+	"basilmoor.example/basilmoor/internal/fleet/bmpeer"
+)
+
+// catalogMethods embeds the methods that the tests don't need.
+type catalogMethods = basilmoor.Catalog
+
+// fakeCatalog is a catalog and its own source.
+type fakeCatalog struct {
+	catalogMethods
+	targets []basilmoor.Target
+}
+
+func (c fakeCatalog) Pools() []basilmoor.Pool {
+	return []basilmoor.Pool{{
+		Name:   "models",
+		Region: "addis",
+	}}
+}
+
+func (c fakeCatalog) Targets(string) []basilmoor.Target { return c.targets }
+
+func (c fakeCatalog) Catalog() (basilmoor.Catalog, bool) { return c, true }
+
+func oneTarget(slots int) fakeCatalog {
+	return fakeCatalog{
+		targets: []basilmoor.Target{{
+			Name:    "engine-1",
+			Pool:    "models",
+			Address: "127.0.0.1:1",
+			Place:   "bole",
+			Slots:   slots,
+		}},
+	}
+}
+
+// fakeMembers is a list of live members that a test changes.
+type fakeMembers struct {
+	mu   sync.Mutex
+	live []basilmoor.Member
+}
+
+func (m *fakeMembers) set(live ...basilmoor.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.live = live
+}
+
+// view is the membership as one host sees it.
+type view struct {
+	*fakeMembers
+	self basilmoor.Member
+}
+
+func (v view) Self() basilmoor.Member { return v.self }
+
+func (v view) Live() []basilmoor.Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.live
+}
+
+// node is one host with a server, a service and a client.
+type node struct {
+	member  basilmoor.Member
+	metrics *bmmetrics.Registry
+	service *Service
+	client  *Client
+	stop    func()
+
+	mu       sync.Mutex
+	policies []*fakePolicy
+}
+
+func (n *node) newPolicy(string) basilmoor.Policy {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := newFakePolicy()
+	n.policies = append(n.policies, p)
+	return p
+}
+
+// running returns the grants that the node's brokers count.
+func (n *node) running() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	total := 0
+	for _, p := range n.policies {
+		_, running := p.counts()
+		total += running
+	}
+	return total
+}
+
+type fleet struct {
+	t       *testing.T
+	clock   *bmclock.Manual
+	members *fakeMembers
+	catalog basilmoor.CatalogSource
+}
+
+func newFleet(t *testing.T, catalog basilmoor.CatalogSource) *fleet {
+	return &fleet{
+		t:       t,
+		clock:   bmclock.NewManual(0),
+		members: &fakeMembers{},
+		catalog: catalog,
+	}
+}
+
+// start runs a node; the test stops it at its end at the latest.
+func (f *fleet) start(host string) *node {
+	n := &node{
+		metrics: bmmetrics.NewRegistry(),
+	}
+	n.member = basilmoor.Member{
+		Host:   host,
+		Place:  "bole",
+		Region: "addis",
+	}
+	self := &selfView{
+		view: view{
+			fakeMembers: f.members,
+		},
+		node: n,
+	}
+	service, waitService := NewService(ServiceConfig{
+		Clock:      f.clock,
+		Membership: self,
+		Catalog:    f.catalog,
+		Metrics:    n.metrics,
+		Logger:     zerolog.Nop(),
+		NewPolicy:  n.newPolicy,
+	})
+	server, closeServer, err := bmpeer.NewServer(bmpeer.ServerConfig{
+		Address: "127.0.0.1:0",
+		Secret:  "secret",
+		Clock:   f.clock,
+		Broker:  service,
+	})
+	require.NoError(f.t, err)
+	n.member.Address = server.Address()
+	pool, closePool, err := bmpeer.NewPool(bmpeer.PoolConfig{
+		Secret: "secret",
+	})
+	require.NoError(f.t, err)
+	client, waitClient := NewClient(ClientConfig{
+		Clock:      f.clock,
+		Membership: self,
+		Catalog:    f.catalog,
+		Metrics:    n.metrics,
+		Logger:     zerolog.Nop(),
+		Peers:      pool,
+		Local:      service,
+		NewPolicy:  n.newPolicy,
+	})
+	n.service = service
+	n.client = client
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, serve := range []func(context.Context) error{service.Serve, client.Serve, server.Serve} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_ = serve(ctx)
+		}()
+	}
+	n.stop = sync.OnceFunc(func() {
+		cancel()
+		closePool()
+		closeServer()
+		wg.Wait()
+		waitClient()
+		waitService()
+	})
+	f.t.Cleanup(n.stop)
+	return n
+}
+
+type selfView struct {
+	view
+	node *node
+}
+
+func (v *selfView) Self() basilmoor.Member { return v.node.member }
+
+// until advances the clock in small steps until the condition holds. The pause
+// lets the loopback connections keep up with the clock.
+func (f *fleet) until(condition func() bool) {
+	for !condition() {
+		f.clock.Advance(2)
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// acquired is the result of an Acquire in its own goroutine.
+type acquired struct {
+	permit basilmoor.Permit
+	err    error
+}
+
+func acquire(ctx context.Context, n *node, d basilmoor.Demand) <-chan acquired {
+	ch := make(chan acquired, 1)
+	go func() {
+		p, err := n.client.Acquire(ctx, d)
+		ch <- acquired{
+			permit: p,
+			err:    err,
+		}
+	}()
+	return ch
+}
+
+func (f *fleet) await(ch <-chan acquired) acquired {
+	var a acquired
+	f.until(func() bool {
+		select {
+		case a = <-ch:
+			return true
+		default:
+			return false
+		}
+	})
+	return a
+}
+
+func demand(id string) basilmoor.Demand {
+	return basilmoor.Demand{
+		Request:  basilmoor.RequestID(id),
+		Pool:     "models",
+		Weight:   1,
+		Deadline: basilmoor.Minute,
+	}
+}
+
+// Guards against a grant that doesn't reach the caller over the wire, or a
+// release that doesn't reach the broker.
+func TestTwoNodesOverLoopback(t *testing.T) {
+	f := newFleet(t, oneTarget(1))
+	a, b := f.start("host-a"), f.start("host-b")
+	f.members.set(a.member, b.member)
+	broker, ok := brokerOf("models", f.catalog, view{
+		fakeMembers: f.members,
+	})
+	require.True(t, ok)
+	owner, other := a, b
+	if broker.Host == b.member.Host {
+		owner, other = b, a
+	}
+
+	remote := f.await(acquire(context.Background(), other, demand("r1")))
+	require.NoError(t, remote.err)
+	require.Equal(t, "engine-1", remote.permit.Target().Name)
+	require.True(t, remote.permit.Valid())
+	second := acquire(context.Background(), owner, demand("r2"))
+	remote.permit.Observe(basilmoor.Observation{
+		Stage: basilmoor.StageDispatched,
+	})
+	require.False(t, remote.permit.Valid())
+	remote.permit.Observe(basilmoor.Observation{
+		Stage: basilmoor.StageFinished,
+	})
+	local := f.await(second)
+	require.NoError(t, local.err)
+	local.permit.Observe(basilmoor.Observation{
+		Stage: basilmoor.StageReturned,
+	})
+	f.until(func() bool { return owner.running() == 0 })
+	require.Equal(t, int64(1), other.metrics.Snapshot()[grantsRemote])
+	require.Equal(t, int64(1), owner.metrics.Snapshot()[grantsLocal])
+}
--- /dev/null
+++ b/internal/schedule/bmscheduler/stream_client.go
@@ -0,0 +1,141 @@
+package bmscheduler
+
+import (
+	"context"
+	"sync"
+
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmmetrics"
+	"basilmoor.example/basilmoor/internal/fleet/bmpeerpb"
+)
+
+type scheduleClient = grpc.BidiStreamingClient[bmpeerpb.ScheduleRequest, bmpeerpb.ScheduleResponse]
+
+// streamUplink connects a client to a broker on another node.
+type streamUplink struct {
+	stream  scheduleClient
+	cancels context.CancelFunc
+	outbox  *mailbox[*bmpeerpb.ScheduleRequest]
+	clock   basilmoor.Clock
+	metrics *bmmetrics.Registry
+	ledger  *ledger
+	epoch   int
+	lost    func(epoch int)
+	wg      sync.WaitGroup
+}
+
+var _ uplink = (*streamUplink)(nil)
+
+// openStream opens a stream and waits for the broker's first message. The
+// stream lasts until cancel is called.
+func openStream(ctx context.Context, client bmpeerpb.BrokerClient, hello *bmpeerpb.Hello) (scheduleClient, error) {
+	stream, err := client.Schedule(ctx)
+	if err != nil {
+		return nil, err
+	}
+	err = stream.Send(&bmpeerpb.ScheduleRequest{
+		Message: &bmpeerpb.ScheduleRequest_Hello{
+			Hello: hello,
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	if _, err := stream.Recv(); err != nil {
+		return nil, err
+	}
+	return stream, nil
+}
+
+// run sends queued messages until the stream or the session ends.
+func (u *streamUplink) run() {
+	defer u.wg.Done()
+	for {
+		select {
+		case <-u.stream.Context().Done():
+			return
+		case <-u.outbox.ready:
+		}
+		for _, m := range u.outbox.take() {
+			if u.stream.Send(m) != nil {
+				return
+			}
+			u.metrics.Add("control.messages-sent", 1)
+			u.metrics.Add("control.bytes-sent", int64(proto.Size(m)))
+		}
+	}
+}
+
+// loop receives messages until the stream ends.
+func (u *streamUplink) loop() {
+	defer u.wg.Done()
+	for {
+		m, err := u.stream.Recv()
+		if err != nil {
+			u.lost(u.epoch)
+			return
+		}
+		u.metrics.Add("control.messages-received", 1)
+		u.metrics.Add("control.bytes-received", int64(proto.Size(m)))
+		d, ok := decodeDecision(m)
+		if !ok {
+			u.ledger.hear(u.clock.Now(), u.epoch)
+			continue
+		}
+		u.ledger.decide(u.clock.Now(), u.epoch, d)
+	}
+}
+
+func (u *streamUplink) queue(m *bmpeerpb.ScheduleRequest) {
+	if u.outbox.put(m) > maxQueuedMessages {
+		u.end()
+	}
+}
+
+func (u *streamUplink) submit(d basilmoor.Demand) {
+	u.queue(&bmpeerpb.ScheduleRequest{
+		Message: &bmpeerpb.ScheduleRequest_Demand{
+			Demand: encodeDemand(d),
+		},
+	})
+}
+
+func (u *streamUplink) cancel(id basilmoor.RequestID) {
+	u.queue(&bmpeerpb.ScheduleRequest{
+		Message: &bmpeerpb.ScheduleRequest_Cancel{
+			Cancel: string(id),
+		},
+	})
+}
+
+func (u *streamUplink) observe(o basilmoor.Observation) {
+	u.queue(&bmpeerpb.ScheduleRequest{
+		Message: &bmpeerpb.ScheduleRequest_Observation{
+			Observation: encodeObservation(o),
+		},
+	})
+}
+
+func (u *streamUplink) resubmitted() {
+	u.queue(&bmpeerpb.ScheduleRequest{
+		Message: &bmpeerpb.ScheduleRequest_Resubmitted{
+			Resubmitted: true,
+		},
+	})
+}
+
+func (u *streamUplink) keepalive() {
+	u.queue(&bmpeerpb.ScheduleRequest{
+		Message: &bmpeerpb.ScheduleRequest_Keepalive{
+			Keepalive: true,
+		},
+	})
+}
+
+func (u *streamUplink) end() {
+	u.outbox.close()
+	u.cancels()
+}
