Serve one request end to end in separate processes

The node assembles gateway, broker client and service, membership and the configuration reader under suture; the command line has node, apply, check, status and version. TestPath runs store, host list, two engines, a service and two nodes as processes and sends good and bad requests through both nodes.

Open: claims, resumption and the configuration follower are not assembled yet; the node reads the head every 500 ms until the follower is there.

--- /dev/null
+++ b/cmd/basilmoor/main.go
@@ -0,0 +1,13 @@
+// Command basilmoor schedules requests from many workspaces onto unlike
+// targets. See docs/operations.md.
+package main
+
+import (
+	"os"
+
+	"basilmoor.example/basilmoor/internal/operator/bmcli"
+)
+
+func main() {
+	os.Exit(bmcli.Main(os.Args[1:], bmcli.System()))
+}
--- /dev/null
+++ b/internal/node/bmnode/backend.go
@@ -0,0 +1,143 @@
+package bmnode
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/config/bmacceptance"
+	"basilmoor.example/basilmoor/internal/config/bmnote"
+	"basilmoor.example/basilmoor/internal/node/bmadmin"
+)
+
+// Status implements bmadmin.Backend.
+func (n *Node) Status() bmadmin.Status {
+	s := bmadmin.Status{
+		Host:       n.settings.Host,
+		Ready:      n.ready(),
+		InProgress: n.gateway.InProgress(),
+		Hosts:      []bmadmin.HostStatus{},
+		Targets:    []bmadmin.TargetStatus{},
+		Lagging:    []string{},
+	}
+	c, ok := n.config.Catalog()
+	if ok {
+		s.ConfigVersion = c.Version()
+		s.ConfigNote = c.NoteID()
+		s.Targets = n.targetStatus(c)
+	}
+	for _, m := range n.members.Live() {
+		s.Hosts = append(s.Hosts, bmadmin.HostStatus{
+			Host:          m.Host,
+			Address:       m.Address,
+			Place:         m.Place,
+			ConfigVersion: m.ConfigVersion,
+			ConfigNote:    m.ConfigNote,
+			Load:          m.Load,
+			ShedLevel:     m.ShedLevel,
+			Leaving:       m.Leaving,
+		})
+		if m.ConfigVersion < s.ConfigVersion {
+			s.Lagging = append(s.Lagging, m.Host)
+		}
+	}
+	return s
+}
+
+func (n *Node) targetStatus(c basilmoor.Catalog) []bmadmin.TargetStatus {
+	list := []bmadmin.TargetStatus{}
+	for _, p := range c.Pools() {
+		for _, t := range c.Targets(p.Name) {
+			list = append(list, bmadmin.TargetStatus{
+				Name:    t.Name,
+				Pool:    p.Name,
+				Place:   t.Place,
+				Leaving: t.Leaving || n.marks.leaving(t.Name),
+			})
+		}
+	}
+	return list
+}
+
+// Counters implements bmadmin.Backend.
+func (n *Node) Counters() map[string]int64 {
+	return n.metrics.Snapshot()
+}
+
+// CheckNote implements bmadmin.Backend.
+func (n *Node) CheckNote(ctx context.Context, text []byte) (string, error) {
+	note, err := bmnote.Parse(text)
+	if err != nil {
+		return "", noteProblem(err)
+	}
+	plan, err := n.acceptor.Plan(ctx, note)
+	if err != nil {
+		return "", noteProblem(err)
+	}
+	return plan.Text(), nil
+}
+
+// AcceptNote implements bmadmin.Backend.
+func (n *Node) AcceptNote(ctx context.Context, text []byte, author string) (bmadmin.Acceptance, error) {
+	r, err := n.acceptor.AcceptText(ctx, text, author)
+	if err != nil {
+		return bmadmin.Acceptance{}, noteProblem(err)
+	}
+	return bmadmin.Acceptance{
+		Version: r.Version,
+		Note:    r.Note,
+		Already: r.Already,
+		Rebased: len(r.Rebased) > 0,
+		Plan:    r.Plan.Text(),
+	}, nil
+}
+
+// noteProblem tells the operator why a note was not accepted, or that this is
+// unknown.
+func noteProblem(err error) error {
+	p := bmadmin.Problem{
+		Type:   "about:blank",
+		Status: http.StatusServiceUnavailable,
+		Title:  "release note not accepted",
+		Detail: err.Error(),
+	}
+	var (
+		invalid  *bmnote.InvalidError
+		conflict *bmacceptance.ConflictError
+		reused   *bmacceptance.NoteReusedError
+		behind   *bmacceptance.StoreBehindError
+		unknown  *bmacceptance.UnknownError
+	)
+	switch {
+	case errors.As(err, &unknown):
+		p.Title = "acceptance of the release note is unknown"
+		p.Status = http.StatusGatewayTimeout
+	case errors.As(err, &conflict):
+		p.Status = http.StatusConflict
+	case errors.As(err, &reused), errors.As(err, &behind):
+		p.Status = http.StatusConflict
+	case errors.As(err, &invalid):
+		p.Status = http.StatusUnprocessableEntity
+	}
+	if errors.As(err, &invalid) {
+		p.Detail = "the note has faults"
+		for _, f := range invalid.Faults {
+			p.Faults = append(p.Faults, f.String())
+		}
+	}
+	return &bmadmin.ProblemError{
+		Problem: p,
+	}
+}
+
+// Crashes implements bmadmin.Backend.
+func (n *Node) Crashes() []basilmoor.Crash {
+	return nil
+}
+
+// LiftCrash implements bmadmin.Backend.
+func (n *Node) LiftCrash(uint64) bool {
+	return false
+}
--- /dev/null
+++ b/internal/node/bmnode/build.go
@@ -0,0 +1,237 @@
+package bmnode
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/config/bmacceptance"
+	"basilmoor.example/basilmoor/internal/fleet/bmmember"
+	"basilmoor.example/basilmoor/internal/fleet/bmpeer"
+	"basilmoor.example/basilmoor/internal/node/bmadmin"
+	"basilmoor.example/basilmoor/internal/platform/bmhostlist"
+	"basilmoor.example/basilmoor/internal/platform/bmstore"
+	"basilmoor.example/basilmoor/internal/request/bmdispatch"
+	"basilmoor.example/basilmoor/internal/request/bmgateway"
+	"basilmoor.example/basilmoor/internal/schedule/bmbroker"
+	"basilmoor.example/basilmoor/internal/schedule/bmscheduler"
+)
+
+func (n *Node) buildPlatform() error {
+	store, closeStore, err := bmstore.New(n.clock, n.metrics, bmstore.Settings{
+		BaseURL:         n.settings.StoreURL,
+		Timeout:         n.settings.StoreTimeout,
+		ReadsPerSecond:  n.settings.StoreReads,
+		WritesPerSecond: n.settings.StoreWrites,
+	})
+	if err != nil {
+		return err
+	}
+	n.onClose(closeStore)
+	list, closeList, err := bmhostlist.New(n.clock, bmhostlist.Settings{
+		BaseURL: n.settings.HostListURL,
+	})
+	if err != nil {
+		return err
+	}
+	n.onClose(closeList)
+	n.store = store
+	n.hostList = list
+	n.config = newConfiguration(n.clock, store, n.log)
+	n.acceptor = bmacceptance.New(store.WithPurpose("acceptance"), time.Now, nil)
+	n.marks = newLeavingMarks(n.clock, list, n.log)
+	return nil
+}
+
+// beater passes heartbeats on to the driver, which can be made only when the
+// address of the listener is known.
+type beater struct {
+	members *bmmember.Driver
+}
+
+// Handle implements bmpeer.Beater.
+func (b *beater) Handle(beat bmmember.Beat) bmmember.Beat {
+	return b.members.Handle(beat)
+}
+
+func (n *Node) buildFleet() error {
+	pool, closePool, err := bmpeer.NewPool(bmpeer.PoolConfig{
+		Secret:  n.settings.FleetSecret,
+		Metrics: n.metrics,
+	})
+	if err != nil {
+		return err
+	}
+	n.onClose(closePool)
+	n.pool = pool
+	b := &beater{}
+	brokers := &lateBroker{}
+	peers, closePeers, err := bmpeer.NewServer(bmpeer.ServerConfig{
+		Address:    n.settings.PeersAddress,
+		Secret:     n.settings.FleetSecret,
+		Clock:      n.clock,
+		Broker:     brokers,
+		Membership: b,
+	})
+	if err != nil {
+		return err
+	}
+	n.onClose(closePeers)
+	n.peers = peers
+	n.members = n.newMembers(pool)
+	b.members = n.members
+	brokers.node = n
+	return nil
+}
+
+func (n *Node) newMembers(pool *bmpeer.Pool) *bmmember.Driver {
+	address := n.settings.AdvertiseAddress
+	if address == "" {
+		address = n.peers.Address()
+	}
+	members, wait := bmmember.NewDriver(bmmember.Config{
+		Clock: n.clock,
+		Self: basilmoor.Member{
+			Host:    n.settings.Host,
+			Address: address,
+			Place:   n.settings.Place,
+			Region:  n.settings.Region,
+			// Hosts keep nothing, so that only the wall clock orders the
+			// starts of a host. It is read once and never compared with
+			// another host's.
+			Incarnation: uint64(time.Now().UnixMilli()),
+		},
+		Transport: pool,
+		Logger:    n.log,
+		List:      n.listMembers,
+		Status:    n.memberStatus,
+	})
+	n.onClose(wait)
+	return members
+}
+
+func (n *Node) listMembers(ctx context.Context) ([]basilmoor.Member, error) {
+	hosts, err := n.hostList.Hosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	members := make([]basilmoor.Member, 0, len(hosts))
+	for _, h := range hosts {
+		members = append(members, basilmoor.Member{
+			Host:    h.Host,
+			Address: h.Address,
+			Place:   h.Place,
+			Region:  h.Region,
+			Leaving: h.Leaving,
+		})
+	}
+	return members, nil
+}
+
+func (n *Node) memberStatus() bmmember.Status {
+	s := bmmember.Status{
+		Leaving: n.stopping.Load(),
+	}
+	if n.gateway != nil {
+		s.Load = n.gateway.InProgress()
+	}
+	if c, ok := n.config.Catalog(); ok {
+		s.ConfigVersion = c.Version()
+		s.ConfigNote = c.NoteID()
+	}
+	return s
+}
+
+func (n *Node) newPolicy(string) basilmoor.Policy {
+	cfg := bmbroker.DefaultConfig()
+	cfg.Queue.MaxCount = n.settings.QueueRequests
+	cfg.Queue.MaxBytes = n.settings.QueueBytes
+	// The service that hosts the brokers holds grants back until the other
+	// hosts have reported their open dispatches.
+	cfg.WarmUp = 0
+	return bmbroker.New(cfg)
+}
+
+func (n *Node) buildScheduling() error {
+	brokers, closeBrokers := bmscheduler.NewService(bmscheduler.ServiceConfig{
+		Clock:      n.clock,
+		Membership: n.members,
+		Catalog:    n.config,
+		Metrics:    n.metrics,
+		Logger:     n.log,
+		NewPolicy:  n.newPolicy,
+		Leaving:    n.marks.leaving,
+	})
+	n.onClose(closeBrokers)
+	client, closeClient := bmscheduler.NewClient(bmscheduler.ClientConfig{
+		Clock:      n.clock,
+		Membership: n.members,
+		Catalog:    n.config,
+		Metrics:    n.metrics,
+		Logger:     n.log,
+		Peers:      n.pool,
+		Local:      brokers,
+		NewPolicy:  n.newPolicy,
+		Leaving:    n.marks.leaving,
+	})
+	n.onClose(closeClient)
+	n.brokers = brokers
+	n.client = client
+	n.loads = newLoadPoller(n.clock, n.config, brokers)
+	return nil
+}
+
+func (n *Node) buildRequests() error {
+	settings := bmdispatch.DefaultSettings()
+	settings.FirstByte = n.settings.FirstByte
+	settings.BetweenBytes = n.settings.BetweenBytes
+	dispatcher, closeDispatcher := bmdispatch.New(n.clock, settings)
+	n.onClose(closeDispatcher)
+	gateway, closeGateway := bmgateway.New(bmgateway.Config{
+		Host:        n.settings.Host,
+		Place:       n.settings.Place,
+		Incarnation: n.members.Self().Incarnation,
+		Clock:       n.clock,
+		Catalogs:    n.config,
+		Scheduler:   n.client,
+		Dispatcher:  dispatcher,
+		Metrics:     n.metrics,
+		Log:         n.log,
+		Isolated:    n.config.isolated,
+	})
+	n.onClose(closeGateway)
+	n.gateway = gateway
+	return nil
+}
+
+// ReadyPath answers the balancer's probe on the callers' listener.
+const ReadyPath = "/basilmoor/ready"
+
+func (n *Node) buildListeners() error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+ReadyPath, n.serveReady)
+	mux.Handle("/", n.gateway)
+	server := n.gateway.Server()
+	server.Handler = mux
+	callers, err := listen(n.settings.CallersAddress, server)
+	if err != nil {
+		return errors.Wrap(err, "callers")
+	}
+	n.onClose(func() { _ = callers.listener.Close() })
+	admin, err := listen(n.settings.AdminAddress, &http.Server{
+		Handler:           bmadmin.New(n, n.settings.OperatorTokens, n.log),
+		ReadHeaderTimeout: adminHeaderTimeout.Duration(),
+	})
+	if err != nil {
+		return errors.Wrap(err, "administration")
+	}
+	n.onClose(func() { _ = admin.listener.Close() })
+	n.callers = callers
+	n.admin = admin
+	return nil
+}
+
+const adminHeaderTimeout = 10 * basilmoor.Second
--- /dev/null
+++ b/internal/node/bmnode/node.go
@@ -0,0 +1,161 @@
+package bmnode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/config/bmacceptance"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/core/bmmetrics"
+	"basilmoor.example/basilmoor/internal/fleet/bmmember"
+	"basilmoor.example/basilmoor/internal/fleet/bmpeer"
+	"basilmoor.example/basilmoor/internal/node/bmadmin"
+	"basilmoor.example/basilmoor/internal/node/bmsettings"
+	"basilmoor.example/basilmoor/internal/platform/bmhostlist"
+	"basilmoor.example/basilmoor/internal/platform/bmstore"
+	"basilmoor.example/basilmoor/internal/request/bmgateway"
+	"basilmoor.example/basilmoor/internal/schedule/bmscheduler"
+)
+
+// Addresses are where a node listens.
+type Addresses struct {
+	Callers string `json:"callers"`
+	Peers   string `json:"peers"`
+	Admin   string `json:"admin"`
+}
+
+// Node is the process of one entry host.
+type Node struct {
+	settings bmsettings.Node
+	clock    basilmoor.Clock
+	log      zerolog.Logger
+	metrics  *bmmetrics.Registry
+
+	store    *bmstore.Client
+	hostList *bmhostlist.Client
+	pool     *bmpeer.Pool
+	members  *bmmember.Driver
+	peers    *bmpeer.Server
+	config   *configuration
+	acceptor *bmacceptance.Acceptor
+	marks    *leavingMarks
+	loads    *loadPoller
+	brokers  *bmscheduler.Service
+	client   *bmscheduler.Client
+	gateway  *bmgateway.Gateway
+
+	callers *httpServer
+	admin   *httpServer
+
+	stopping atomic.Bool
+	cleanups []func()
+}
+
+// New opens the listeners of a node and makes its parts. The returned function
+// releases everything that New opened; Serve must have returned before.
+func New(s bmsettings.Node, log zerolog.Logger) (*Node, func(), error) {
+	n := &Node{
+		settings: s,
+		clock:    bmclock.NewSystem(),
+		log:      log.With().Str("host", s.Host).Logger(),
+		metrics:  bmmetrics.NewRegistry(),
+	}
+	for _, build := range []func() error{
+		n.buildPlatform,
+		n.buildFleet,
+		n.buildScheduling,
+		n.buildRequests,
+		n.buildListeners,
+	} {
+		if err := build(); err != nil {
+			n.close()
+			return nil, nil, err
+		}
+	}
+	return n, n.close, nil
+}
+
+// Addresses returns where the node listens.
+func (n *Node) Addresses() Addresses {
+	return Addresses{
+		Callers: n.callers.address(),
+		Peers:   n.peers.Address(),
+		Admin:   n.admin.address(),
+	}
+}
+
+func (n *Node) onClose(f func()) {
+	n.cleanups = append(n.cleanups, f)
+}
+
+func (n *Node) close() {
+	for i := len(n.cleanups) - 1; i >= 0; i-- {
+		n.cleanups[i]()
+	}
+}
+
+// ready reports whether the balancer may send requests to this host.
+func (n *Node) ready() bool {
+	if n.stopping.Load() || n.config.isolated() {
+		return false
+	}
+	_, ok := n.config.Catalog()
+	return ok
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !n.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// httpServer is an HTTP server with its listener.
+type httpServer struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func listen(address string, server *http.Server) (*httpServer, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	return &httpServer{
+		server:   server,
+		listener: l,
+	}, nil
+}
+
+func (s *httpServer) address() string {
+	return s.listener.Addr().String()
+}
+
+// Serve implements suture.Service.
+func (s *httpServer) Serve(ctx context.Context) error {
+	done := make(chan error, 1)
+	go s.run(done)
+	select {
+	case <-ctx.Done():
+		_ = s.server.Close()
+		if err := <-done; !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return ctx.Err()
+	case err := <-done:
+		return err
+	}
+}
+
+func (s *httpServer) run(done chan<- error) {
+	done <- s.server.Serve(s.listener)
+}
+
+var _ bmadmin.Backend = (*Node)(nil)
--- /dev/null
+++ b/internal/proof/bmprocess/fleet_test.go
@@ -0,0 +1,280 @@
+package bmprocess
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"basilmoor.example/basilmoor/internal/node/bmadmin"
+)
+
+// waitLimit bounds every wait for an event. It is far above what any step
+// needs, so that a busy machine doesn't change a verdict.
+const waitLimit = 60 * time.Second
+
+const (
+	fleetSecret   = "process-test-fleet-secret"
+	operatorToken = "process-test-operator-token"
+	callerToken   = "process-test-caller-token"
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "bmprocess")
+	if err != nil {
+		panic(err)
+	}
+	build := exec.Command("go", "build", "-o", dir, "basilmoor.example/basilmoor/cmd/...")
+	build.Stderr = os.Stderr
+	code := 1
+	if err := build.Run(); err == nil {
+		binaries = dir
+		code = m.Run()
+	}
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one started program.
+type process struct {
+	t     *testing.T
+	name  string
+	cmd   *exec.Cmd
+	ready map[string]string // first line of standard output
+	ended chan struct{}
+
+	mu  sync.Mutex
+	log bytes.Buffer
+}
+
+func (p *process) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Write(b)
+}
+
+func (p *process) logs() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+// start runs a program and waits for the JSON object that it prints first.
+func start(t *testing.T, name, program string, args ...string) *process {
+	t.Helper()
+	p := &process{
+		t:     t,
+		name:  name,
+		cmd:   exec.Command(filepath.Join(binaries, program), args...),
+		ended: make(chan struct{}),
+	}
+	p.cmd.Stderr = p
+	out, err := p.cmd.StdoutPipe()
+	require.NoError(t, err)
+	require.NoError(t, p.cmd.Start())
+	t.Cleanup(p.kill)
+	line, err := bufio.NewReader(out).ReadString('\n')
+	require.NoError(t, err, "%s did not start: %s", name, p.logs())
+	require.NoError(t, json.Unmarshal([]byte(line), &p.ready))
+	go p.run(out)
+	return p
+}
+
+func (p *process) run(out io.Reader) {
+	_, _ = io.Copy(p, out)
+	_ = p.cmd.Wait()
+	close(p.ended)
+}
+
+func (p *process) signal(s os.Signal) {
+	_ = p.cmd.Process.Signal(s)
+}
+
+func (p *process) kill() {
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	p.waitEnd()
+}
+
+func (p *process) waitEnd() {
+	select {
+	case <-p.ended:
+	case <-time.After(waitLimit):
+		p.t.Errorf("%s did not end: %s", p.name, p.logs())
+	}
+}
+
+// fleet is a set of nodes with their stand-ins.
+type fleet struct {
+	t       *testing.T
+	store   *process
+	hosts   *process
+	engines []*process
+	service *process
+	nodes   []*process
+}
+
+func startFleet(t *testing.T, nodes int) *fleet {
+	t.Helper()
+	f := &fleet{
+		t:       t,
+		store:   start(t, "store", "basilmoor-standin", "store"),
+		hosts:   start(t, "hosts", "basilmoor-standin", "hosts"),
+		service: start(t, "service", "basilmoor-standin", "service"),
+	}
+	for i := range 2 {
+		f.engines = append(f.engines, start(t, fmt.Sprintf("engine-%d", i+1), "basilmoor-standin", "engine"))
+	}
+	for i := range nodes {
+		f.addNode(fmt.Sprintf("entry-%d", i+1))
+	}
+	f.publishHosts()
+	f.apply(f.firstNote())
+	for _, n := range f.nodes {
+		f.waitReady(n)
+	}
+	return f
+}
+
+func (f *fleet) addNode(host string) *process {
+	digest := sha256.Sum256([]byte(operatorToken))
+	n := start(f.t, host, "basilmoor", "node",
+		"-host", host,
+		"-place", "bole",
+		"-region", "addis",
+		"-callers-address", "127.0.0.1:0",
+		"-peers-address", "127.0.0.1:0",
+		"-admin-address", "127.0.0.1:0",
+		"-store-url", "http://"+f.store.ready["listening"],
+		"-host-list-url", "http://"+f.hosts.ready["listening"],
+		"-fleet-secret", fleetSecret,
+		"-operator-tokens", "tester:operator:"+hex.EncodeToString(digest[:]),
+	)
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+// publishHosts tells the platform's list about the running nodes.
+func (f *fleet) publishHosts() {
+	type host struct {
+		Host    string `json:"host"`
+		Address string `json:"address"`
+		Place   string `json:"place"`
+		Region  string `json:"region"`
+		Leaving bool   `json:"leaving"`
+	}
+	list := []host{}
+	for _, n := range f.nodes {
+		list = append(list, host{
+			Host:    n.name,
+			Address: n.ready["peers"],
+			Place:   "bole",
+			Region:  "addis",
+		})
+	}
+	b, err := json.Marshal(list)
+	require.NoError(f.t, err)
+	f.put("http://"+f.hosts.ready["listening"]+"/v1/hosts", b)
+}
+
+func (f *fleet) put(url string, body []byte) {
+	f.t.Helper()
+	r, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
+	require.NoError(f.t, err)
+	w, err := http.DefaultClient.Do(r)
+	require.NoError(f.t, err)
+	defer func() { _ = w.Body.Close() }()
+	require.Less(f.t, w.StatusCode, 300, "PUT %s", url)
+}
+
+func (f *fleet) firstNote() string {
+	digest := sha256.Sum256([]byte(callerToken))
+	var targets strings.Builder
+	for _, e := range f.engines {
+		fmt.Fprintf(&targets, "    - {name: %s, pool: models, type: engine, address: %q, place: bole, models: [coconut-7b], slots: 4}\n", e.name, e.ready["listening"])
+	}
+	fmt.Fprintf(&targets, "    - {name: ledger-1, pool: ledger, type: service, address: %q, place: bole, slots: 8}\n", f.service.ready["listening"])
+	return fmt.Sprintf(`schema: 1
+note: first
+added:
+  tiers:
+    - {name: payouts, rank: 0}
+    - {name: plans, rank: 1}
+    - {name: notes, rank: 2}
+  workspaces:
+    - {name: blue-carts, token-digests: [%s], weight: 1, default-tier: plans}
+  pools:
+    - {name: models, region: addis}
+    - {name: ledger, region: addis}
+  kinds:
+    - {name: restock-plan, pool: models, model: coconut-7b, deadline-ms: 20000}
+    - {name: payout, pool: ledger, path-prefix: /ledger/payouts, tier: payouts, non-idempotent: true, key-required: true, deadline-ms: 20000}
+    - {name: lookup, pool: ledger, path-prefix: /ledger/stock, deadline-ms: 20000}
+  targets:
+%s`, hex.EncodeToString(digest[:]), targets.String())
+}
+
+func (f *fleet) admin(n *process) *bmadmin.Client {
+	return bmadmin.NewClient("http://"+n.ready["admin"], operatorToken)
+}
+
+// apply sends a note through the first node and waits until all have it.
+func (f *fleet) apply(note string) {
+	f.t.Helper()
+	a, err := f.admin(f.nodes[0]).AcceptNote(context.Background(), []byte(note))
+	require.NoError(f.t, err, f.nodes[0].logs())
+	for _, n := range f.nodes {
+		f.waitVersion(n, a.Version)
+	}
+}
+
+func (f *fleet) waitVersion(n *process, version int64) {
+	f.t.Helper()
+	f.eventually("configuration version on "+n.name, func() bool {
+		s, err := f.admin(n).Status(context.Background())
+		return err == nil && s.ConfigVersion >= version
+	})
+}
+
+func (f *fleet) waitReady(n *process) {
+	f.t.Helper()
+	f.eventually(n.name+" ready", func() bool {
+		w, err := http.Get("http://" + n.ready["callers"] + "/basilmoor/ready")
+		if err != nil {
+			return false
+		}
+		_ = w.Body.Close()
+		return w.StatusCode == http.StatusOK
+	})
+}
+
+// eventually polls for an event. The limit only bounds a failing run.
+func (f *fleet) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	for _, n := range f.nodes {
+		f.t.Logf("log of %s:\n%s", n.name, n.logs())
+	}
+	f.t.Fatalf("timed out waiting for: %s", what)
+}
