Free capacity that a host held when it was with another broker

A trace of the broker showed 8 requests in flight that no host held. Two faults: (1) the broker reported a dispatch that had ended elsewhere as returned, which the policy rightly ignores for a dispatched request; (2) DropHost marked undispatched grants as run, so that the host's resubmission was ignored without a decision, and running ones were not counted when they were reported again. Ruled out: straggler reduction and the hold (limits were full, no hold).

Change: such a dispatch is reported as failed; DropHost lets undispatched grants be submitted again and dispatched ones be counted again.

Both unit tests fail without the change and pass with it.

--- a/internal/proof/bmprocess/fleet_test.go
+++ b/internal/proof/bmprocess/fleet_test.go
@@ -22,6 +22,7 @@
 	"github.com/stretchr/testify/require"
 
 	"basilmoor.example/basilmoor/internal/node/bmadmin"
+	"basilmoor.example/basilmoor/internal/node/bmnode"
 )
 
 // waitLimit bounds every wait for an event. It is far above what any step
@@ -32,6 +33,8 @@
 	fleetSecret   = "process-test-fleet-secret"
 	operatorToken = "process-test-operator-token"
 	callerToken   = "process-test-caller-token"
+	model         = "coconut-7b"
+	engineSlots   = 4
 )
 
 var binaries string
@@ -204,11 +207,20 @@
 	require.Less(f.t, w.StatusCode, 300, "PUT %s", url)
 }
 
+func (f *fleet) post(url, body string) {
+	f.t.Helper()
+	w, err := http.Post(url, "application/json", strings.NewReader(body))
+	require.NoError(f.t, err)
+	defer func() { _ = w.Body.Close() }()
+	b, _ := io.ReadAll(w.Body)
+	require.Less(f.t, w.StatusCode, 300, "POST %s: %s", url, b)
+}
+
 func (f *fleet) firstNote() string {
 	digest := sha256.Sum256([]byte(callerToken))
 	var targets strings.Builder
 	for _, e := range f.engines {
-		fmt.Fprintf(&targets, "    - {name: %s, pool: models, type: engine, address: %q, place: bole, models: [coconut-7b], slots: 4}\n", e.name, e.ready["listening"])
+		fmt.Fprintf(&targets, "    - {name: %s, pool: models, type: engine, address: %q, place: bole, models: [%s], slots: %d}\n", e.name, e.ready["listening"], model, engineSlots)
 	}
 	fmt.Fprintf(&targets, "    - {name: ledger-1, pool: ledger, type: service, address: %q, place: bole, slots: 8}\n", f.service.ready["listening"])
 	return fmt.Sprintf(`schema: 1
@@ -224,11 +236,11 @@
     - {name: models, region: addis}
     - {name: ledger, region: addis}
   kinds:
-    - {name: restock-plan, pool: models, model: coconut-7b, deadline-ms: 20000}
+    - {name: restock-plan, pool: models, model: %s, deadline-ms: 20000}
     - {name: payout, pool: ledger, path-prefix: /ledger/payouts, tier: payouts, non-idempotent: true, key-required: true, deadline-ms: 20000}
     - {name: lookup, pool: ledger, path-prefix: /ledger/stock, deadline-ms: 20000}
   targets:
-%s`, hex.EncodeToString(digest[:]), targets.String())
+%s`, hex.EncodeToString(digest[:]), model, targets.String())
 }
 
 func (f *fleet) admin(n *process) *bmadmin.Client {
@@ -255,14 +267,31 @@
 
 func (f *fleet) waitReady(n *process) {
 	f.t.Helper()
-	f.eventually(n.name+" ready", func() bool {
-		w, err := http.Get("http://" + n.ready["callers"] + "/basilmoor/ready")
-		if err != nil {
-			return false
+	f.eventually(n.name+" ready", func() bool { return f.isReady(n) })
+}
+
+// isReady asks as the platform's balancer would.
+func (f *fleet) isReady(n *process) bool {
+	w, err := http.Get("http://" + n.ready["callers"] + bmnode.ReadyPath)
+	if err != nil {
+		return false
+	}
+	_ = w.Body.Close()
+	return w.StatusCode == http.StatusOK
+}
+
+// marked reports whether a node knows that a target leaves.
+func (f *fleet) marked(n *process, target string) bool {
+	s, err := f.admin(n).Status(context.Background())
+	if err != nil {
+		return false
+	}
+	for _, t := range s.Targets {
+		if t.Name == target {
+			return t.Leaving
 		}
-		_ = w.Body.Close()
-		return w.StatusCode == http.StatusOK
-	})
+	}
+	return false
 }
 
 // eventually polls for an event. The limit only bounds a failing run.
--- a/internal/proof/bmprocess/path_test.go
+++ b/internal/proof/bmprocess/path_test.go
@@ -2,192 +2,112 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
-)
-
-// answer is a response as a caller sees it.
-type answer struct {
-	status  int
-	header  http.Header
-	outcome string
-	body    string
-	err     error // of reading the body
-}
-
-// call sends a request to a node as a caller would.
-func call(ctx context.Context, n *process, method, path, body string, header map[string]string) (answer, error) {
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.ready["callers"]+path, strings.NewReader(body))
-	if err != nil {
-		return answer{}, err
-	}
-	r.Header.Set("Authorization", "Bearer "+callerToken)
-	for k, v := range header {
-		r.Header.Set(k, v)
-	}
-	w, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return answer{}, err
-	}
-	defer func() { _ = w.Body.Close() }()
-	b, err := io.ReadAll(w.Body)
-	a := answer{
-		status:  w.StatusCode,
-		header:  w.Header,
-		outcome: w.Header.Get("Basilmoor-Outcome"),
-		body:    string(b),
-		err:     err,
-	}
-	if t := w.Trailer.Get("Basilmoor-Outcome"); t != "" {
-		a.outcome = t
-	}
-	return a, nil
-}
-
-func chat(prompt string, stream bool, tokens int) string {
-	b, _ := json.Marshal(map[string]any{
-		"model":      "coconut-7b",
-		"stream":     stream,
-		"max_tokens": tokens,
-		"messages": []map[string]string{
-			{
-				"role":    "user",
-				"content": prompt,
-			},
-		},
-	})
-	return string(b)
-}
 
-// execution is one entry of a target's log of executions.
-type execution struct {
-	Request  string `json:"request-id"`
-	Key      string `json:"request-key"`
-	Complete bool   `json:"complete"`
-}
-
-func (f *fleet) executions(target *process) []execution {
-	f.t.Helper()
-	w, err := http.Get("http://" + target.ready["listening"] + "/v1/executions")
-	require.NoError(f.t, err)
-	defer func() { _ = w.Body.Close() }()
-	var list struct {
-		Executions []execution `json:"executions"`
-	}
-	require.NoError(f.t, json.NewDecoder(w.Body).Decode(&list))
-	return list.Executions
-}
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/proof/bmcaller"
+)
 
 // Guards against a path between caller and target that is broken in separate
 // processes, and against bad input that reaches a target.
 func TestPath(t *testing.T) {
 	f := startFleet(t, 2)
 	tests := map[string]struct {
-		method   string
-		path     string
-		body     string
-		header   map[string]string
-		status   int
-		outcome  string
-		contains string
+		request bmcaller.Request
+		status  int
+		outcome basilmoor.Outcome
+		reason  basilmoor.Reason
 	}{
 		"chat": {
-			method:   http.MethodPost,
-			path:     "/v1/chat/completions",
-			body:     chat("plan the restock for today", false, 5),
-			status:   200,
-			outcome:  "done",
-			contains: `"choices"`,
+			request: chat(t, "plan the restock for today", 5, false),
+			status:  200,
+			outcome: basilmoor.OutcomeDone,
 		},
 		"chat stream": {
-			method:   http.MethodPost,
-			path:     "/v1/chat/completions",
-			body:     chat("plan the restock for today", true, 5),
-			status:   200,
-			outcome:  "done",
-			contains: "data: [DONE]",
+			request: chat(t, "plan the restock for today", 5, true),
+			status:  200,
+			outcome: basilmoor.OutcomeDone,
 		},
 		"lookup": {
-			method:  http.MethodGet,
-			path:    "/ledger/stock/coconuts",
+			request: service(http.MethodGet, "/ledger/stock/coconuts", ""),
 			status:  200,
-			outcome: "done",
+			outcome: basilmoor.OutcomeDone,
 		},
 		"unknown workspace": {
-			method: http.MethodPost,
-			path:   "/v1/chat/completions",
-			body:   chat("x", false, 1),
-			header: map[string]string{
-				"Authorization": "Bearer guess",
-			},
-			status:   401,
-			outcome:  "not-run",
-			contains: `"reason":"unauthorized"`,
+			request: withHeader(chat(t, "x", 1, false), "Authorization", "Bearer guess"),
+			status:  401,
+			outcome: basilmoor.OutcomeNotRun,
+			reason:  basilmoor.ReasonUnauthorized,
 		},
 		"unknown model": {
-			method:   http.MethodPost,
-			path:     "/v1/chat/completions",
-			body:     strings.Replace(chat("x", false, 1), "coconut-7b", "none", 1),
-			status:   404,
-			outcome:  "not-run",
-			contains: `"reason":"unknown-kind"`,
+			request: withBody(chat(t, "x", 1, false), strings.Replace(chat(t, "x", 1, false).Body, model, "none", 1)),
+			status:  404,
+			outcome: basilmoor.OutcomeNotRun,
+			reason:  basilmoor.ReasonUnknownKind,
+		},
+		"unknown path": {
+			request: service(http.MethodGet, "/none", ""),
+			status:  404,
+			outcome: basilmoor.OutcomeNotRun,
+			reason:  basilmoor.ReasonUnknownKind,
 		},
 		"malformed body": {
-			method:   http.MethodPost,
-			path:     "/v1/chat/completions",
-			body:     `{`,
-			status:   400,
-			outcome:  "not-run",
-			contains: `"reason":"malformed"`,
+			request: withBody(chat(t, "x", 1, false), "{"),
+			status:  400,
+			outcome: basilmoor.OutcomeNotRun,
+			reason:  basilmoor.ReasonMalformed,
 		},
 		"wrong method": {
-			method:   http.MethodGet,
-			path:     "/v1/chat/completions",
-			status:   405,
-			outcome:  "not-run",
-			contains: `"reason":"method-not-allowed"`,
+			request: service(http.MethodGet, "/v1/chat/completions", ""),
+			status:  405,
+			outcome: basilmoor.OutcomeNotRun,
+			reason:  basilmoor.ReasonMethodNotAllowed,
 		},
 		"oversized body": {
-			method:   http.MethodPost,
-			path:     "/v1/chat/completions",
-			body:     chat(strings.Repeat("x", 5<<20), false, 1),
-			status:   413,
-			outcome:  "not-run",
-			contains: `"reason":"too-large"`,
+			request: chat(t, strings.Repeat("x", 5<<20), 1, false),
+			status:  413,
+			outcome: basilmoor.OutcomeNotRun,
+			reason:  basilmoor.ReasonTooLarge,
 		},
 		"key missing": {
-			method:   http.MethodPost,
-			path:     "/ledger/payouts",
-			body:     "{}",
-			status:   400,
-			outcome:  "not-run",
-			contains: `"reason":"key-required"`,
+			request: service(http.MethodPost, "/ledger/payouts", "{}"),
+			status:  400,
+			outcome: basilmoor.OutcomeNotRun,
+			reason:  basilmoor.ReasonKeyRequired,
 		},
 	}
+	l := f.newLoad()
 	ran := 0
 	for name, tt := range tests {
 		for _, n := range f.nodes {
 			t.Run(name+" through "+n.name, func(t *testing.T) {
-				a, err := call(context.Background(), n, tt.method, tt.path, tt.body, tt.header)
-				require.NoError(t, err)
-				require.Equal(t, tt.status, a.status, a.body)
-				require.Equal(t, tt.outcome, a.outcome)
-				require.Contains(t, a.body, tt.contains)
-				require.NotEmpty(t, a.header.Get("Basilmoor-Request-Id"))
+				r := l.send(context.Background(), n, tt.request)
+				require.Equal(t, tt.status, r.Status, r.Body)
+				require.Equal(t, tt.outcome, r.Outcome, r.Body)
+				require.Equal(t, tt.reason, r.Reason, r.Body)
+				require.NotEmpty(t, r.Request)
 			})
-			if tt.outcome == "done" {
+			if tt.outcome == basilmoor.OutcomeDone {
 				ran++
 			}
 		}
 	}
-	executed := len(f.executions(f.service))
-	for _, e := range f.engines {
-		executed += len(f.executions(e))
+	require.Len(t, f.executions(), ran, "bad input must not reach a target")
+	f.check(l)
+}
+
+func withHeader(q bmcaller.Request, name, value string) bmcaller.Request {
+	q.Header = map[string]string{
+		name: value,
 	}
-	require.Equal(t, ran, executed, "bad input must not reach a target")
+	return q
+}
+
+func withBody(q bmcaller.Request, body string) bmcaller.Request {
+	q.Body = body
+	return q
 }
--- /dev/null
+++ b/internal/proof/bmprocess/targets_test.go
@@ -0,0 +1,97 @@
+package bmprocess
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"basilmoor.example/basilmoor"
+)
+
+// Guards against a stream that is cut, doubled or run again when the
+// connection to its engine goes silent while new connections work.
+func TestSilentConnections(t *testing.T) {
+	f := startFleet(t, 2)
+	l := f.newLoad()
+	for i := range 8 {
+		l.start(f.nodes[i%2], chat(t, fmt.Sprintf("silent %d", i), 200, true))
+	}
+	f.eventually("streams run on both engines", func() bool {
+		return f.running(f.engines[0]) > 0 && f.running(f.engines[1]) > 0
+	})
+	f.fault(f.engines[0], `{"stop-responding":true}`)
+	l.wait()
+	require.Equal(t, 8, l.counts()[basilmoor.OutcomeDone], "%v", l.counts())
+	f.check(l)
+}
+
+// Guards against an answer that is reported as done, or a request that is run
+// again, when an engine dies in the middle of it.
+func TestCrashedEngine(t *testing.T) {
+	f := startFleet(t, 2)
+	l := f.newLoad()
+	for i := range 12 {
+		l.start(f.nodes[i%2], chat(t, fmt.Sprintf("crash %d", i), 100, i%2 == 0))
+	}
+	f.eventually("requests run on the engine", func() bool { return f.running(f.engines[0]) > 1 })
+	f.fault(f.engines[0], `{"crash-now":true}`)
+	l.wait()
+	counts := l.counts()
+	require.Positive(t, counts[basilmoor.OutcomeUnknown]+counts[basilmoor.OutcomeIncomplete], "%v", counts)
+	f.check(l)
+}
+
+// Guards against new work on a target that leaves, whichever sign says so.
+func TestLeavingTarget(t *testing.T) {
+	tests := map[string]func(f *fleet, target *process){
+		"list of targets": func(f *fleet, target *process) {
+			f.put("http://"+f.hosts.ready["listening"]+"/v1/targets", []byte(fmt.Sprintf(`[{"name":%q,"leaving":true}]`, target.name)))
+		},
+		"release note": func(f *fleet, target *process) {
+			f.apply(fmt.Sprintf(`schema: 1
+note: leave
+changed:
+  targets:
+    - {name: %s, leaving: true}
+`, target.name))
+		},
+	}
+	for name, leave := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := startFleet(t, 2)
+			l := f.newLoad()
+			for i := range engineSlots + 2 { // more than one engine takes
+				l.start(f.nodes[i%2], chat(t, fmt.Sprintf("running %d", i), 300, true))
+			}
+			f.eventually("requests run on both engines", func() bool {
+				return f.running(f.engines[0]) > 0 && f.running(f.engines[1]) > 0
+			})
+			leave(f, f.engines[0])
+			for _, n := range f.nodes {
+				f.eventually("mark on "+n.name, func() bool { return f.marked(n, f.engines[0].name) })
+			}
+			sent := engineSlots + 2
+			f.eventually("broker takes up the mark", func() bool {
+				before := len(f.executionsOf(f.engines[0]))
+				sent += f.sendSome(l, 10)
+				return len(f.executionsOf(f.engines[0])) == before
+			})
+			before := len(f.executionsOf(f.engines[0]))
+			sent += f.sendSome(l, 20)
+			l.wait()
+			require.Len(t, f.executionsOf(f.engines[0]), before, "no new work on the leaving target")
+			require.Equal(t, sent, l.counts()[basilmoor.OutcomeDone], "%v", l.counts())
+			f.check(l)
+		})
+	}
+}
+
+// sendSome sends n short requests one after the other and returns n.
+func (f *fleet) sendSome(l *load, n int) int {
+	for i := range n {
+		l.send(context.Background(), f.nodes[i%len(f.nodes)], chat(f.t, fmt.Sprintf("short %d", i), 2, false))
+	}
+	return n
+}
--- a/internal/schedule/bmcapacity/pool.go
+++ b/internal/schedule/bmcapacity/pool.go
@@ -127,12 +127,19 @@
 	return true
 }
 
-// DropHost frees the capacity of all requests that a host holds.
+// DropHost frees the capacity of all requests that a host holds. The host may
+// have been paused only: what it dispatched counts again if it reports again,
+// and what it didn't dispatch may be submitted again.
 func (p *Pool) DropHost(now basilmoor.Millis, host string) {
 	for _, f := range p.flights {
-		if f.demand.Host == host {
-			p.end(now, f, endedRun)
+		if f.demand.Host != host {
+			continue
 		}
+		if f.dispatched {
+			p.end(now, f, endedLapsed)
+			continue
+		}
+		p.end(now, f, endedReturned)
 	}
 }
 
--- a/internal/schedule/bmscheduler/broker.go
+++ b/internal/schedule/bmscheduler/broker.go
@@ -198,7 +198,9 @@
 	b.release(now, h, id, g)
 }
 
-// release frees the capacity of an open grant.
+// release frees the capacity of an open grant. A dispatched one is not
+// returned, because a policy ignores the return of what was sent; its end is
+// not known here, so that it counts as failed.
 func (b *broker) release(now basilmoor.Millis, h *brokerHost, id basilmoor.RequestID, g *openGrant) {
 	b.forget(h, id)
 	if !g.dispatched {
@@ -208,7 +210,7 @@
 	b.route(now, b.policy.Observe(now, basilmoor.Observation{
 		Request: id,
 		Target:  g.target,
-		Stage:   basilmoor.StageReturned,
+		Stage:   basilmoor.StageFailed,
 	}))
 }
 
--- /dev/null
+++ b/internal/schedule/bmscheduler/handover_test.go
@@ -0,0 +1,109 @@
+package bmscheduler
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/schedule/bmbroker"
+)
+
+// recordingSession keeps the grants that a broker delivers.
+type recordingSession struct {
+	granted []basilmoor.RequestID
+}
+
+func (s *recordingSession) deliver(d basilmoor.Decision) bool {
+	if d.Grant != nil {
+		s.granted = append(s.granted, d.Grant.Request)
+	}
+	return true
+}
+
+func (s *recordingSession) alive() {}
+func (s *recordingSession) end()   {}
+
+// Guards against capacity that a broker never frees: a dispatch ends while its
+// host is with another broker, and the host then returns without it. Found by
+// TestKilledHost, where the last host granted nothing for 20 s.
+func TestDispatchThatEndedElsewhereIsFreed(t *testing.T) {
+	b := newBroker("models", bmbroker.New(bmbroker.Config{}), false, nil)
+	b.setTargets(0, []basilmoor.Target{
+		{
+			Name:  "engine-1",
+			Pool:  "models",
+			Slots: 1,
+		},
+	})
+	first := &recordingSession{}
+	b.attach(0, "entry-1", "bole", first)
+	b.submit(0, "entry-1", first, demandOf("a"))
+	require.Equal(t, []basilmoor.RequestID{"a"}, first.granted)
+	b.observe(1, "entry-1", first, basilmoor.Observation{
+		Request: "a",
+		Target:  "engine-1",
+		Stage:   basilmoor.StageDispatched,
+	})
+	b.detach(2, "entry-1", first)
+
+	second := &recordingSession{}
+	b.attach(3, "entry-1", "bole", second)
+	b.submit(3, "entry-1", second, demandOf("b"))
+	require.Empty(t, second.granted, "the slot is still taken")
+	b.endResubmission(4, "entry-1", second)
+	b.tick(5)
+	require.Equal(t, []basilmoor.RequestID{"b"}, second.granted)
+}
+
+func demandOf(id basilmoor.RequestID) basilmoor.Demand {
+	return basilmoor.Demand{
+		Request:      id,
+		Workspace:    "w",
+		Weight:       1,
+		PromptTokens: 10,
+		OutputTokens: 10,
+		Deadline:     basilmoor.Minute,
+	}
+}
+
+// Guards against a host that was given up while it was paused and that can't
+// get capacity again, or isn't counted, for what it still holds.
+func TestHostReturnsAfterItWasDropped(t *testing.T) {
+	b := newBroker("models", bmbroker.New(bmbroker.Config{}), false, nil)
+	b.setTargets(0, []basilmoor.Target{
+		{
+			Name:  "engine-1",
+			Pool:  "models",
+			Slots: 2,
+		},
+	})
+	first := &recordingSession{}
+	b.attach(0, "entry-1", "bole", first)
+	b.submit(0, "entry-1", first, demandOf("running"))
+	b.submit(0, "entry-1", first, demandOf("undelivered"))
+	b.observe(1, "entry-1", first, basilmoor.Observation{
+		Request: "running",
+		Target:  "engine-1",
+		Stage:   basilmoor.StageDispatched,
+	})
+	b.tick(silenceBound + 1)
+	require.True(t, b.idle())
+
+	now := silenceBound + 2
+	second := &recordingSession{}
+	b.attach(now, "entry-1", "bole", second)
+	running := demandOf("running")
+	b.observe(now, "entry-1", second, basilmoor.Observation{
+		Request: "running",
+		Target:  "engine-1",
+		Stage:   basilmoor.StageProgress,
+		Tokens:  5,
+		Elapsed: silenceBound,
+		Demand:  &running,
+	})
+	b.submit(now, "entry-1", second, demandOf("undelivered"))
+	b.submit(now, "entry-1", second, demandOf("third"))
+	b.endResubmission(now, "entry-1", second)
+	require.Equal(t, []basilmoor.RequestID{"undelivered"}, second.granted, "one slot is free beside the running request")
+}
