--- a/internal/request/bmdispatch/target_test.go
+++ b/internal/request/bmdispatch/target_test.go
@@ -18,12 +18,13 @@
 
 // step is what a raw target does with one request after it read it.
 type step struct {
-	skipRead  bool   // ends the connection before it reads
-	onlyHead  bool   // does not read the body
-	send      string // bytes of the response
-	reset     bool   // ends with a reset
-	silent    bool   // keeps the connection open without a further byte
-	keepAlive bool   // goes on with the next request
+	skipRead  bool          // ends the connection before it reads
+	onlyHead  bool          // does not read the body
+	send      string        // bytes of the response
+	reset     bool          // ends with a reset
+	silent    bool          // keeps the connection open without a further byte
+	keepAlive bool          // goes on with the next request
+	feed      <-chan string // further bytes of the response, until the peer leaves
 }
 
 // rawTarget speaks TCP and counts the requests that carry its marker.
@@ -128,6 +129,9 @@
 			}
 		}
 		_, _ = c.Write([]byte(s.send))
+		if s.feed != nil {
+			r.feed(c, s.feed)
+		}
 		if s.keepAlive {
 			continue
 		}
@@ -136,6 +140,19 @@
 	}
 }
 
+func (r *rawTarget) feed(c net.Conn, parts <-chan string) {
+	for {
+		select {
+		case <-r.done:
+			return
+		case p := <-parts:
+			if _, err := c.Write([]byte(p)); err != nil {
+				return
+			}
+		}
+	}
+}
+
 // read reads byte by byte up to the end of a head.
 func (r *rawTarget) read(c net.Conn) (string, bool) {
 	var head []byte
@@ -167,7 +184,8 @@
 	status int
 	header http.Header
 	body   bytes.Buffer
-	wrote  chan struct{} // receives for each write if it is set
+	wrote  chan struct{} // receives at the start of each write if it is set
+	resume chan struct{} // each write waits for it if it is set
 	err    error
 }
 
@@ -182,6 +200,9 @@
 	if s.wrote != nil {
 		s.wrote <- struct{}{}
 	}
+	if s.resume != nil {
+		<-s.resume
+	}
 	return s.err
 }
 
@@ -222,4 +243,8 @@
 	}()
 }
 
+func newManual() *bmclock.Manual {
+	return bmclock.NewManual(0)
+}
+
 func noProgress(Progress) {}
