--- a/internal/node/bmnode/build.go
+++ b/internal/node/bmnode/build.go
@@ -58,8 +58,14 @@
 }
 
 func (n *Node) buildFleet() error {
+	files := bmpeer.TLSFiles{
+		Certificate: n.settings.PeerCertificate,
+		Key:         n.settings.PeerKey,
+		Authority:   n.settings.PeerAuthority,
+	}
 	pool, closePool, err := bmpeer.NewPool(bmpeer.PoolConfig{
 		Secret:  n.settings.FleetSecret,
+		TLS:     files,
 		Metrics: n.metrics,
 	})
 	if err != nil {
@@ -72,6 +78,7 @@
 	peers, closePeers, err := bmpeer.NewServer(bmpeer.ServerConfig{
 		Address:    n.settings.PeersAddress,
 		Secret:     n.settings.FleetSecret,
+		TLS:        files,
 		Clock:      n.clock,
 		Broker:     brokers,
 		Membership: b,
--- a/internal/node/bmsettings/node.go
+++ b/internal/node/bmsettings/node.go
@@ -18,6 +18,12 @@
 	StoreURL    string
 	HostListURL string
 
+	// PeerCertificate, PeerKey and PeerAuthority are PEM files. Without them
+	// peers are reached on loopback addresses only.
+	PeerCertificate string
+	PeerKey         string
+	PeerAuthority   string
+
 	FleetSecret    string
 	OperatorTokens []OperatorToken
 
@@ -46,6 +52,9 @@
 	s.URL(&n.StoreURL, "store-url", "", "base URL of the platform's key-value service")
 	s.URL(&n.HostListURL, "host-list-url", "", "base URL of the platform's list of hosts")
 	s.Secret(&n.FleetSecret, "fleet-secret", "secret that all nodes of the fleet share")
+	s.OptionalFile(&n.PeerCertificate, "peer-certificate", "certificate of this host towards its peers, PEM; needed unless peers are on loopback addresses")
+	s.OptionalFile(&n.PeerKey, "peer-key", "private key of peer-certificate, PEM")
+	s.OptionalFile(&n.PeerAuthority, "peer-authority", "certificates that peers' certificates must be signed by, PEM")
 	s.OperatorTokens(&n.OperatorTokens, "operator-tokens", "who may use the administration API")
 	s.Millis(&n.StopLimit, "stop-limit-ms", 10*basilmoor.Minute, 0, 60*basilmoor.Minute, "longest wait for requests in progress at a planned stop")
 	s.Millis(&n.FirstByte, "first-byte-ms", basilmoor.Minute, 100, 10*basilmoor.Minute, "longest silence of a target before the first byte of its response")
--- a/internal/node/bmsettings/rules.go
+++ b/internal/node/bmsettings/rules.go
@@ -217,3 +217,22 @@
 		return true
 	})
 }
+
+// OptionalFile declares the name of a readable file that may be empty.
+func (s *Set) OptionalFile(p *string, name, usage string) {
+	r := rule{
+		text: "empty, or the name of a readable file",
+	}
+	s.add(name, "", usage, r, false, func(v string) bool {
+		*p = v
+		if v == "" {
+			return true
+		}
+		f, err := os.Open(v)
+		if err != nil {
+			return false
+		}
+		_ = f.Close()
+		return true
+	})
+}
