--- a/internal/platform/bmcall/bmcall.go
+++ b/internal/platform/bmcall/bmcall.go
@@ -1,10 +1,9 @@
-// Package bmcall holds what the clients of the platform's services share: an
-// HTTP client that never sends a request twice and time limits on the
-// project's clock.
+// Package bmcall holds what the clients of the platform's services share: HTTP
+// calls that are sent once and have a time limit on the project's clock.
 //
 // Invariants: requests use HTTP/1.1, redirects are not followed, and a request
-// made by NewRequest carries no GetBody, so that http.Transport cannot resend
-// it after any byte was written.
+// carries no GetBody, so that http.Transport cannot resend a write after any
+// byte of it was handed to a connection. It may resend a GET.
 package bmcall
 
 import (
@@ -13,6 +12,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -27,18 +28,44 @@
 	// idleTimeout closes idle connections, so that a connection that stopped
 	// responding while it was idle is not kept for long.
 	idleTimeout = 30 * basilmoor.Second
-
-	// MaxErrorBytes bounds how much of an error response is read.
-	MaxErrorBytes = 64 << 10
 )
 
-// ErrTimeout is the cause of a call that exceeded its time limit.
+// ErrTimeout tells that a call exceeded its time limit.
 var ErrTimeout = errors.New("time limit exceeded")
 
-// NewClient returns an HTTP client without a time limit of its own, and a
-// function that closes its idle connections. A dial that takes longer than
-// dialTimeout fails.
-func NewClient(dialTimeout basilmoor.Millis) (*http.Client, func()) {
+// Client makes calls to one service. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// Call is one request.
+type Call struct {
+	Method   string
+	Path     string // escaped
+	Query    url.Values
+	Body     []byte
+	MaxBytes int64 // bound of the response body
+}
+
+// Answer is a complete response of any status.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// New returns a client of the service at baseURL, which has no path, and a
+// function that closes its idle connections. Attempts to connect that take
+// longer than dialTimeout fail.
+func New(baseURL string, dialTimeout basilmoor.Millis) (*Client, func(), error) {
+	u, err := url.Parse(baseURL)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "service URL")
+	}
+	if u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		return nil, nil, errors.Errorf("service URL %q: want http://ADDRESS:PORT", baseURL)
+	}
 	dialer := &net.Dialer{
 		Timeout: dialTimeout.Duration(),
 	}
@@ -51,26 +78,76 @@
 		DisableCompression:  true,
 		Protocols:           protocols,
 	}
-	client := &http.Client{
-		Transport:     transport,
-		CheckRedirect: refuseRedirect,
+	c := &Client{
+		base: strings.TrimRight(baseURL, "/"),
+		http: &http.Client{
+			Transport:     transport,
+			CheckRedirect: refuseRedirect,
+		},
 	}
-	return client, transport.CloseIdleConnections
+	return c, transport.CloseIdleConnections, nil
 }
 
 func refuseRedirect(*http.Request, []*http.Request) error {
 	return http.ErrUseLastResponse
 }
 
-// NewRequest returns a request whose body cannot be replayed.
-func NewRequest(ctx context.Context, method, url string, body []byte) (*http.Request, error) {
-	r, err := http.NewRequestWithContext(ctx, method, url, nil)
+// Do sends the call and reads the whole response. The error tells why ctx
+// ended if it has, for example ErrTimeout.
+func (c *Client) Do(ctx context.Context, k Call) (Answer, error) {
+	a, err := c.send(ctx, k)
+	if err == nil {
+		return a, nil
+	}
+	cause := context.Cause(ctx)
+	if errors.Is(cause, ErrTimeout) {
+		// The connections that are idle now may have stopped responding
+		// together with this one. The next call makes a new one.
+		c.http.CloseIdleConnections()
+	}
+	if cause != nil {
+		return Answer{}, cause
+	}
+	return Answer{}, err
+}
+
+func (c *Client) send(ctx context.Context, k Call) (Answer, error) {
+	r, err := c.request(ctx, k)
+	if err != nil {
+		return Answer{}, err
+	}
+	response, err := c.http.Do(r)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, k.MaxBytes+1))
+	if err != nil {
+		return Answer{}, errors.Wrap(err, "read response")
+	}
+	if int64(len(body)) > k.MaxBytes {
+		return Answer{}, errors.Errorf("response exceeds %d bytes", k.MaxBytes)
+	}
+	return Answer{
+		Status: response.StatusCode,
+		Header: response.Header,
+		Body:   body,
+	}, nil
+}
+
+// request makes a request whose body cannot be replayed.
+func (c *Client) request(ctx context.Context, k Call) (*http.Request, error) {
+	target := c.base + k.Path
+	if len(k.Query) > 0 {
+		target += "?" + k.Query.Encode()
+	}
+	r, err := http.NewRequestWithContext(ctx, k.Method, target, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "make request")
 	}
-	if len(body) > 0 {
-		r.Body = io.NopCloser(bytes.NewReader(body))
-		r.ContentLength = int64(len(body))
+	if len(k.Body) > 0 {
+		r.Body = io.NopCloser(bytes.NewReader(k.Body))
+		r.ContentLength = int64(len(k.Body))
 	}
 	return r, nil
 }
@@ -84,7 +161,10 @@
 		cancel: cancel,
 	}
 	go t.run(ctx)
-	return ctx, func() { cancel(context.Canceled) }
+	return ctx, func() {
+		t.timer.Stop()
+		cancel(context.Canceled)
+	}
 }
 
 type timeout struct {
@@ -93,18 +173,9 @@
 }
 
 func (t *timeout) run(ctx context.Context) {
-	defer t.timer.Stop()
 	select {
 	case <-t.timer.C():
 		t.cancel(ErrTimeout)
 	case <-ctx.Done():
 	}
 }
-
-// Cause returns the reason why ctx ended if it has ended, and err otherwise.
-func Cause(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); cause != nil {
-		return cause
-	}
-	return err
-}
--- a/internal/platform/bmhostlist/client.go
+++ b/internal/platform/bmhostlist/client.go
@@ -10,10 +10,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
-	"net/url"
-	"strings"
 
 	"github.com/pkg/errors"
 
@@ -52,27 +49,22 @@
 type Client struct {
 	settings Settings
 	clock    basilmoor.Clock
-	http     *http.Client
+	calls    *bmcall.Client
 }
 
 // New returns a client and a function that closes its idle connections.
 func New(clock basilmoor.Clock, settings Settings) (*Client, func(), error) {
-	u, err := url.Parse(settings.BaseURL)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "host list URL")
-	}
-	if u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
-		return nil, nil, errors.Errorf("host list URL %q: want http://ADDRESS:PORT", settings.BaseURL)
-	}
 	if settings.Timeout <= 0 {
 		settings.Timeout = DefaultTimeout
 	}
-	settings.BaseURL = strings.TrimRight(settings.BaseURL, "/")
-	client, closeIdle := bmcall.NewClient(settings.Timeout)
+	calls, closeIdle, err := bmcall.New(settings.BaseURL, settings.Timeout)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "host list")
+	}
 	c := &Client{
 		settings: settings,
 		clock:    clock,
-		http:     client,
+		calls:    calls,
 	}
 	return c, closeIdle, nil
 }
@@ -115,27 +107,19 @@
 func (c *Client) get(ctx context.Context, path string, v any) error {
 	ctx, cancel := bmcall.WithTimeout(ctx, c.clock, c.settings.Timeout)
 	defer cancel()
-	r, err := bmcall.NewRequest(ctx, http.MethodGet, c.settings.BaseURL+path, nil)
+	a, err := c.calls.Do(ctx, bmcall.Call{
+		Method:   http.MethodGet,
+		Path:     path,
+		MaxBytes: maxListBytes,
+	})
 	if err != nil {
 		return err
 	}
-	response, err := c.http.Do(r)
-	if err != nil {
-		return bmcall.Cause(ctx, err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return errors.Errorf("status %d", response.StatusCode)
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes+1))
-	if err != nil {
-		return bmcall.Cause(ctx, err)
-	}
-	if len(body) > maxListBytes {
-		return errors.Errorf("response exceeds %d bytes", maxListBytes)
+	if a.Status != http.StatusOK {
+		return errors.Errorf("status %d", a.Status)
 	}
-	if !bytes.HasPrefix(bytes.TrimSpace(body), []byte("[")) {
+	if !bytes.HasPrefix(bytes.TrimSpace(a.Body), []byte("[")) {
 		return errors.New("response is not a list")
 	}
-	return errors.Wrap(json.Unmarshal(body, v), "decode response")
+	return errors.Wrap(json.Unmarshal(a.Body, v), "decode response")
 }
--- a/internal/platform/bmstore/client.go
+++ b/internal/platform/bmstore/client.go
@@ -4,11 +4,8 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
-	"net/url"
 	"strconv"
-	"strings"
 
 	"github.com/pkg/errors"
 
@@ -23,7 +20,7 @@
 	settings Settings
 	clock    basilmoor.Clock
 	metrics  *bmmetrics.Registry
-	http     *http.Client
+	calls    *bmcall.Client
 	reads    *bucket
 	writes   *bucket
 	purpose  string
@@ -34,16 +31,15 @@
 // New returns a client and a function that closes its idle connections.
 func New(clock basilmoor.Clock, metrics *bmmetrics.Registry, settings Settings) (*Client, func(), error) {
 	settings = settings.withDefaults()
-	if err := settings.validate(); err != nil {
-		return nil, nil, err
+	calls, closeIdle, err := bmcall.New(settings.BaseURL, settings.Timeout)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "store")
 	}
-	settings.BaseURL = strings.TrimRight(settings.BaseURL, "/")
-	client, closeIdle := bmcall.NewClient(settings.Timeout)
 	c := &Client{
 		settings: settings,
 		clock:    clock,
 		metrics:  metrics,
-		http:     client,
+		calls:    calls,
 		reads:    newBucket(clock, settings.ReadsPerSecond),
 		writes:   newBucket(clock, settings.WritesPerSecond),
 		purpose:  DefaultPurpose,
@@ -62,63 +58,30 @@
 
 // call is one request to the service.
 type call struct {
+	bmcall.Call
 	operation string // for error messages
 	subject   string // key, prefix or lease, for typed errors
 	missing   string // what 404 is about if not subject
-	method    string
-	path      string
-	query     url.Values
-	body      []byte
 	write     bool
 	want      int64            // version that the caller expects
 	extra     basilmoor.Millis // added to the time limit
-
-	// maxBytes bounds the response body.
-	maxBytes int64
-}
-
-// answer is a successful response.
-type answer struct {
-	header http.Header
-	body   []byte
 }
 
-func (c *Client) do(ctx context.Context, k call) (answer, error) {
+// do makes a call and returns its response if it succeeded.
+func (c *Client) do(ctx context.Context, k call) (bmcall.Answer, error) {
 	ctx, cancel := bmcall.WithTimeout(ctx, c.clock, c.settings.Timeout+k.extra)
 	defer cancel()
 	if err := c.admit(ctx, k); err != nil {
-		return answer{}, c.unavailable(ctx, k, err)
-	}
-	target := c.settings.BaseURL + k.path
-	if len(k.query) > 0 {
-		target += "?" + k.query.Encode()
-	}
-	r, err := bmcall.NewRequest(ctx, k.method, target, k.body)
-	if err != nil {
-		return answer{}, err
-	}
-	response, err := c.http.Do(r)
-	if err != nil {
-		return answer{}, c.unavailable(ctx, k, err)
+		return bmcall.Answer{}, c.unavailable(k, err)
 	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode >= http.StatusBadRequest || response.StatusCode < http.StatusOK {
-		return answer{}, c.failure(ctx, k, response)
-	}
-	if response.StatusCode >= http.StatusMultipleChoices {
-		return answer{}, c.unavailable(ctx, k, errors.Errorf("unexpected status %d", response.StatusCode))
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, k.maxBytes+1))
+	a, err := c.calls.Do(ctx, k.Call)
 	if err != nil {
-		return answer{}, c.unavailable(ctx, k, err)
+		return bmcall.Answer{}, c.unavailable(k, err)
 	}
-	if int64(len(body)) > k.maxBytes {
-		return answer{}, c.unavailable(ctx, k, errors.Errorf("response exceeds %d bytes", k.maxBytes))
+	if a.Status < http.StatusOK || a.Status >= http.StatusMultipleChoices {
+		return bmcall.Answer{}, c.failure(k, a)
 	}
-	return answer{
-		header: response.Header,
-		body:   body,
-	}, nil
+	return a, nil
 }
 
 // admit takes a token of the call budget and counts the call.
@@ -135,11 +98,11 @@
 	return nil
 }
 
-func (c *Client) unavailable(ctx context.Context, k call, err error) error {
+func (c *Client) unavailable(k call, err error) error {
 	c.metrics.Add("store.unavailable."+c.purpose, 1)
 	return &basilmoor.UnavailableError{
 		Operation: "store " + k.operation,
-		Err:       bmcall.Cause(ctx, err),
+		Err:       err,
 	}
 }
 
@@ -150,8 +113,8 @@
 	Revision int64  `json:"revision"`
 }
 
-// StatusError is a response that no typed error of the root package stands
-// for. Nothing was written.
+// StatusError is a refusal that no typed error of the root package stands for.
+// Nothing was written.
 type StatusError struct {
 	Operation string
 	Status    int
@@ -162,26 +125,21 @@
 	return "store " + e.Operation + ": status " + strconv.Itoa(e.Status) + ": " + e.Detail
 }
 
-func (c *Client) failure(ctx context.Context, k call, response *http.Response) error {
+// failure maps a response without success to an error. A response that is not
+// the store's own, for example a middlebox's, leaves the effect unknown.
+func (c *Client) failure(k call, a bmcall.Answer) error {
 	var p problem
-	body, err := io.ReadAll(io.LimitReader(response.Body, bmcall.MaxErrorBytes))
-	if err != nil {
-		return c.unavailable(ctx, k, err)
+	parsed := json.Unmarshal(a.Body, &p) == nil
+	definite := a.Status >= http.StatusBadRequest && a.Status < http.StatusInternalServerError
+	if !parsed || !definite || a.Status == http.StatusTooManyRequests {
+		return c.unavailable(k, errors.Errorf("status %d", a.Status))
 	}
-	parsed := json.Unmarshal(body, &p) == nil
-	status := response.StatusCode
-	typed := status == http.StatusNotFound || status == http.StatusConflict || status == http.StatusGone
-	switch {
-	case status >= http.StatusInternalServerError || status == http.StatusTooManyRequests:
-		return c.unavailable(ctx, k, errors.Errorf("status %d", status))
-	case typed && !parsed:
-		// Something other than the store answered, for example a middlebox.
-		return c.unavailable(ctx, k, errors.Errorf("status %d without a store error", status))
-	case status == http.StatusNotFound:
+	switch a.Status {
+	case http.StatusNotFound:
 		return &basilmoor.NotFoundError{
 			Key: cmp.Or(k.missing, k.subject),
 		}
-	case status == http.StatusConflict:
+	case http.StatusConflict:
 		return &basilmoor.ConflictError{
 			Key:  k.subject,
 			Want: k.want,
@@ -191,14 +149,14 @@
 				Revision: p.Revision,
 			},
 		}
-	case status == http.StatusGone:
+	case http.StatusGone:
 		return &basilmoor.CompactedError{
 			Revision: p.Revision,
 		}
 	}
 	return &StatusError{
 		Operation: k.operation,
-		Status:    status,
+		Status:    a.Status,
 		Detail:    p.Error,
 	}
 }
--- a/internal/platform/bmstore/client_test.go
+++ b/internal/platform/bmstore/client_test.go
@@ -156,7 +156,7 @@
 	_, err := c.CompareAndSwap(ctx, "a", 0, []byte("old"), "")
 	require.NoError(t, err)
 	lose := 1
-	require.True(t, store.SetFaults(bmstandinstore.Faults{
+	require.NoError(t, store.SetFaults(bmstandinstore.Faults{
 		LoseNextAnswers: &lose,
 	}))
 	_, err = c.CompareAndSwap(ctx, "a", 1, []byte("new"), "")
--- a/internal/platform/bmstore/operations.go
+++ b/internal/platform/bmstore/operations.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/platform/bmcall"
 )
 
 const (
@@ -31,28 +32,30 @@
 		return basilmoor.Entry{}, err
 	}
 	k := call{
+		Call: bmcall.Call{
+			Method:   http.MethodGet,
+			Path:     keyPath(key),
+			MaxBytes: basilmoor.MaxValueBytes,
+		},
 		operation: "get " + key,
 		subject:   key,
-		method:    http.MethodGet,
-		path:      keyPath(key),
-		maxBytes:  basilmoor.MaxValueBytes,
 	}
 	a, err := c.do(ctx, k)
 	if err != nil {
 		return basilmoor.Entry{}, err
 	}
-	return c.entry(ctx, k, a, a.body)
+	return c.entry(k, a, a.Body)
 }
 
 // entry reads the version and the revision from the response headers.
-func (c *Client) entry(ctx context.Context, k call, a answer, value []byte) (basilmoor.Entry, error) {
-	version, err := strconv.ParseInt(a.header.Get(versionHeader), 10, 64)
+func (c *Client) entry(k call, a bmcall.Answer, value []byte) (basilmoor.Entry, error) {
+	version, err := strconv.ParseInt(a.Header.Get(versionHeader), 10, 64)
 	if err != nil {
-		return basilmoor.Entry{}, c.unavailable(ctx, k, errors.Wrap(err, versionHeader))
+		return basilmoor.Entry{}, c.unavailable(k, errors.Wrap(err, versionHeader))
 	}
-	revision, err := strconv.ParseInt(a.header.Get(revisionHeader), 10, 64)
+	revision, err := strconv.ParseInt(a.Header.Get(revisionHeader), 10, 64)
 	if err != nil {
-		return basilmoor.Entry{}, c.unavailable(ctx, k, errors.Wrap(err, revisionHeader))
+		return basilmoor.Entry{}, c.unavailable(k, errors.Wrap(err, revisionHeader))
 	}
 	return basilmoor.Entry{
 		Key:      k.subject,
@@ -65,14 +68,16 @@
 // List returns the entries whose key starts with prefix, in key order.
 func (c *Client) List(ctx context.Context, prefix string) ([]basilmoor.Entry, error) {
 	k := call{
+		Call: bmcall.Call{
+			Method: http.MethodGet,
+			Path:   "/v1/list",
+			Query: url.Values{
+				"prefix": {prefix},
+			},
+			MaxBytes: maxBatchBytes,
+		},
 		operation: "list " + prefix,
 		subject:   prefix,
-		method:    http.MethodGet,
-		path:      "/v1/list",
-		query: url.Values{
-			"prefix": {prefix},
-		},
-		maxBytes: maxBatchBytes,
 	}
 	var list struct {
 		Entries []wireEntry `json:"entries"`
@@ -95,6 +100,13 @@
 	if err := checkKey(key); err != nil {
 		return basilmoor.Entry{}, err
 	}
+	if len(value) > basilmoor.MaxValueBytes {
+		return basilmoor.Entry{}, &StatusError{
+			Operation: "put " + key,
+			Status:    http.StatusRequestEntityTooLarge,
+			Detail:    "value too large",
+		}
+	}
 	query := url.Values{
 		"if-version": {strconv.FormatInt(version, 10)},
 	}
@@ -102,22 +114,24 @@
 		query.Set("lease", lease)
 	}
 	k := call{
+		Call: bmcall.Call{
+			Method:   http.MethodPut,
+			Path:     keyPath(key),
+			Query:    query,
+			Body:     value,
+			MaxBytes: maxSmallBytes,
+		},
 		operation: "put " + key,
 		subject:   key,
 		missing:   lease,
-		method:    http.MethodPut,
-		path:      keyPath(key),
-		query:     query,
-		body:      value,
 		write:     true,
 		want:      version,
-		maxBytes:  maxSmallBytes,
 	}
 	a, err := c.do(ctx, k)
 	if err != nil {
 		return basilmoor.Entry{}, err
 	}
-	return c.entry(ctx, k, a, value)
+	return c.entry(k, a, value)
 }
 
 // Delete removes the key if its version is still version.
@@ -126,16 +140,18 @@
 		return err
 	}
 	_, err := c.do(ctx, call{
+		Call: bmcall.Call{
+			Method: http.MethodDelete,
+			Path:   keyPath(key),
+			Query: url.Values{
+				"if-version": {strconv.FormatInt(version, 10)},
+			},
+			MaxBytes: maxSmallBytes,
+		},
 		operation: "delete " + key,
 		subject:   key,
-		method:    http.MethodDelete,
-		path:      keyPath(key),
-		query: url.Values{
-			"if-version": {strconv.FormatInt(version, 10)},
-		},
-		write:    true,
-		want:     version,
-		maxBytes: maxSmallBytes,
+		write:     true,
+		want:      version,
 	})
 	return err
 }
@@ -144,17 +160,19 @@
 // revision.
 func (c *Client) Watch(ctx context.Context, prefix string, revision int64, wait basilmoor.Millis) ([]basilmoor.Event, int64, error) {
 	k := call{
+		Call: bmcall.Call{
+			Method: http.MethodGet,
+			Path:   "/v1/watch",
+			Query: url.Values{
+				"prefix":  {prefix},
+				"after":   {strconv.FormatInt(revision, 10)},
+				"wait-ms": {strconv.FormatInt(int64(wait), 10)},
+			},
+			MaxBytes: maxBatchBytes,
+		},
 		operation: "watch " + prefix,
 		subject:   prefix,
-		method:    http.MethodGet,
-		path:      "/v1/watch",
-		query: url.Values{
-			"prefix":  {prefix},
-			"after":   {strconv.FormatInt(revision, 10)},
-			"wait-ms": {strconv.FormatInt(int64(wait), 10)},
-		},
-		extra:    wait,
-		maxBytes: maxBatchBytes,
+		extra:     wait,
 	}
 	var batch struct {
 		Events   []wireEvent `json:"events"`
@@ -180,14 +198,16 @@
 		ID string `json:"id"`
 	}
 	err := c.doJSON(ctx, call{
-		operation: "grant lease",
-		method:    http.MethodPost,
-		path:      "/v1/leases",
-		query: url.Values{
-			"ttl-ms": {strconv.FormatInt(int64(ttl), 10)},
+		Call: bmcall.Call{
+			Method: http.MethodPost,
+			Path:   "/v1/leases",
+			Query: url.Values{
+				"ttl-ms": {strconv.FormatInt(int64(ttl), 10)},
+			},
+			MaxBytes: maxSmallBytes,
 		},
-		write:    true,
-		maxBytes: maxSmallBytes,
+		operation: "grant lease",
+		write:     true,
 	}, &lease)
 	return lease.ID, err
 }
@@ -205,12 +225,14 @@
 
 func (c *Client) changeLease(ctx context.Context, verb, method, lease string) error {
 	_, err := c.do(ctx, call{
+		Call: bmcall.Call{
+			Method:   method,
+			Path:     "/v1/leases/" + url.PathEscape(lease),
+			MaxBytes: maxSmallBytes,
+		},
 		operation: verb + " lease " + lease,
 		subject:   lease,
-		method:    method,
-		path:      "/v1/leases/" + url.PathEscape(lease),
 		write:     true,
-		maxBytes:  maxSmallBytes,
 	})
 	return err
 }
@@ -220,8 +242,8 @@
 	if err != nil {
 		return err
 	}
-	if err := json.Unmarshal(a.body, v); err != nil {
-		return c.unavailable(ctx, k, errors.Wrap(err, "decode response"))
+	if err := json.Unmarshal(a.Body, v); err != nil {
+		return c.unavailable(k, errors.Wrap(err, "decode response"))
 	}
 	return nil
 }
--- a/internal/platform/bmstore/settings.go
+++ b/internal/platform/bmstore/settings.go
@@ -5,13 +5,7 @@
 // *basilmoor.UnavailableError.
 package bmstore
 
-import (
-	"net/url"
-
-	"github.com/pkg/errors"
-
-	"basilmoor.example/basilmoor"
-)
+import "basilmoor.example/basilmoor"
 
 // Default values of Settings.
 const (
@@ -50,14 +44,3 @@
 	}
 	return s
 }
-
-func (s Settings) validate() error {
-	u, err := url.Parse(s.BaseURL)
-	if err != nil {
-		return errors.Wrap(err, "store URL")
-	}
-	if u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
-		return errors.Errorf("store URL %q: want http://ADDRESS:PORT", s.BaseURL)
-	}
-	return nil
-}
--- a/internal/standin/bmstandin/conn.go
+++ b/internal/standin/bmstandin/conn.go
@@ -1,9 +1,11 @@
 package bmstandin
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // listener registers the connections that it accepts with its server.
@@ -46,12 +48,15 @@
 	delete(s.conns, c)
 }
 
-// conn is a connection whose writes can be discarded.
+// conn is a connection that can be silenced: what the server writes is
+// discarded, and the connection stays open until the client closes it or the
+// server is suspended.
 type conn struct {
 	net.Conn
 	server *Server
 	silent atomic.Bool
-	once   sync.Once
+	drain  sync.Once
+	shut   sync.Once
 }
 
 func (c *conn) silence() { c.silent.Store(true) }
@@ -64,9 +69,24 @@
 	return c.Conn.Write(p)
 }
 
-// Close closes the connection. The server closes a silenced connection only
-// after the client did, or when it is suspended.
+// Close is called by the HTTP server. It keeps a silenced connection open.
 func (c *conn) Close() error {
-	c.once.Do(func() { c.server.unregister(c) })
+	if !c.silent.Load() {
+		return c.end()
+	}
+	c.drain.Do(func() { go c.loop() })
+	return nil
+}
+
+// loop reads what the client still sends, until the client closes.
+func (c *conn) loop() {
+	_ = c.SetReadDeadline(time.Time{}) // the HTTP server may have set one
+	_, _ = io.Copy(io.Discard, c.Conn)
+	_ = c.end()
+}
+
+// end closes the connection.
+func (c *conn) end() error {
+	c.shut.Do(func() { c.server.unregister(c) })
 	return c.Conn.Close()
 }
--- a/internal/standin/bmstandin/lagging.go
+++ b/internal/standin/bmstandin/lagging.go
@@ -41,8 +41,8 @@
 	defer l.mu.Unlock()
 	now := l.clock.Now()
 	l.trim(now)
-	last := &l.samples[len(l.samples)-1]
-	if last.at == now {
+	// The first sample is already reported and must not change.
+	if last := &l.samples[len(l.samples)-1]; len(l.samples) > 1 && last.at == now {
 		last.value = value
 		return
 	}
--- a/internal/standin/bmstandin/process.go
+++ b/internal/standin/bmstandin/process.go
@@ -171,12 +171,9 @@
 	if err := f.validate(); err != nil {
 		return err
 	}
-	p.mu.Lock()
-	p.faults.update(f)
-	if f.StopResponding && p.server != nil {
-		p.server.Silence(except)
+	if err := p.update(f, except); err != nil {
+		return err
 	}
-	p.mu.Unlock()
 	if f.CrashNow {
 		p.Crash()
 	}
@@ -186,6 +183,18 @@
 	return nil
 }
 
+func (p *Process) update(f Faults, except string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if f.StopResponding {
+		if err := p.server.Silence(except); err != nil {
+			return err
+		}
+	}
+	p.faults.update(f)
+	return nil
+}
+
 // ServeHTTP answers POST /v1/faults.
 func (p *Process) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var f Faults
--- a/internal/standin/bmstandin/server.go
+++ b/internal/standin/bmstandin/server.go
@@ -135,7 +135,7 @@
 		_ = l.Close()
 	}
 	for _, c := range conns {
-		_ = c.Close()
+		_ = c.end()
 	}
 }
 
@@ -158,8 +158,12 @@
 // Silence makes the open connections stop responding without closing them:
 // requests are still read and run, and nothing is sent any more. The
 // connection with the remote address except is left alone. New connections
-// work.
-func (s *Server) Silence(except string) {
+// work. The error tells that s is nil, that is, that the handler is served by
+// something else.
+func (s *Server) Silence(except string) error {
+	if s == nil {
+		return errors.New("stop-responding needs a server of this package")
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -167,6 +171,7 @@
 			c.silence()
 		}
 	}
+	return nil
 }
 
 // open returns the open connections. The caller holds mu.
--- a/internal/standin/bmstandincmd/flags.go
+++ b/internal/standin/bmstandincmd/flags.go
@@ -80,16 +80,8 @@
 	f.IntVar(&s.WritesPerSecond, "writes-per-second", 0, "limit of writes, 0 for none")
 	f.IntVar(&s.History, "history", bmstandinstore.DefaultHistory, "changes kept for watches")
 	return func(clock basilmoor.Clock, l listeners) (*bmstandin.Server, func(), error) {
-		store, end := bmstandinstore.New(clock, s)
-		server, closeServer, err := bmstandin.Listen(l.address, l.control, store)
-		if err != nil {
-			end()
-			return nil, nil, err
-		}
-		return server, func() {
-			closeServer()
-			end()
-		}, nil
+		_, server, cleanup, err := bmstandinstore.Start(l.address, l.control, clock, s)
+		return server, cleanup, err
 	}
 }
 
@@ -148,6 +140,7 @@
 	f.Var(jsonValue{target: &s.Hosts}, "hosts", "hosts at the start, as the JSON of PUT /v1/hosts")
 	f.Var(jsonValue{target: &s.Targets}, "targets", "targets at the start, as the JSON of PUT /v1/targets")
 	return func(clock basilmoor.Clock, l listeners) (*bmstandin.Server, func(), error) {
-		return bmstandin.Listen(l.address, l.control, bmstandinhosts.New(clock, s))
+		_, server, cleanup, err := bmstandinhosts.Start(l.address, l.control, clock, s)
+		return server, cleanup, err
 	}
 }
--- a/internal/standin/bmstandinengine/engine.go
+++ b/internal/standin/bmstandinengine/engine.go
@@ -64,6 +64,17 @@
 	if err := settings.validate(); err != nil {
 		return nil, nil, err
 	}
+	e, stop := build(clock, settings)
+	go e.run()
+	return e, func() {
+		stop()
+		<-e.done
+	}, nil
+}
+
+// build returns an engine without its loop, and a function that ends its
+// waiting handlers.
+func build(clock basilmoor.Clock, settings Settings) (*Engine, func()) {
 	life, end := context.WithCancel(context.Background())
 	e := &Engine{
 		clock:      clock,
@@ -80,13 +91,10 @@
 	e.process = process
 	e.reset()
 	e.routes()
-	go e.run()
-	stop := func() {
+	return e, func() {
 		end()
-		<-e.done
 		stopProcess()
 	}
-	return e, stop, nil
 }
 
 // Start returns an engine that listens on address, and on controlAddress
--- a/internal/standin/bmstandinengine/loop.go
+++ b/internal/standin/bmstandinengine/loop.go
@@ -28,6 +28,7 @@
 	p := &pacer{
 		clock: e.clock,
 	}
+	p.reset()
 	for e.life.Err() == nil {
 		s := e.plan()
 		if len(s.parts) == 0 {
--- a/internal/standin/bmstandinhosts/hosts.go
+++ b/internal/standin/bmstandinhosts/hosts.go
@@ -43,6 +43,10 @@
 
 	// LagMillis changes the lag.
 	LagMillis *basilmoor.Millis `json:"lag-ms,omitempty"`
+
+	// StopResponding makes the open connections, except the one of this call,
+	// silent for good. New connections work.
+	StopResponding bool `json:"stop-responding,omitempty"`
 }
 
 // List is an http.Handler with the protocol of the list. It is safe for
@@ -53,6 +57,7 @@
 	targets *bmstandin.Lagging[[]Target]
 
 	mu     sync.Mutex
+	server *bmstandin.Server // nil if the handler is served otherwise
 	outage bool
 }
 
@@ -73,6 +78,20 @@
 	return l
 }
 
+// Start returns a list that listens on address, and on controlAddress unless
+// it is empty, and a function that stops both.
+func Start(address, controlAddress string, clock basilmoor.Clock, settings Settings) (*List, *bmstandin.Server, func(), error) {
+	l := New(clock, settings)
+	server, closeServer, err := bmstandin.Listen(address, controlAddress, l)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	l.mu.Lock()
+	l.server = server
+	l.mu.Unlock()
+	return l, server, closeServer, nil
+}
+
 // ServeHTTP handles one call.
 func (l *List) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	l.mux.ServeHTTP(w, r)
@@ -88,17 +107,30 @@
 	l.targets.Record(append([]Target(nil), targets...))
 }
 
-// SetFaults changes the faults.
-func (l *List) SetFaults(f Faults) {
+// SetFaults changes the faults. The error tells which one is not possible, and
+// that the faults are as before.
+func (l *List) SetFaults(f Faults) error {
+	return l.change(f, "")
+}
+
+// change sets the faults; the connection with the remote address except is not
+// silenced.
+func (l *List) change(f Faults, except string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if f.StopResponding {
+		if err := l.server.Silence(except); err != nil {
+			return err
+		}
+	}
 	if f.LagMillis != nil {
 		l.hosts.SetLag(*f.LagMillis)
 		l.targets.SetLag(*f.LagMillis)
 	}
 	if f.Outage != nil {
-		l.mu.Lock()
-		defer l.mu.Unlock()
 		l.outage = *f.Outage
 	}
+	return nil
 }
 
 func (l *List) postFaults(w http.ResponseWriter, r *http.Request) {
@@ -106,7 +138,10 @@
 	if !bmstandin.ReadJSON(w, r, &f) {
 		return
 	}
-	l.SetFaults(f)
+	if err := l.change(f, r.RemoteAddr); err != nil {
+		bmstandin.WriteProblem(w, http.StatusConflict, err.Error())
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/standin/bmstandinstore/settings.go
+++ b/internal/standin/bmstandinstore/settings.go
@@ -42,4 +42,8 @@
 	// RestoreToRevision sets the store back to an older state, as the
 	// restoration of a backup does. Pending watches are not told.
 	RestoreToRevision *int64 `json:"restore-to-revision,omitempty"`
+
+	// StopResponding makes the open connections, except the one of this call,
+	// silent for good: calls on them still take effect. New connections work.
+	StopResponding bool `json:"stop-responding,omitempty"`
 }
--- a/internal/standin/bmstandinstore/store.go
+++ b/internal/standin/bmstandinstore/store.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 
+	"github.com/pkg/errors"
+
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/standin/bmstandin"
 )
@@ -20,6 +22,7 @@
 	life context.Context
 
 	mu      sync.Mutex
+	server  *bmstandin.Server // nil if the handler is served otherwise
 	state   *state
 	changed chan struct{} // closed and replaced when a key or a fault changes
 	reads   *limiter
@@ -72,6 +75,24 @@
 	return s, end
 }
 
+// Start returns a store that listens on address, and on controlAddress unless
+// it is empty, and a function that stops both.
+func Start(address, controlAddress string, clock basilmoor.Clock, settings Settings) (*Store, *bmstandin.Server, func(), error) {
+	s, end := New(clock, settings)
+	server, closeServer, err := bmstandin.Listen(address, controlAddress, s)
+	if err != nil {
+		end()
+		return nil, nil, nil, err
+	}
+	s.mu.Lock()
+	s.server = server
+	s.mu.Unlock()
+	return s, server, func() {
+		closeServer()
+		end()
+	}, nil
+}
+
 func (s *Store) routes() {
 	s.read("GET /v1/keys/{key...}", "get", s.get)
 	s.write("PUT /v1/keys/{key...}", "put", s.put)
@@ -129,22 +150,33 @@
 	if !bmstandin.ReadJSON(w, r, &f) {
 		return
 	}
-	if !s.SetFaults(f) {
-		bmstandin.WriteProblem(w, http.StatusGone, "no history of this revision")
+	if err := s.change(f, r.RemoteAddr); err != nil {
+		bmstandin.WriteProblem(w, http.StatusConflict, err.Error())
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// SetFaults changes the faults. It reports whether a requested restoration was
-// possible.
-func (s *Store) SetFaults(f Faults) bool {
+// SetFaults changes the faults. The error tells which one is not possible, and
+// that the faults are as before.
+func (s *Store) SetFaults(f Faults) error {
+	return s.change(f, "")
+}
+
+// change sets the faults; the connection with the remote address except is not
+// silenced.
+func (s *Store) change(f Faults, except string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if f.StopResponding {
+		if err := s.server.Silence(except); err != nil {
+			return err
+		}
+	}
 	if f.RestoreToRevision != nil {
 		s.sweep()
 		if !s.state.restore(*f.RestoreToRevision) {
-			return false
+			return errors.Errorf("no history of revision %d", *f.RestoreToRevision)
 		}
 	}
 	if f.Outage != nil {
@@ -157,5 +189,5 @@
 	if f.LoseNextAnswers != nil {
 		s.lose = *f.LoseNextAnswers
 	}
-	return true
+	return nil
 }
