--- a/internal/standin/bmstandincmd/command.go
+++ b/internal/standin/bmstandincmd/command.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"flag"
 	"io"
+	"log"
 	"os"
 	"strings"
 
@@ -60,34 +61,34 @@
 
 // Run serves until ctx ends and returns the exit code.
 func (c Command) Run(ctx context.Context) int {
-	log := zerolog.New(c.Stderr).With().Timestamp().Logger()
+	logger := zerolog.New(c.Stderr).With().Timestamp().Logger()
 	if len(c.Args) == 0 || kinds[c.Args[0]] == nil {
 		_, _ = io.WriteString(c.Stderr, usage)
 		return exitUsage
 	}
 	name := c.Args[0]
-	log = log.With().Str("standin", name).Logger()
+	logger = logger.With().Str("standin", name).Logger()
 	start, l, err := c.parse(name)
 	if errors.Is(err, flag.ErrHelp) {
 		return exitOK
 	}
 	if err != nil {
-		log.Error().Err(err).Msg("invalid settings")
+		logger.Error().Err(err).Msg("invalid settings")
 		return exitUsage
 	}
 	server, cleanup, err := start(bmclock.NewSystem(), l)
 	if err != nil {
-		log.Error().Err(err).Msg("start failed")
+		logger.Error().Err(err).Msg("start failed")
 		return exitFailed
 	}
 	defer cleanup()
 	if err := c.announce(server); err != nil {
-		log.Error().Err(err).Msg("write of the address failed")
+		logger.Error().Err(err).Msg("write of the address failed")
 		return exitFailed
 	}
-	log.Info().Str("listening", server.Address()).Msg("started")
+	logger.Info().Str("listening", server.Address()).Msg("started")
 	<-ctx.Done()
-	log.Info().Msg("stopping")
+	logger.Info().Msg("stopping")
 	return exitOK
 }
 
@@ -146,8 +147,11 @@
 	return failure
 }
 
-// FromProcess returns the command of this process.
+// FromProcess returns the command of this process. It makes the messages of
+// net/http, which go to the standard library's logger, JSON lines too.
 func FromProcess() Command {
+	log.SetFlags(0)
+	log.SetOutput(zerolog.New(os.Stderr).With().Timestamp().Logger())
 	return Command{
 		Args:      os.Args[1:],
 		LookupEnv: os.LookupEnv,
--- a/internal/standin/bmstandinengine/engine_test.go
+++ b/internal/standin/bmstandinengine/engine_test.go
@@ -201,3 +201,22 @@
 	require.Len(t, e.Executions(), 1)
 	require.True(t, e.Executions()[0].Complete)
 }
+
+// Guards against an import that does not save the prefill.
+func TestKVTransfer(t *testing.T) {
+	_, from := start(t)
+	to, target := start(t)
+	request := body(strings.Repeat("w ", 130), false, 1)
+	r, err := post(t, from.Address(), "/v1/chat/completions", request)
+	require.NoError(t, err)
+	read(t, r)
+	r, err = post(t, from.Address(), "/v1/kv/export", `{"stream-id":"`+r.Header.Get(StreamIDHeader)+`"}`)
+	require.NoError(t, err)
+	r, err = post(t, target.Address(), "/v1/kv/import", read(t, r))
+	require.NoError(t, err)
+	require.Contains(t, read(t, r), `"tokens":128`)
+	r, err = post(t, target.Address(), "/v1/chat/completions", request)
+	require.NoError(t, err)
+	require.Contains(t, read(t, r), `"cached_tokens":128`)
+	require.Equal(t, 2, to.Stats().PrefillTokens)
+}
