--- a/internal/schedule/bmbroker/broker.go
+++ b/internal/schedule/bmbroker/broker.go
@@ -10,6 +10,14 @@
 // about two token intervals: no new evidence comes sooner.
 const comparePeriod basilmoor.Millis = 50
 
+// lookAhead is the number of demands of one workspace among which the one with
+// the most cached prompt is granted first.
+const lookAhead = 32
+
+// maxPassed is the number of grants in a row that may pass over the first
+// demand of the order for a better use of cached prompts.
+const maxPassed = 3
+
 // Broker is the policy of one pool. It is not safe for concurrent use.
 type Broker struct {
 	cfg     Config
@@ -23,6 +31,7 @@
 	readyAt    basilmoor.Millis
 	compared   basilmoor.Millis // last comparison of speeds
 
+	passed        int // grants since the first demand of the order was taken
 	grantedByTier map[int]int64
 	refused       map[basilmoor.Reason]int64
 	inversions    int64
@@ -112,7 +121,7 @@
 		b.drain.finished(now, o.Tokens)
 	}
 	b.pool.Observe(now, o)
-	if o.Stage != basilmoor.StageReturned {
+	if _, held := b.pool.Holds(o.Request); held || b.pool.HasRun(o.Request) {
 		// A request that was dispatched must not be granted again, even if
 		// its demand was submitted anew in the meantime.
 		b.queue.Remove(o.Request)
@@ -190,9 +199,7 @@
 		if item == nil {
 			return
 		}
-		t, _, ok := b.pool.Choose(item.Demand, func(t basilmoor.Target) bool {
-			return b.classes.fits(item.Class, t)
-		})
+		item, t, ok := b.choose(item)
 		if !ok {
 			return
 		}
@@ -200,6 +207,34 @@
 	}
 }
 
+// choose returns the demand to grant and its target. It is the first demand
+// of the order, or one of those next to it whose prompt is cached to a larger
+// part on a free target. At least every fourth grant goes to the first demand,
+// so that one with a rare prompt is not starved.
+func (b *Broker) choose(first *bmqueue.Item) (*bmqueue.Item, basilmoor.Target, bool) {
+	fit := func(t basilmoor.Target) bool { return b.classes.fits(first.Class, t) }
+	target, estimate, ok := b.pool.Choose(first.Demand, fit)
+	if !ok || b.passed >= maxPassed {
+		b.passed = 0
+		return first, target, ok
+	}
+	best := first
+	for _, item := range b.queue.Near(first, lookAhead) {
+		t, e, _ := b.pool.Choose(item.Demand, fit)
+		if e.PromptCost < estimate.PromptCost {
+			best = item
+			target = t
+			estimate = e
+		}
+	}
+	if best == first {
+		b.passed = 0
+	} else {
+		b.passed++
+	}
+	return best, target, ok
+}
+
 func (b *Broker) grant(now basilmoor.Millis, item *bmqueue.Item, t basilmoor.Target) {
 	b.queue.Take(item)
 	b.pool.Reserve(now, item.Demand, t.Name)
--- a/internal/schedule/bmbroker/stats.go
+++ b/internal/schedule/bmbroker/stats.go
@@ -4,6 +4,7 @@
 	"maps"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/schedule/bmcapacity"
 )
 
 // Stats are the counters of a broker.
@@ -15,6 +16,7 @@
 	Refused      map[basilmoor.Reason]int64
 	Inversions   int64 // grants or refusals against the order of tiers
 	Lapsed       int64 // capacity freed without a final report
+	Targets      []bmcapacity.TargetStats
 }
 
 // Stats returns a copy of the counters.
@@ -27,5 +29,6 @@
 		Refused:      maps.Clone(b.refused),
 		Inversions:   b.inversions,
 		Lapsed:       b.pool.Lapsed(),
+		Targets:      b.pool.Stats(),
 	}
 }
--- a/internal/schedule/bmcapacity/config.go
+++ b/internal/schedule/bmcapacity/config.go
@@ -53,11 +53,11 @@
 		GrantTTL:          basilmoor.Second,
 		GrantMargin:       basilmoor.Second / 2,
 		SilentAfter:       basilmoor.Minute,
-		StragglerFactor:   2,
-		RecoveredFactor:   1.5,
-		ReducedSlotsShare: 0.25,
+		StragglerFactor:   2.5,
+		RecoveredFactor:   1.75,
+		ReducedSlotsShare: 0.2,
 		ForgetAfter:       5 * basilmoor.Second,
-		StalledAfter:      basilmoor.Second,
+		StalledAfter:      3 * basilmoor.Second,
 		OtherPlacePenalty: 4,
 	}
 }
--- a/internal/schedule/bmcapacity/estimate.go
+++ b/internal/schedule/bmcapacity/estimate.go
@@ -12,6 +12,14 @@
 type Estimate struct {
 	FirstToken float64 // milliseconds from now to the first token
 	Completion float64 // milliseconds from now to the last token
+
+	// PromptCost is the time that processing the uncached part of the prompt
+	// takes from all requests on the target, in milliseconds of a slot.
+	PromptCost float64
+}
+
+func (e Estimate) cost() float64 {
+	return e.Completion + e.PromptCost
 }
 
 // uncached returns the prompt tokens of d that the target must process.
@@ -29,18 +37,22 @@
 	if prefill == 0 {
 		prefill = assumedPrefill
 	}
-	first := pace + prefill*float64(t.backlog+t.uncached(d))
+	uncached := t.uncached(d)
+	first := pace + prefill*float64(t.backlog+uncached)
 	if d.Place != t.spec.Place {
 		first += p.cfg.OtherPlacePenalty
 	}
 	return Estimate{
 		FirstToken: first,
 		Completion: first + pace*float64(d.OutputTokens),
+		PromptCost: prefill * float64(uncached) * float64(1+len(t.flights)),
 	}
 }
 
-// Choose returns the free target that is accepted by fit and is expected to
-// complete the demand first, or false if there is none.
+// Choose returns the free target that is accepted by fit and where the demand
+// costs the least, or false if there is none. The cost is the time until the
+// demand completes, and the time that processing its prompt takes from the
+// other requests on the target.
 func (p *Pool) Choose(d basilmoor.Demand, fit func(basilmoor.Target) bool) (basilmoor.Target, Estimate, bool) {
 	var best *target
 	var bestEstimate Estimate
@@ -49,7 +61,7 @@
 			continue
 		}
 		e := p.estimate(t, d)
-		if best == nil || e.Completion < bestEstimate.Completion {
+		if best == nil || e.cost() < bestEstimate.cost() {
 			best = t
 			bestEstimate = e
 		}
--- a/internal/schedule/bmcapacity/observe.go
+++ b/internal/schedule/bmcapacity/observe.go
@@ -15,9 +15,11 @@
 	}
 }
 
+// returned frees a grant that was given back: either nothing was sent, or the
+// target stated that it did not run the request.
 func (p *Pool) returned(now basilmoor.Millis, o basilmoor.Observation) {
 	f, ok := p.flights[o.Request]
-	if !ok || f.dispatched || f.target.spec.Name != o.Target {
+	if !ok || f.target.spec.Name != o.Target {
 		return
 	}
 	p.end(now, f, endedReturned)
@@ -26,9 +28,6 @@
 func (p *Pool) ended(now basilmoor.Millis, o basilmoor.Observation) {
 	f, ok := p.flights[o.Request]
 	if ok {
-		if o.Stage == basilmoor.StageFinished && f.streaming {
-			f.target.progress(now, f, o.Tokens, o.Elapsed)
-		}
 		p.end(now, f, endedRun)
 		return
 	}
@@ -76,16 +75,16 @@
 		return p.place(now, d, t, true)
 	}
 	e, remembered := p.history.ended[o.Request]
-	if !known || remembered && e.ending == endedRun {
+	switch {
+	case !known || remembered && e.ending != endedLapsed:
 		return nil
-	}
-	if o.Demand != nil {
+	case o.Demand != nil:
 		return p.place(now, *o.Demand, t, true)
-	}
-	if remembered {
+	case remembered:
 		return p.place(now, e.demand, t, true)
+	default:
+		return nil
 	}
-	return nil
 }
 
 // Report records a load report. Reports are late: they are used only as a
--- a/internal/schedule/bmcapacity/pool.go
+++ b/internal/schedule/bmcapacity/pool.go
@@ -13,14 +13,15 @@
 // Pool is the learned state of all targets of a pool. It is not safe for
 // concurrent use.
 type Pool struct {
-	cfg     Config
-	targets map[string]*target
-	order   []*target // listed targets by name
-	flights map[basilmoor.RequestID]*flight
-	grants  []historyEntry // grants in order of time, to find lapsed ones
-	history *history
-	swept   basilmoor.Millis
-	lapsed  int64
+	cfg      Config
+	targets  map[string]*target
+	order    []*target // listed targets by name
+	flights  map[basilmoor.RequestID]*flight
+	grants   []historyEntry // grants in order of time, to find lapsed ones
+	history  *history
+	swept    basilmoor.Millis
+	compared basilmoor.Millis // when the long-run speeds were updated
+	lapsed   int64
 }
 
 // NewPool returns a pool without targets.
--- a/internal/schedule/bmcapacity/straggler.go
+++ b/internal/schedule/bmcapacity/straggler.go
@@ -9,7 +9,8 @@
 // UpdateStragglers compares the time between tokens of each target with its
 // hardware generation and reduces or restores targets.
 func (p *Pool) UpdateStragglers(now basilmoor.Millis) {
-	reference := p.references(now)
+	p.updateSteady(now)
+	reference := p.references()
 	slowness := make(map[*target]float64, len(p.order))
 	var slow []*target
 	for _, t := range p.order {
@@ -21,36 +22,52 @@
 			t.reduced = false
 		}
 	}
-	// Only the slowest third is reduced, so that a fault of the measurement
-	// can't take away most of the pool.
-	sort.SliceStable(slow, func(i, j int) bool { return slowness[slow[i]] > slowness[slow[j]] })
+	// At most a third is reduced, so that a fault of the measurement can't take
+	// away most of the pool. Targets that are reduced already come first: a
+	// newly slow one is more often slow for a moment only, by a long prompt.
+	sort.SliceStable(slow, func(i, j int) bool {
+		if slow[i].reduced != slow[j].reduced {
+			return slow[i].reduced
+		}
+		return slowness[slow[i]] > slowness[slow[j]]
+	})
 	for i, t := range slow {
 		t.reduced = i < len(p.order)/3
 	}
 }
 
+// updateSteady moves the long-run time between tokens of each target towards
+// the recent one, by the time that has passed. Hosts report changes at once and
+// else rarely, so that an average over reports would overstate short moments.
+func (p *Pool) updateSteady(now basilmoor.Millis) {
+	weight := min(float64(now-p.compared)/float64(steadyPeriod), 1)
+	p.compared = now
+	for _, t := range p.order {
+		switch {
+		case t.pace == 0:
+		case t.reduced:
+			// Without this, a generation whose targets are all reduced by
+			// mistake would keep its reference and never be restored.
+			t.steady = blend(t.steady, t.pace, weight/4)
+		default:
+			t.steady = blend(t.steady, t.pace, weight)
+		}
+	}
+}
+
 // references returns for each generation the time between tokens that is
-// normal now.
-func (p *Pool) references(now basilmoor.Millis) map[string]float64 {
-	recent := map[string][]float64{}
+// normal: the median over its targets' long-run speeds. The recent speeds would
+// mislead in a moment in which most of a small generation is slow.
+func (p *Pool) references() map[string]float64 {
 	steady := map[string][]float64{}
 	for _, t := range p.order {
-		generation := t.spec.Generation
-		if t.pace > 0 && now-t.sampled < p.cfg.ForgetAfter {
-			recent[generation] = append(recent[generation], t.pace)
-		}
 		if t.steady > 0 {
-			steady[generation] = append(steady[generation], t.steady)
+			steady[t.spec.Generation] = append(steady[t.spec.Generation], t.steady)
 		}
 	}
-	reference := make(map[string]float64, len(recent))
-	for generation, paces := range recent {
+	reference := make(map[string]float64, len(steady))
+	for generation, paces := range steady {
 		reference[generation] = median(paces)
-		// Most of a small generation can be slow at once. Its long-run speed
-		// then tells more than its median.
-		if long := 1.25 * median(steady[generation]); long > 0 && long < reference[generation] {
-			reference[generation] = long
-		}
 	}
 	return reference
 }
--- a/internal/schedule/bmcapacity/target.go
+++ b/internal/schedule/bmcapacity/target.go
@@ -5,13 +5,20 @@
 )
 
 const (
-	// recentWeight is the weight of a new sample in the current speed of a
-	// target: three samples of a target that became four times slower exceed
-	// the straggler factor, a single outlier of that size does not.
-	recentWeight = 0.4
+	// averageWeight is the weight of a sample over more than shortSample in
+	// the current speed. It contains steps that were longer because of other
+	// requests' prompts, which a short sample from a Sampler does not.
+	averageWeight = 0.05
+	shortSample   = basilmoor.Second
 
-	// steadyWeight is the weight of a new sample in the long-run speed.
-	steadyWeight = 0.02
+	// steadyPeriod is the time in which the long-run speed follows a change.
+	// Moments of slowness last a few seconds.
+	steadyPeriod = 20 * basilmoor.Second
+
+	// prefillWeight is the weight of a new sample in the time per prompt
+	// token, and minPrefillSample the prompt tokens that a sample must have.
+	prefillWeight    = 0.1
+	minPrefillSample = 256
 
 	// memoryShare is the share of an engine's KV cache up to which estimated
 	// tokens in flight are granted.
@@ -109,9 +116,17 @@
 	t.backlog -= f.ahead
 	f.elapsed = elapsed
 	t.sampled = max(t.sampled, now)
-	if f.ahead > 0 && elapsed > 0 {
-		t.prefill = blend(t.prefill, float64(elapsed)/float64(f.ahead), 0.1)
+	t.learnPrefill(f, float64(elapsed))
+}
+
+// learnPrefill learns the time per prompt token. One step passes in any case;
+// short prompts say nothing beyond it.
+func (t *target) learnPrefill(f *flight, elapsed float64) {
+	sample := (elapsed - t.pace) / float64(max(f.ahead, 1))
+	if f.ahead < minPrefillSample || sample <= 0 {
+		return
 	}
+	t.prefill = blend(t.prefill, sample, prefillWeight)
 }
 
 // progress learns from the tokens since the last report of f.
@@ -120,13 +135,15 @@
 		return
 	}
 	sample := float64(elapsed-f.elapsed) / float64(tokens-f.tokens)
+	short := elapsed-f.elapsed <= shortSample
 	f.tokens = tokens
 	f.elapsed = elapsed
 	t.sampled = now
-	t.pace = blend(t.pace, sample, recentWeight)
-	if !t.reduced {
-		t.steady = blend(t.steady, sample, steadyWeight)
+	if !short {
+		t.pace = blend(t.pace, sample, averageWeight)
+		return
 	}
+	t.pace = sample
 }
 
 func blend(old, sample, weight float64) float64 {
--- a/internal/schedule/bmqueue/queue.go
+++ b/internal/schedule/bmqueue/queue.go
@@ -236,6 +236,14 @@
 	return nil
 }
 
+// Near returns up to n demands of the same tier, workspace and class that come
+// first, item among them if it is what Best returned. Taking any of them
+// charges the same workspace. The order of the result is not defined.
+func (q *Queue) Near(item *Item, n int) []*Item {
+	items := item.lane.items.items
+	return items[:min(n, len(items))]
+}
+
 func (q *Queue) insert(item *Item) {
 	t := q.tier(item.Demand.Tier)
 	t.insert(item)
