--- a/internal/capacity/bmmeasure/control.go
+++ b/internal/capacity/bmmeasure/control.go
@@ -44,8 +44,10 @@
 	return []Series{byPrompt, byStreams}
 }
 
+// requestID has the length that the identifiers of entry hosts have.
+const requestID = "entry-123-1796356800000-123456"
+
 func requestBytes(prefixes int) int {
-	const id = "entry-123-1796356800000-123456"
 	digests := make([]uint64, prefixes)
 	for i := range digests {
 		digests[i] = uint64(i) << 40
@@ -54,7 +56,7 @@
 		&bmpeerpb.ScheduleRequest{
 			Message: &bmpeerpb.ScheduleRequest_Demand{
 				Demand: &bmpeerpb.Demand{
-					Request:       id,
+					Request:       requestID,
 					Workspace:     "workspace-12345",
 					Weight:        3,
 					Tier:          1,
@@ -71,15 +73,15 @@
 		&bmpeerpb.ScheduleResponse{
 			Message: &bmpeerpb.ScheduleResponse_Grant{
 				Grant: &bmpeerpb.Grant{
-					Request: id,
+					Request: requestID,
 					Target:  "engine-kinston-123",
 					TtlMs:   1000,
 				},
 			},
 		},
-		observation(id, "dispatched", 0, 0),
-		observation(id, "first-token", 1, 300),
-		observation(id, "finished", 500, 15000),
+		observation("dispatched", 0, 0),
+		observation("first-token", 1, 300),
+		observation("finished", 500, 15000),
 	}
 	n := 0
 	for _, m := range messages {
@@ -89,14 +91,14 @@
 }
 
 func progressBytes() int {
-	return proto.Size(observation("entry-123-1796356800000-123456", "progress", 250, 7750)) + framing
+	return proto.Size(observation("progress", 250, 7750)) + framing
 }
 
-func observation(id, stage string, tokens, elapsed int) *bmpeerpb.ScheduleRequest {
+func observation(stage string, tokens, elapsed int) *bmpeerpb.ScheduleRequest {
 	return &bmpeerpb.ScheduleRequest{
 		Message: &bmpeerpb.ScheduleRequest_Observation{
 			Observation: &bmpeerpb.Observation{
-				Request:   id,
+				Request:   requestID,
 				Target:    "engine-kinston-123",
 				Stage:     stage,
 				Tokens:    int32(tokens),
