--- a/internal/capacity/bmmeasure/control.go
+++ b/internal/capacity/bmmeasure/control.go
@@ -4,7 +4,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"basilmoor.example/basilmoor/internal/fleet/bmpeerpb"
-	"basilmoor.example/basilmoor/internal/schedule/bmscheduler"
+	"basilmoor.example/basilmoor/internal/schedule/bmcapacity"
 )
 
 // framing is what gRPC and HTTP/2 add to a message on an open stream: 5 bytes
@@ -12,9 +12,10 @@
 // the messages that are sent together and are not counted here.
 const framing = 14
 
-// streamsPerHost follows from 2 million tokens a second on 390 hosts at 31 ms
-// between tokens.
-const streamsPerHost = 159
+// targetsPerHost bounds the targets on which a host has streams: 2 million
+// tokens a second on 390 hosts at 31 ms between tokens make 159 streams a host,
+// each on a target of its own in the worst case.
+const targetsPerHost = 159
 
 // Control measures the bytes that one request puts on the streams between an
 // entry host and its broker.
@@ -30,18 +31,18 @@
 	for _, n := range []int{0, 4, 16, 64, 128} {
 		byPrompt.Points = append(byPrompt.Points, point(n, float64(requestBytes(n))))
 	}
-	byStreams := Series{
+	byTargets := Series{
 		Role:      "entry and broker",
-		Cost:      "control bytes per second for progress reports",
-		Size:      "streams in progress on a host",
-		Mechanism: "each stream is reported every 2 s",
+		Cost:      "control bytes per second for progress reports at steady speeds",
+		Size:      "targets with a stream of the host",
+		Mechanism: "one stream a target is sampled, two points every 2 s or when its speed changes",
 		Exact:     true,
-		Target:    streamsPerHost,
+		Target:    targetsPerHost,
 	}
 	for _, n := range []int{20, 40, 80, 160} {
-		byStreams.Points = append(byStreams.Points, point(n, float64(n*progressBytes())/bmscheduler.ProgressPeriod.Duration().Seconds()))
+		byTargets.Points = append(byTargets.Points, point(n, float64(2*n*progressBytes())/bmcapacity.SamplePeriod.Duration().Seconds()))
 	}
-	return []Series{byPrompt, byStreams}
+	return []Series{byPrompt, byTargets}
 }
 
 // requestID has the length that the identifiers of entry hosts have.
--- a/internal/request/bmdispatch/stream.go
+++ b/internal/request/bmdispatch/stream.go
@@ -17,9 +17,6 @@
 // maxStreamIDBytes bounds what an engine may name a stream.
 const maxStreamIDBytes = 256
 
-// progressTokens is the number of tokens between two progress reports.
-const progressTokens = 8
-
 // streamEvents delivers an engine's event stream and resumes it when it
 // breaks off.
 func (c *call) streamEvents(a *attempt, res *http.Response) Result {
@@ -102,8 +99,6 @@
 		return
 	case before == 0:
 		p.Stage = basilmoor.StageFirstToken
-	case c.tokens/progressTokens == before/progressTokens:
-		return
 	}
 	c.observe(p)
 }
--- a/internal/schedule/bmcapacity/sampler.go
+++ b/internal/schedule/bmcapacity/sampler.go
@@ -3,9 +3,9 @@
 import "basilmoor.example/basilmoor"
 
 const (
-	// samplePeriod is the time after which a host reports progress even if
+	// SamplePeriod is the time after which a host reports progress even if
 	// the speed has not changed.
-	samplePeriod = 2 * basilmoor.Second
+	SamplePeriod = 2 * basilmoor.Second
 
 	// sampleIntervals is the number of token intervals that a change of speed
 	// is judged by. The shortest of them counts: the prompts of other requests
@@ -53,7 +53,7 @@
 	shortest, interval := s.shortest()
 	slower := float64(interval) > sampleChange*float64(s.interval)
 	faster := float64(s.interval) > sampleChange*float64(interval)
-	if !slower && !faster && now-s.reported < samplePeriod {
+	if !slower && !faster && now-s.reported < SamplePeriod {
 		return nil
 	}
 	s.interval = interval
--- a/internal/schedule/bmscheduler/ledger.go
+++ b/internal/schedule/bmscheduler/ledger.go
@@ -8,13 +8,9 @@
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
+	"basilmoor.example/basilmoor/internal/schedule/bmcapacity"
 )
 
-// ProgressPeriod is the least time between two progress reports of a request.
-// A request that streams for 15 s costs seven of them; one for each token
-// would exceed the node's budget for control messages.
-const ProgressPeriod = 2 * basilmoor.Second
-
 // uplink is the client's side of a session. Its methods don't block and don't
 // call the ledger.
 type uplink interface {
@@ -47,7 +43,6 @@
 	received   basilmoor.Millis // when the grant arrived
 	ttl        basilmoor.Millis
 	dispatched basilmoor.Millis
-	reported   basilmoor.Millis // last progress
 	last       basilmoor.Observation
 }
 
@@ -68,14 +63,19 @@
 	heard   basilmoor.Millis
 	used    basilmoor.Millis // last time with an entry
 	stopped bool
+
+	// samplers choose the progress that is reported of each target. One report
+	// for every token would exceed the node's budget for control messages.
+	samplers map[string]*bmcapacity.Sampler
 }
 
 func newLedger(pool string, catalog basilmoor.CatalogSource, metrics *bmmetrics.Registry) *ledger {
 	return &ledger{
-		pool:    pool,
-		catalog: catalog,
-		metrics: metrics,
-		entries: make(map[basilmoor.RequestID]*entry),
+		pool:     pool,
+		catalog:  catalog,
+		metrics:  metrics,
+		entries:  make(map[basilmoor.RequestID]*entry),
+		samplers: make(map[string]*bmcapacity.Sampler),
 	}
 }
 
@@ -306,20 +306,50 @@
 		e.dispatched = now - o.Elapsed
 	}
 	e.last = o
-	if o.Stage == basilmoor.StageProgress && now-e.reported < ProgressPeriod {
+	if o.Stage == basilmoor.StageProgress {
+		l.sample(now, e, o)
 		return
 	}
-	e.reported = now
 	if Terminal(o.Stage) {
 		e.state = entryDone
 		delete(l.entries, e.id)
+		l.endSample(e)
 	}
-	if l.up != nil {
-		l.sent = now
-		l.up.observe(o)
+	l.send(now, o)
+}
+
+// sample reports what the target's sampler chooses.
+func (l *ledger) sample(now basilmoor.Millis, e *entry, o basilmoor.Observation) {
+	s, ok := l.samplers[e.target.Name]
+	if !ok {
+		s = &bmcapacity.Sampler{}
+		l.samplers[e.target.Name] = s
+	}
+	due := s.Token(now, e.id, bmcapacity.Sample{
+		Tokens:  o.Tokens,
+		Elapsed: o.Elapsed,
+	})
+	for _, p := range due {
+		o.Tokens = p.Tokens
+		o.Elapsed = p.Elapsed
+		l.send(now, o)
 	}
 }
 
+func (l *ledger) endSample(e *entry) {
+	if s, ok := l.samplers[e.target.Name]; ok {
+		s.End(e.id)
+	}
+}
+
+func (l *ledger) send(now basilmoor.Millis, o basilmoor.Observation) {
+	if l.up == nil {
+		return
+	}
+	l.sent = now
+	l.up.observe(o)
+}
+
 // tick refuses demands whose deadline has passed, whatever the broker does, and
 // keeps the session alive.
 func (l *ledger) tick(now basilmoor.Millis) {
--- /dev/null
+++ b/internal/schedule/bmscheduler/progress_test.go
@@ -0,0 +1,53 @@
+package bmscheduler
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"basilmoor.example/basilmoor"
+)
+
+// recordingUplink keeps the observations that a ledger reports.
+type recordingUplink struct {
+	observed []basilmoor.Observation
+}
+
+func (u *recordingUplink) submit(basilmoor.Demand)         {}
+func (u *recordingUplink) cancel(basilmoor.RequestID)      {}
+func (u *recordingUplink) resubmitted()                    {}
+func (u *recordingUplink) keepalive()                      {}
+func (u *recordingUplink) end()                            {}
+func (u *recordingUplink) observe(o basilmoor.Observation) { u.observed = append(u.observed, o) }
+
+// Guards against a report for every token, which would exceed the node's
+// budget for control messages, and against a target that becomes slow without
+// a report within a few tokens.
+func TestProgressIsReportedWhenTheSpeedChanges(t *testing.T) {
+	l := newLedger("models", nil, nil)
+	up := &recordingUplink{}
+	e := l.add(0, demandOf("a"))
+	e.state = entryGranted
+	e.target = basilmoor.Target{
+		Name: "engine-1",
+	}
+	l.up = up
+	now := basilmoor.Millis(0)
+	tokens := 0
+	stream := func(n int, interval basilmoor.Millis) int {
+		before := len(up.observed)
+		for range n {
+			now += interval
+			tokens++
+			l.observe(now, e, basilmoor.Observation{
+				Stage:   basilmoor.StageProgress,
+				Tokens:  tokens,
+				Elapsed: now,
+			})
+		}
+		return len(up.observed) - before
+	}
+	require.Equal(t, 2, stream(4, 30), "the first known speed, as two points")
+	require.Zero(t, stream(50, 30), "no report at a steady speed")
+	require.Equal(t, 2, stream(4, 120), "a change of speed within four tokens")
+}
