Add idempotency claims with group commit

A segment is written by a compare-and-swap that demands that its key does not exist, names the batch before it, and a lost answer is settled by its batch id. The gateway counts the age of a claim from its first call, and keeps a claimed request running when its caller leaves.

Run: go test -race ./internal/request/... passes; TestAtMostOneGrant passes with -rapid.checks=30000. Faults put in and seen failing: cache trusted after a conflict, conflict taken for the own batch, last segment deleted, segments deleted early, claims expired early, lost answer taken for a grant (TestAtMostOneGrant); chain not checked, own write believed after a long stop (TestLateSegmentIsNotPartOfTheLog; the random test does not see these two, because a holder that old does not dispatch); view that answers from an old state (TestRepeats); claimed request broken off with its caller, claim not released, old claim used, clean end of a broken body, tier raised, dispatch after bytes (gateway tests). TestRouter once hung for 120 s: the test advanced the clock before the owner's timer had started; it now advances until the call ends, and 200 runs pass. go test -fuzz FuzzDecodeSegment -fuzztime 10s: 436 thousand inputs, no finding.

--- /dev/null
+++ b/internal/request/bmclaim/committer_test.go
@@ -0,0 +1,257 @@
+package bmclaim
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
+)
+
+func request(key, id string) basilmoor.ClaimRequest {
+	return basilmoor.ClaimRequest{
+		Workspace: "w",
+		Key:       key,
+		Host:      "h0",
+		Request:   basilmoor.RequestID(id),
+	}
+}
+
+func commitOne(t *testing.T, c *Committer, e entry, r *basilmoor.ClaimRequest) basilmoor.Claim {
+	o, err := newOperation(context.Background(), e, r)
+	require.NoError(t, err)
+	c.slots[0].commit(context.Background(), []*operation{o})
+	res := <-o.done
+	require.NoError(t, res.err)
+	return res.claim
+}
+
+// Guards against a committer that was stopped before its write and then writes
+// where other committers have appended and trimmed a segment.
+func TestLateSegmentIsNotPartOfTheLog(t *testing.T) {
+	clock := &steppingClock{}
+	store := newFakeStore()
+	cfg := Config{
+		Clock: clock,
+		Store: store,
+		Live:  func(string) bool { return true },
+	}
+	stopped, other := newCommitter(cfg), newCommitter(cfg)
+	first := request("a", "r0")
+	commitOne(t, stopped, claimOf(first), &first)
+	for n, pause := range []basilmoor.Millis{8, 8, 1} {
+		r := request(fmt.Sprintf("b%d", n), fmt.Sprintf("r%d", n+1))
+		commitOne(t, other, claimOf(r), &r)
+		clock.now += pause * basilmoor.Minute
+	}
+	other.slots[0].trim(context.Background())
+	require.Len(t, store.list(""), 2, "segments that may be deleted are kept, or the others deleted")
+
+	late := request("b1", "r9")
+	err := stopped.slots[0].append(context.Background(), []entry{claimOf(late)})
+	require.ErrorIs(t, err, errConflict)
+	v, err := build(0, store.list(slotPrefix(0)), newView(0), 0)
+	require.NoError(t, err)
+	require.EqualValues(t, "r2", v.claims[keyID{"w", "b1"}].request)
+	require.Equal(t, basilmoor.ClaimRunning, commitOne(t, stopped, claimOf(late), &late).State)
+}
+
+// Guards against one store write per claim, a claim that is answered before it
+// is durable, and a batch that is not written when it is full.
+func TestGroupCommit(t *testing.T) {
+	clock := bmclock.NewManual(0)
+	store := newFakeStore()
+	c, closeCommitter := New(Config{
+		Clock: clock,
+		Store: store,
+		Live:  func(string) bool { return true },
+	})
+	defer closeCommitter()
+	slot := Slot("w", "k0")
+	var keys []string
+	for i := 0; len(keys) < maxBatchEntries+10; i++ {
+		if k := fmt.Sprintf("k%d", i); Slot("w", k) == slot {
+			keys = append(keys, k)
+		}
+	}
+	claim := func(keys []string) *sync.WaitGroup {
+		var wg sync.WaitGroup
+		for _, k := range keys {
+			wg.Go(func() {
+				found, err := c.Claim(context.Background(), request(k, k))
+				if err != nil || found.State != basilmoor.ClaimGranted {
+					t.Errorf("%s: %v %v", k, found, err)
+				}
+			})
+		}
+		return &wg
+	}
+	wait := claim(keys[:10])
+	s := c.slots[slot]
+	for queued := 0; queued < 10; {
+		s.mu.Lock()
+		queued = len(s.queue)
+		s.mu.Unlock()
+	}
+	require.Empty(t, store.list(""), "written before the window has passed")
+	clock.WaitTimers(2) // window and trim period
+	clock.Advance(window)
+	wait.Wait()
+	require.Len(t, store.list(""), 1)
+
+	claim(keys[10:]).Wait() // a full batch, without the clock
+	require.Len(t, store.list(""), 2)
+	for _, e := range store.list("") {
+		require.Less(t, len(e.Value), basilmoor.MaxValueBytes/2)
+	}
+}
+
+// Guards against repeats that get a wrong state of a claim.
+func TestRepeats(t *testing.T) {
+	record := func(state basilmoor.ClaimState, size int) entry {
+		return recordOf(basilmoor.ClaimRecord{
+			Workspace: "w",
+			Key:       "a",
+			Request:   "r0",
+			State:     state,
+			Answer: &basilmoor.Answer{
+				Status: 201,
+				Body:   []byte(strings.Repeat("x", size)),
+			},
+		})
+	}
+	done, large := record(basilmoor.ClaimDone, 3), record(basilmoor.ClaimDone, maxAnswerBytes+1)
+	unknown, released := record(basilmoor.ClaimUnknown, 0), record(basilmoor.ClaimReleased, 0)
+	tests := map[string]struct {
+		record *entry
+		after  basilmoor.Millis
+		dead   bool
+		body   byte
+		state  basilmoor.ClaimState
+		answer string
+	}{
+		"running":                {nil, 14 * basilmoor.Minute, false, 0, basilmoor.ClaimRunning, ""},
+		"holder dead, too early": {nil, 9 * basilmoor.Second, true, 0, basilmoor.ClaimRunning, ""},
+		"holder dead":            {nil, 10 * basilmoor.Second, true, 0, basilmoor.ClaimUnknown, ""},
+		"expired":                {nil, 15 * basilmoor.Minute, false, 0, basilmoor.ClaimGranted, ""},
+		"done":                   {&done, basilmoor.Second, true, 0, basilmoor.ClaimDone, "xxx"},
+		"done, large":            {&large, basilmoor.Second, false, 0, basilmoor.ClaimDone, ""},
+		"unknown":                {&unknown, basilmoor.Second, false, 0, basilmoor.ClaimUnknown, ""},
+		"released":               {&released, basilmoor.Second, false, 1, basilmoor.ClaimGranted, ""},
+		"another body":           {&done, basilmoor.Second, false, 1, basilmoor.ClaimMismatch, ""},
+	}
+	for name, tt := range tests {
+		for _, takeover := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/takeover %t", name, takeover), func(t *testing.T) {
+				clock := &steppingClock{}
+				cfg := Config{
+					Clock: clock,
+					Store: newFakeStore(),
+					Live:  func(string) bool { return !tt.dead },
+				}
+				c, second := newCommitter(cfg), newCommitter(cfg)
+				first := request("a", "r0")
+				require.Equal(t, basilmoor.ClaimGranted, commitOne(t, c, claimOf(first), &first).State)
+				if takeover {
+					other := request("b", "rb")
+					commitOne(t, second, claimOf(other), &other)
+					c, second = second, c
+				}
+				if tt.record != nil {
+					commitOne(t, second, *tt.record, nil)
+				}
+				clock.now += tt.after
+				repeat := request("a", "r1")
+				repeat.BodyDigest[0] = tt.body
+				found := commitOne(t, c, claimOf(repeat), &repeat)
+				require.Equal(t, tt.state, found.State)
+				if tt.answer != "" {
+					require.Equal(t, tt.answer, string(found.Answer.Body))
+				} else {
+					require.Nil(t, found.Answer)
+				}
+			})
+		}
+	}
+}
+
+// claimerFunc is a remote owner.
+type claimerFunc func(ctx context.Context) error
+
+func (f claimerFunc) Claim(ctx context.Context, _ basilmoor.ClaimRequest) (basilmoor.Claim, error) {
+	return basilmoor.Claim{State: "remote"}, f(ctx)
+}
+
+func (f claimerFunc) Record(ctx context.Context, _ basilmoor.ClaimRecord) error { return f(ctx) }
+
+// Guards against claims that fail because their owner is gone or frozen, and
+// against a way around an owner that did answer.
+func TestRouter(t *testing.T) {
+	refused := errors.New("refused")
+	clock := bmclock.NewManual(0)
+	frozen := func(ctx context.Context) error {
+		for ctx.Err() == nil { // the timer may start at any moment
+			clock.Advance(ownerBound)
+			runtime.Gosched()
+		}
+		return ctx.Err()
+	}
+	tests := map[string]struct {
+		remote claimerFunc
+		state  basilmoor.ClaimState
+		err    error
+	}{
+		"owner answers":     {func(context.Context) error { return nil }, "remote", nil},
+		"owner refuses":     {func(context.Context) error { return refused }, "remote", refused},
+		"owner unavailable": {func(context.Context) error { return errNoAnswer }, "local", nil},
+		"owner frozen":      {frozen, "local", nil},
+		"no owner":          {nil, "local", nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := NewRouter(clock, localClaimer{}, func(int) (basilmoor.Claimer, bool) { return tt.remote, tt.remote != nil })
+			found, err := r.Claim(context.Background(), request("a", "r"))
+			require.Equal(t, tt.state, found.State)
+			require.ErrorIs(t, err, tt.err)
+			require.ErrorIs(t, r.Record(context.Background(), basilmoor.ClaimRecord{}), tt.err)
+		})
+	}
+}
+
+type localClaimer struct{}
+
+func (localClaimer) Claim(context.Context, basilmoor.ClaimRequest) (basilmoor.Claim, error) {
+	return basilmoor.Claim{State: "local"}, nil
+}
+
+func (localClaimer) Record(context.Context, basilmoor.ClaimRecord) error { return nil }
+
+// Guards against a segment that is read differently from what was written, and
+// against a panic on what another version wrote.
+func FuzzDecodeSegment(f *testing.F) {
+	f.Add([]byte(`{"schema":1,"batch":"b","previous":"","entries":[{"claim":{"workspace":"w","key":"k","body-digest":"` + strings.Repeat("0a", 32) + `","host":"h","request":"r"}}]}`))
+	f.Add([]byte(`{"schema":1,"batch":"b","entries":[{"record":{"workspace":"w","key":"k","request":"r","state":"done","answer":{"status":200,"body":"eA=="}}}]}`))
+	f.Add([]byte(`{"schema":2}`))
+	f.Add([]byte(`{"schema":1,"batch":"b","entries":[{}]}`))
+	f.Fuzz(func(t *testing.T, p []byte) {
+		s, err := decodeSegment(p)
+		if err != nil {
+			return
+		}
+		again, err := s.encode()
+		require.NoError(t, err)
+		back, err := decodeSegment(again)
+		require.NoError(t, err)
+		third, err := back.encode()
+		require.NoError(t, err)
+		require.Equal(t, string(again), string(third))
+		newView(0).apply(1, 1, s, 0)
+	})
+}
--- a/internal/request/bmgateway/claim.go
+++ b/internal/request/bmgateway/claim.go
@@ -22,6 +22,8 @@
 		return notRun(basilmoor.ReasonStoreUnavailable, ""), false
 	}
 	since := g.cfg.Clock.Now()
+	// The first call counts: the claim may have become durable right then.
+	c.claimedAt = since
 	for {
 		found, err := g.tryClaim(ctx, c)
 		if err != nil {
@@ -50,7 +52,6 @@
 // claim whose answer was lost.
 func (g *Gateway) tryClaim(ctx context.Context, c *call) (basilmoor.Claim, error) {
 	for n := 1; ; n++ {
-		c.claimedAt = g.cfg.Clock.Now()
 		found, err := g.claimOnce(ctx, c)
 		if err == nil || n == claimTries {
 			return found, err
--- /dev/null
+++ b/internal/request/bmgateway/claim_test.go
@@ -0,0 +1,221 @@
+package bmgateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"basilmoor.example/basilmoor"
+)
+
+// fakeClaimer keeps one claim per key.
+type fakeClaimer struct {
+	mu       sync.Mutex
+	claims   map[string]basilmoor.Claim
+	digests  map[string][32]byte
+	fail     int // this many calls fail
+	calls    int
+	recorded chan basilmoor.ClaimRecord
+}
+
+func newFakeClaimer() *fakeClaimer {
+	return &fakeClaimer{
+		claims:   make(map[string]basilmoor.Claim),
+		digests:  make(map[string][32]byte),
+		recorded: make(chan basilmoor.ClaimRecord, 10),
+	}
+}
+
+func (c *fakeClaimer) Claim(_ context.Context, r basilmoor.ClaimRequest) (basilmoor.Claim, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls++
+	if c.fail > 0 {
+		c.fail--
+		return basilmoor.Claim{}, &basilmoor.UnavailableError{Operation: "claim", Err: errors.New("down")}
+	}
+	found, ok := c.claims[r.Key]
+	if ok && c.digests[r.Key] != r.BodyDigest {
+		found.State = basilmoor.ClaimMismatch
+	}
+	if ok {
+		return found, nil
+	}
+	c.digests[r.Key] = r.BodyDigest
+	c.claims[r.Key] = basilmoor.Claim{State: basilmoor.ClaimRunning, Request: r.Request}
+	return basilmoor.Claim{State: basilmoor.ClaimGranted, Request: r.Request}, nil
+}
+
+func (c *fakeClaimer) Record(_ context.Context, r basilmoor.ClaimRecord) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.State == basilmoor.ClaimReleased {
+		delete(c.claims, r.Key)
+	} else {
+		c.claims[r.Key] = basilmoor.Claim{State: r.State, Request: r.Request, Answer: r.Answer}
+	}
+	c.recorded <- r
+	return nil
+}
+
+func (c *fakeClaimer) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls
+}
+
+func newClaimFixture(t *testing.T, h http.HandlerFunc) (*fixture, *fakeClaimer) {
+	claimer := newFakeClaimer()
+	target := serveTarget(t, basilmoor.ServiceTarget, h)
+	return newFixture(t, func(cfg *Config) { cfg.Claimer = claimer }, target), claimer
+}
+
+// Guards against a non-idempotent request that runs twice, a repeat that gets
+// no or another response, and a claim whose end is not recorded.
+func TestClaimedRequests(t *testing.T) {
+	hits := make(chan string, 10)
+	f, claimer := newClaimFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		hits <- r.Header.Get("Basilmoor-Request-Key") + string(body)
+		switch string(body) {
+		case "break":
+			panic(http.ErrAbortHandler)
+		case "busy":
+			w.WriteHeader(http.StatusTooManyRequests)
+		case "large":
+			fmt.Fprint(w, strings.Repeat("x", MaxAnswerBytes+1))
+		default:
+			w.Header().Set("Content-Type", "text/x")
+			w.WriteHeader(http.StatusCreated)
+			fmt.Fprint(w, "made")
+		}
+	})
+	post := func(key, body string) response {
+		return f.send(t, "POST", "/orders", body, HeaderIdempotencyKey, key)
+	}
+	tests := []struct {
+		key, body string
+		status    int
+		outcome   string
+		text      string
+		replayed  string
+		record    basilmoor.ClaimState
+	}{
+		{"a", "x", 201, "done", "made", "", basilmoor.ClaimDone},
+		{"a", "x", 201, "done", "made", "true", ""},
+		{"a", "y", 422, "not-run", "key-mismatch", "", ""},
+		{"b", "break", 502, "unknown", "target-failed", "", basilmoor.ClaimUnknown},
+		{"b", "break", 409, "unknown", "holder-lost", "", ""},
+		{"c", "busy", 503, "not-run", "target-refused", "", basilmoor.ClaimReleased},
+		{"c", "x", 201, "done", "made", "", basilmoor.ClaimDone},
+		{"d", "large", 200, "done", "xxx", "", basilmoor.ClaimDone},
+		{"d", "large", 409, "done", "answer-not-recorded", "true", ""},
+	}
+	ran := 0
+	for _, tt := range tests {
+		res := post(tt.key, tt.body)
+		require.Equal(t, tt.status, res.StatusCode, "%+v", tt)
+		require.Equal(t, tt.outcome, res.outcome(), "%+v", tt)
+		require.Contains(t, res.body, tt.text)
+		require.Equal(t, tt.replayed, res.Header.Get(HeaderReplayed))
+		if tt.record != "" {
+			require.Equal(t, tt.record, (<-claimer.recorded).State)
+			require.Equal(t, tt.key+tt.body, <-hits)
+			ran++
+		}
+	}
+	require.Empty(t, hits)
+	require.Len(t, f.scheduler.acquired(), ran)
+	res := f.send(t, "POST", "/stock", "x", HeaderIdempotencyKey, "a", HeaderNonIdempotent, "true")
+	require.Equal(t, "not-run", res.outcome(), "the key must not be shared by two paths")
+}
+
+// Guards against a refusal that leaves a claim behind, and against a dispatch
+// without a durable claim.
+func TestStoreUnavailable(t *testing.T) {
+	f, claimer := newClaimFixture(t, func(http.ResponseWriter, *http.Request) {})
+	claimer.fail = claimTries
+	responses := make(chan response)
+	go func() { responses <- f.send(t, "POST", "/orders", "x", HeaderIdempotencyKey, "a") }()
+	tick(f, claimPause, func() bool { return claimer.count() == claimTries })
+	res := <-responses
+	require.Equal(t, 503, res.StatusCode)
+	require.Contains(t, res.body, "store-unavailable")
+	require.Equal(t, "not-run", res.outcome())
+	require.NotEmpty(t, res.Header.Get("Retry-After"))
+	require.Equal(t, basilmoor.ClaimReleased, (<-claimer.recorded).State)
+	require.Empty(t, f.scheduler.acquired())
+	require.Equal(t, 200, f.send(t, "GET", "/stock", "").StatusCode, "other requests must go on")
+}
+
+// Guards against a repeat that waits forever, or that claims to know the
+// outcome of the request in progress.
+func TestKeyInProgress(t *testing.T) {
+	f, claimer := newClaimFixture(t, func(http.ResponseWriter, *http.Request) {})
+	f.scheduler.hold = make(chan struct{})
+	first := make(chan response)
+	go func() { first <- f.send(t, "POST", "/orders", "x", HeaderIdempotencyKey, "a") }()
+	<-f.scheduler.waiting
+	second := make(chan response, 1)
+	go func() { second <- f.send(t, "POST", "/orders", "x", HeaderIdempotencyKey, "a") }()
+	tick(f, keyPoll, func() bool { return len(second) > 0 })
+	res := <-second
+	require.Equal(t, 409, res.StatusCode)
+	require.Equal(t, "unknown", res.outcome())
+	require.Contains(t, res.body, "key-in-progress")
+	require.Greater(t, claimer.count(), 2)
+
+	f.clock.Advance(claimFresh)
+	close(f.scheduler.hold)
+	res = <-first
+	require.Equal(t, "not-run", res.outcome(), "dispatched with a claim that is no longer fresh")
+	require.Equal(t, basilmoor.ClaimReleased, (<-claimer.recorded).State)
+	require.Equal(t, []basilmoor.Stage{basilmoor.StageReturned}, f.scheduler.observed())
+}
+
+// Guards against a claimed request that is broken off because its caller left:
+// the repeat would get unknown.
+func TestCallerLeavesClaimedRequest(t *testing.T) {
+	arrived, answer := make(chan struct{}), make(chan struct{})
+	f, claimer := newClaimFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(arrived)
+		<-answer
+		fmt.Fprint(w, "made")
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, "POST", f.url+"/orders", strings.NewReader("x"))
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer secret")
+	req.Header.Set(HeaderIdempotencyKey, "a")
+	failed := make(chan error)
+	go func() {
+		res, err := http.DefaultTransport.RoundTrip(req)
+		if err == nil {
+			res.Body.Close()
+		}
+		failed <- err
+	}()
+	<-arrived
+	cancel()
+	require.Error(t, <-failed)
+	close(answer)
+	r := <-claimer.recorded
+	require.Equal(t, basilmoor.ClaimDone, r.State)
+	require.Equal(t, "made", string(r.Answer.Body))
+}
+
+// tick moves the clock in steps until done.
+func tick(f *fixture, step basilmoor.Millis, done func() bool) {
+	for !done() {
+		f.clock.Advance(step)
+		time.Sleep(100 * time.Microsecond)
+	}
+}
--- a/internal/request/bmgateway/parse.go
+++ b/internal/request/bmgateway/parse.go
@@ -25,7 +25,7 @@
 	once      bool // may run at most once
 	demand    basilmoor.Demand
 	received  basilmoor.Millis
-	claimedAt basilmoor.Millis // before the claim that was granted
+	claimedAt basilmoor.Millis // before the first call for the claim
 	sink      *sink
 }
 
