Assemble idempotency claims in the node

Claims go to the owner of their slot, by rendezvous over the live members, and through the host's own committer if the owner does not answer.

--- a/internal/demo/bmdemo/demo.go
+++ b/internal/demo/bmdemo/demo.go
@@ -57,7 +57,7 @@
 	}
 	r.Promises = append(r.Promises, applied)
 	r.Promises = append(r.Promises, requestPromises(l, executions)...)
-	r.Promises = append(r.Promises, tierPromise(r.Tiers), stopPromise(stopErr))
+	r.Promises = append(r.Promises, topTierPromise(r.Tiers), tierPromise(r.Tiers), stopPromise(stopErr))
 	return r, nil
 }
 
@@ -139,6 +139,16 @@
 	})
 }
 
+// topTierPromise checks that every payout was answered, repeats included.
+func topTierPromise(tiers []TierReport) Promise {
+	top := tiers[0]
+	return Promise{
+		Name:   "the top tier is served in full",
+		Held:   top.Done == top.Sent && top.Sent > 0,
+		Detail: fmt.Sprintf("%d of %d", top.Done, top.Sent),
+	}
+}
+
 // shortage lists the refusals that come from a lack of capacity.
 var shortage = []basilmoor.Reason{
 	basilmoor.ReasonQueueFull,
--- a/internal/node/bmnode/build.go
+++ b/internal/node/bmnode/build.go
@@ -81,6 +81,7 @@
 		TLS:        files,
 		Clock:      n.clock,
 		Broker:     brokers,
+		Claims:     n.committer,
 		Membership: b,
 	})
 	if err != nil {
@@ -205,6 +206,7 @@
 		Catalogs:    n.config,
 		Scheduler:   n.client,
 		Dispatcher:  dispatcher,
+		Claimer:     n.claimer,
 		Metrics:     n.metrics,
 		Log:         n.log,
 		Isolated:    n.config.isolated,
--- a/internal/node/bmnode/node.go
+++ b/internal/node/bmnode/node.go
@@ -19,6 +19,7 @@
 	"basilmoor.example/basilmoor/internal/node/bmsettings"
 	"basilmoor.example/basilmoor/internal/platform/bmhostlist"
 	"basilmoor.example/basilmoor/internal/platform/bmstore"
+	"basilmoor.example/basilmoor/internal/request/bmclaim"
 	"basilmoor.example/basilmoor/internal/request/bmgateway"
 	"basilmoor.example/basilmoor/internal/schedule/bmscheduler"
 )
@@ -37,18 +38,20 @@
 	log      zerolog.Logger
 	metrics  *bmmetrics.Registry
 
-	store    *bmstore.Client
-	hostList *bmhostlist.Client
-	pool     *bmpeer.Pool
-	members  *bmmember.Driver
-	peers    *bmpeer.Server
-	config   *configuration
-	acceptor *bmacceptance.Acceptor
-	marks    *leavingMarks
-	loads    *loadPoller
-	brokers  *bmscheduler.Service
-	client   *bmscheduler.Client
-	gateway  *bmgateway.Gateway
+	store     *bmstore.Client
+	hostList  *bmhostlist.Client
+	pool      *bmpeer.Pool
+	members   *bmmember.Driver
+	peers     *bmpeer.Server
+	config    *configuration
+	acceptor  *bmacceptance.Acceptor
+	committer *bmclaim.Committer
+	claimer   *bmclaim.Router
+	marks     *leavingMarks
+	loads     *loadPoller
+	brokers   *bmscheduler.Service
+	client    *bmscheduler.Client
+	gateway   *bmgateway.Gateway
 
 	callers *httpServer
 	admin   *httpServer
@@ -68,6 +71,7 @@
 	}
 	for _, build := range []func() error{
 		n.buildPlatform,
+		n.buildClaims,
 		n.buildFleet,
 		n.buildScheduling,
 		n.buildRequests,
