--- /dev/null
+++ b/internal/request/bmcrash/registry_test.go
@@ -0,0 +1,122 @@
+package bmcrash
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
+)
+
+// Guards against a request that goes on to crash targets, and against one that
+// is held back without cause or for too long.
+func TestSuspect(t *testing.T) {
+	type step struct {
+		after  basilmoor.Millis
+		target string // dies; empty lifts
+	}
+	tests := map[string]struct {
+		steps   []step
+		after   basilmoor.Millis
+		suspect bool
+	}{
+		"no death":                       {nil, 0, false},
+		"one death":                      {[]step{{0, "a"}}, 0, false},
+		"one target twice":               {[]step{{0, "a"}, {1, "a"}}, 0, false},
+		"two targets":                    {[]step{{0, "a"}, {1, "b"}}, 0, true},
+		"almost over":                    {[]step{{0, "a"}, {hold, "b"}}, hold - 1, true},
+		"over":                           {[]step{{0, "a"}, {hold, "b"}}, hold, false},
+		"deaths far apart":               {[]step{{0, "a"}, {hold + 1, "b"}}, 0, false},
+		"third death, two near":          {[]step{{0, "a"}, {hold, "b"}, {hold, "c"}}, 1, true},
+		"lifted":                         {[]step{{0, "a"}, {1, "b"}, {1, ""}}, 0, false},
+		"one death after the lift":       {[]step{{0, "a"}, {1, "b"}, {1, ""}, {1, "c"}}, 0, false},
+		"two deaths after the lift":      {[]step{{0, "a"}, {1, "b"}, {1, ""}, {1, "a"}, {1, "b"}}, 0, true},
+		"new deaths of the same targets": {[]step{{0, "a"}, {1, "b"}, {hold, "a"}, {1, "b"}}, hold - 1, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			clock := bmclock.NewManual(5)
+			r := New(clock)
+			for _, s := range tt.steps {
+				clock.Advance(s.after)
+				if s.target == "" {
+					r.Lift(1)
+					continue
+				}
+				r.Died(1, s.target)
+			}
+			clock.Advance(tt.after)
+			require.Equal(t, tt.suspect, r.Suspect(1))
+			require.False(t, r.Suspect(2))
+			other := New(clock)
+			other.Merge(r.Recent())
+			require.Equal(t, tt.suspect, other.Suspect(1), "another host disagrees")
+		})
+	}
+}
+
+// Guards against hosts that disagree for ever because heartbeats came in
+// another order, or twice.
+func TestMergeIsCommutativeAndIdempotent(t *testing.T) {
+	crash := rapid.Custom(func(t *rapid.T) basilmoor.Crash {
+		return basilmoor.Crash{
+			Digest:  rapid.Uint64Range(1, 3).Draw(t, "digest"),
+			Targets: rapid.SliceOfN(rapid.SampledFrom([]string{"", "a", "b", "c"}), 0, 3).Draw(t, "targets"),
+			Age:     rapid.SampledFrom([]basilmoor.Millis{-1, 0, 1, hold - 1, hold, retention - 1, retention}).Draw(t, "age"),
+			Lifted:  rapid.IntRange(0, 4).Draw(t, "lifted") == 0,
+		}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		beats := rapid.SliceOfN(rapid.SliceOfN(crash, 0, 4), 1, 6).Draw(t, "beats")
+		order := rapid.Permutation(beats).Draw(t, "order")
+		clock := bmclock.NewManual(0)
+		a, b := New(clock), New(clock)
+		for _, x := range beats {
+			a.Merge(x)
+		}
+		for _, x := range order {
+			b.Merge(x)
+			b.Merge(rapid.SampledFrom(beats).Draw(t, "again"))
+		}
+		for _, x := range order {
+			b.Merge(x)
+		}
+		require.Equal(t, a.Recent(), b.Recent())
+		fresh := New(clock)
+		fresh.Merge(a.Recent())
+		fresh.Merge(b.Recent())
+		for digest := range uint64(4) {
+			require.Equal(t, a.Suspect(digest), b.Suspect(digest))
+			require.Equal(t, a.Suspect(digest), fresh.Suspect(digest), "a heartbeat lost something")
+		}
+	})
+}
+
+// Guards against memory that grows with the number of crashing requests, and
+// against a bound that depends on the order of arrival.
+func TestBoundedMemory(t *testing.T) {
+	clock := bmclock.NewManual(0)
+	a, b := New(clock), New(clock)
+	var crashes []basilmoor.Crash
+	for i := range maxMarks + 100 {
+		crashes = append(crashes, basilmoor.Crash{
+			Digest:  uint64(i % 5000),
+			Targets: []string{fmt.Sprint(i)},
+			Age:     basilmoor.Millis(i),
+		})
+	}
+	a.Merge(crashes)
+	for i := len(crashes); i > 0; i -= 1000 {
+		b.Merge(crashes[max(0, i-1000):i])
+	}
+	require.Equal(t, maxMarks, a.count)
+	require.Equal(t, a.marks, b.marks)
+	require.Len(t, a.Recent(), maxRecent)
+	require.Zero(t, a.Recent()[0].Age, "the latest were forgotten")
+	clock.Advance(retention)
+	require.Empty(t, a.Recent())
+	require.Empty(t, a.marks)
+}
--- a/internal/request/bmgateway/fakes_test.go
+++ b/internal/request/bmgateway/fakes_test.go
@@ -31,8 +31,9 @@
 
 func (fakeCatalog) WorkspaceByToken(token string) (basilmoor.Workspace, bool) {
 	return basilmoor.Workspace{
-		Name:        "seedleaf",
-		DefaultTier: "standard",
+		Name:          "seedleaf",
+		DefaultTier:   "standard",
+		MaxConcurrent: 2,
 	}, token == "secret"
 }
 
@@ -214,6 +215,7 @@
 func serveTarget(t *testing.T, kind basilmoor.TargetType, h http.HandlerFunc) basilmoor.Target {
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
+	listeners.Store(s.Listener.Addr().String(), s.Listener)
 	return basilmoor.Target{
 		Name:    s.Listener.Addr().String(),
 		Type:    kind,
@@ -221,6 +223,15 @@
 	}
 }
 
+var listeners sync.Map // by address
+
+// closeListener returns a function that makes the target refuse connections.
+func closeListener(t *testing.T, target basilmoor.Target) func() {
+	ln, ok := listeners.Load(target.Address)
+	require.True(t, ok)
+	return func() { _ = ln.(net.Listener).Close() }
+}
+
 // deadTarget refuses connections.
 func deadTarget(t *testing.T) basilmoor.Target {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- /dev/null
+++ b/internal/request/bmlimit/limiter_test.go
@@ -0,0 +1,112 @@
+package bmlimit
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
+)
+
+// Guards against a workspace that exceeds its share, and against one that is
+// refused although it stays below.
+func TestRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 50).Draw(t, "limit")
+		members := rapid.IntRange(1, 9).Draw(t, "members")
+		part := (limit + members - 1) / members
+		clock := bmclock.NewManual(0)
+		l := New(clock, func() int { return members })
+		w := basilmoor.Workspace{
+			Name:          "w",
+			RatePerSecond: limit,
+		}
+		admitted := 0
+		for range rapid.IntRange(1, 200).Draw(t, "requests") {
+			clock.Advance(basilmoor.Millis(rapid.IntRange(0, 300).Draw(t, "pause")))
+			release, refused := l.Admit(w)
+			if refused == nil {
+				release()
+				admitted++
+			} else {
+				require.Equal(t, basilmoor.ReasonRateLimit, refused.Reason)
+				require.Positive(t, refused.RetryAfter)
+				clock.Advance(refused.RetryAfter)
+				_, refused = l.Admit(w)
+				require.Nil(t, refused, "refused after the announced time")
+				admitted++
+			}
+			require.LessOrEqual(t, admitted, part+part*int(clock.Now())/1000)
+		}
+	})
+}
+
+// Guards against requests in progress beyond the share, and against a slot
+// that is never, or twice, given back.
+func TestConcurrency(t *testing.T) {
+	members := 3
+	l := New(bmclock.NewManual(0), func() int { return members })
+	w := basilmoor.Workspace{
+		Name:          "w",
+		MaxConcurrent: 4,
+	}
+	first, refused := l.Admit(w)
+	require.Nil(t, refused)
+	_, refused = l.Admit(w)
+	require.Nil(t, refused)
+	_, refused = l.Admit(w)
+	require.Equal(t, basilmoor.ReasonConcurrencyLimit, refused.Reason)
+	require.Positive(t, refused.RetryAfter)
+	first()
+	first()
+	_, refused = l.Admit(w)
+	require.Nil(t, refused)
+	_, refused = l.Admit(w)
+	require.NotNil(t, refused)
+	members = 1 // the other hosts are gone
+	_, refused = l.Admit(w)
+	require.Nil(t, refused)
+}
+
+// Guards against memory that grows with every workspace ever seen.
+func TestIdleWorkspacesAreForgotten(t *testing.T) {
+	clock := bmclock.NewManual(0)
+	l := New(clock, func() int { return 1 })
+	admit := func(name string) func() {
+		release, refused := l.Admit(basilmoor.Workspace{
+			Name:          name,
+			RatePerSecond: 1,
+		})
+		require.Nil(t, refused)
+		return release
+	}
+	admit("busy")
+	for i := range 2 * sweepAbove {
+		admit(fmt.Sprint(i))()
+	}
+	clock.Advance(sweepPeriod)
+	admit("last")
+	require.Len(t, l.workspaces, 2)
+}
+
+// Guards against retries that multiply the load.
+func TestRetryBudget(t *testing.T) {
+	b := NewRetryBudget(20, 2)
+	require.True(t, b.Withdraw())
+	require.True(t, b.Withdraw())
+	require.False(t, b.Withdraw())
+	for range 5 {
+		require.False(t, b.Withdraw())
+		b.Deposit()
+	}
+	require.True(t, b.Withdraw())
+	for range 100 {
+		b.Deposit()
+	}
+	require.True(t, b.Withdraw())
+	require.True(t, b.Withdraw())
+	require.False(t, b.Withdraw())
+}
