Look for newer segments before a claim's end is dropped

Cause: a committer whose view was older than a claim took the record of its end for one without a claim and dropped it. After a fallback from an owner that had not answered, the answer would never have been recorded, and repeats would have seen the request as running for 15 minutes.

Change: such a record first reads the segments that other committers appended. The dispatcher asks whether grant and claim are still valid right before the first byte is handed over, and bounds the first byte of whole and of streamed responses separately: a long response in one piece is silent for minutes. Only a refused connection counts as a dead target, since a host that lost contact would otherwise condemn each of its requests. HTTP/1.0 callers and paths that targets may read differently are refused. Failures after dispatch have counters of their own.

Run: go test -race ./internal/request/... passes; TestAtMostOneGrant passes with -rapid.checks=20000. TestRepeats was seen failing (done, unknown and released by a host with an older view) before the fix; TestAtMostOneGrant now also checks that records are durable and fails with the fix taken out. go test -fuzz FuzzParseChat -fuzztime 10s: 410 thousand inputs, no finding.

--- a/internal/request/bmclaim/claim_test.go
+++ b/internal/request/bmclaim/claim_test.go
@@ -191,9 +191,7 @@
 		return // its holder does not use it any more
 	}
 	a.granted = true
-	v, err := build(0, w.store.list(slotPrefix(0)), newView(0), 0)
-	require.NoError(w.t, err)
-	require.Equal(w.t, a.request.Request, v.claims[keyID{"w", a.request.Key}].request, "the grant is not durable")
+	require.Equal(w.t, a.request.Request, w.stored(a.request.Key).request, "the grant is not durable")
 	for _, o := range w.requests {
 		if o == a || !o.granted || o.released || o.request.Key != a.request.Key {
 			continue
@@ -243,9 +241,21 @@
 		o, err := newOperation(context.Background(), r, nil)
 		require.NoError(w.t, err)
 		s.commit(context.Background(), []*operation{o})
+		if res := <-o.done; res.err == nil && a.granted && !a.released && w.clock.now-a.first < expiry {
+			c := w.stored(a.request.Key)
+			require.Equal(w.t, a.request.Request, c.request)
+			require.Equal(w.t, a.recorded, c.state, "the record is not durable")
+		}
 	})
 }
 
+// stored returns a claim as a host finds it that takes over now.
+func (w *world) stored(key string) claim {
+	v, err := build(0, w.store.list(slotPrefix(0)), newView(0), 0)
+	require.NoError(w.t, err)
+	return v.claims[keyID{"w", key}]
+}
+
 // Guards against two grants of one key, a grant that is not durable, a body
 // that gets another one's response, and a claim that is lost by a restart, a
 // lost answer, a late write or a committer that was stopped for a long time.
--- a/internal/request/bmclaim/committer_test.go
+++ b/internal/request/bmclaim/committer_test.go
@@ -157,16 +157,19 @@
 					Live:  func(string) bool { return !tt.dead },
 				}
 				c, second := newCommitter(cfg), newCommitter(cfg)
-				first := request("a", "r0")
-				require.Equal(t, basilmoor.ClaimGranted, commitOne(t, c, claimOf(first), &first).State)
-				if takeover {
+				if takeover { // by a host whose view is older than the claim
 					other := request("b", "rb")
 					commitOne(t, second, claimOf(other), &other)
-					c, second = second, c
 				}
+				first := request("a", "r0")
+				require.Equal(t, basilmoor.ClaimGranted, commitOne(t, c, claimOf(first), &first).State)
 				if tt.record != nil {
 					commitOne(t, second, *tt.record, nil)
 				}
+				if takeover {
+					require.NoError(t, second.slots[0].catchUp(context.Background()))
+					c = second
+				}
 				clock.now += tt.after
 				repeat := request("a", "r1")
 				repeat.BodyDigest[0] = tt.body
--- a/internal/request/bmclaim/decide.go
+++ b/internal/request/bmclaim/decide.go
@@ -69,6 +69,10 @@
 
 	// weak means that an answer would be better from a newer view.
 	weak bool
+
+	// unseen means that the end of a claim is to be recorded that the view
+	// does not hold. Another committer may have made the claim.
+	unseen bool
 }
 
 // answer settles what the view alone decides.
@@ -129,6 +133,7 @@
 	if !ok || found.request != o.record.Request || found.state == o.record.State || found.state == basilmoor.ClaimDone {
 		// Nothing is left to record. It still waits for the next segment, so
 		// that a late write of the claim is fenced off first.
+		d.unseen = d.unseen || !ok || found.request != o.record.Request
 		d.wait(o, basilmoor.Claim{})
 		return
 	}
--- a/internal/request/bmclaim/slot.go
+++ b/internal/request/bmclaim/slot.go
@@ -125,17 +125,20 @@
 // commit settles the operations: from the view where that is possible, else by
 // a segment.
 func (s *slot) commit(ctx context.Context, batch []*operation) {
+	looked := false // for segments of other committers, in this commit
 	for range decideTries {
 		if err := s.refresh(ctx); err != nil {
 			fail(batch, err)
 			return
 		}
 		d := decide(s.view, batch, s.committer.cfg.Live, s.now())
-		if d.weak && s.now()-s.checked >= freshMillis {
+		old := (d.weak && s.now()-s.checked >= freshMillis) || (d.unseen && !looked)
+		if old {
 			if err := s.catchUp(ctx); err != nil {
 				fail(batch, err)
 				return
 			}
+			looked = true
 			continue
 		}
 		d.answer()
--- a/internal/request/bmdispatch/call.go
+++ b/internal/request/bmdispatch/call.go
@@ -44,15 +44,20 @@
 }
 
 // begin starts an exchange that ends with the caller or by silence.
-func (d *Dispatcher) begin(ctx context.Context, g gate, n int, onHanded func()) *attempt {
+func (d *Dispatcher) begin(ctx context.Context, e *exchange) *attempt {
 	a := &attempt{
-		exchange: newExchange(d.clock, d.settings, g, n, onHanded),
+		exchange: e,
 	}
 	a.ctx, a.abandon = context.WithCancelCause(ctx)
 	go a.exchange.loop(a.ctx, a.abandon)
 	return a
 }
 
+// beginControl starts an exchange of our own, which dispatches nothing.
+func (d *Dispatcher) beginControl(ctx context.Context) *attempt {
+	return d.begin(ctx, newExchange(d.clock, d.settings, openGate{}, 0, func() {}))
+}
+
 // end closes the exchange for good.
 func (a *attempt) end() {
 	a.exchange.close()
@@ -60,7 +65,12 @@
 }
 
 func (c *call) run(n int) Result {
-	a := c.dispatcher.begin(c.caller, c.aggregate, n, c.handed)
+	e := newExchange(c.dispatcher.clock, c.dispatcher.settings, c.aggregate, n, c.handed)
+	e.valid = c.request.Valid
+	if c.request.Whole {
+		e.firstByte = c.dispatcher.settings.FirstByteWhole
+	}
+	a := c.dispatcher.begin(c.caller, e)
 	defer a.end()
 	h := targetHeader(c.request, c.aggregate.ID(), c.target)
 	req, err := newRequest(a.exchange.trace(a.ctx), c.target, c.request.Method, c.request.URI, h, c.request.Body)
@@ -191,14 +201,7 @@
 		Err:    err,
 	}
 	if !c.aggregate.HandedOver() {
-		r.Outcome = basilmoor.OutcomeNotRun
-		r.Retryable = reason != basilmoor.ReasonCallerLeft
-		if r.Retryable {
-			r.Reason = basilmoor.ReasonConnectFailed
-		} else {
-			_ = c.aggregate.Refuse(reason)
-		}
-		return r
+		return c.notHanded(a, r)
 	}
 	if a.exchange.hasAnswer() {
 		_ = c.aggregate.Respond()
@@ -210,6 +213,23 @@
 	return r
 }
 
+// notHanded ends a dispatch of which no byte was handed over. Only the
+// caller's leaving ends the request itself.
+func (c *call) notHanded(a *attempt, r Result) Result {
+	r.Outcome = basilmoor.OutcomeNotRun
+	switch {
+	case r.Reason == basilmoor.ReasonCallerLeft:
+		_ = c.aggregate.Refuse(r.Reason)
+		return r
+	case a.exchange.hasExpired():
+		r.Reason = basilmoor.ReasonGrantExpired
+	default:
+		r.Reason = basilmoor.ReasonConnectFailed
+	}
+	r.Retryable = true
+	return r
+}
+
 func (c *call) reason(a *attempt, err error) basilmoor.Reason {
 	cause := context.Cause(a.ctx)
 	switch {
--- a/internal/request/bmdispatch/dispatcher.go
+++ b/internal/request/bmdispatch/dispatcher.go
@@ -6,8 +6,11 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/request/bmrequest"
 )
@@ -38,6 +41,15 @@
 	// Fresh asks for a new connection: a reused one may be broken already, and
 	// then the outcome of the request can't be known.
 	Fresh bool
+
+	// Whole tells that an engine sends the response only when it has generated
+	// all of it.
+	Whole bool
+
+	// Valid is asked just before the first byte is handed to the connection,
+	// in the connection's goroutine; false ends the dispatch as not run. It
+	// may be nil.
+	Valid func() bool
 }
 
 // Sink receives the response. Its methods are called one after the other; an
@@ -62,7 +74,7 @@
 // Result tells how a dispatch ended.
 type Result struct {
 	Outcome basilmoor.Outcome
-	Reason  basilmoor.Reason // empty when the outcome is done
+	Reason  basilmoor.Reason // empty when the outcome is done; connect-failed or grant-expired when retryable
 	Status  int              // of the target; 0 if there was none
 
 	// Retryable tells that no byte was handed to a connection, so that another
@@ -161,14 +173,15 @@
 	return d.reused
 }
 
-// Refuses reports whether the target refuses new connections now. No answer
-// within the connect bound counts as refusing.
+// Refuses reports whether the target refuses new connections now, as the host
+// of a process that died does. No answer does not count: it may be this host
+// that lost contact, and then each of its requests would look like a crash.
 func (d *Dispatcher) Refuses(ctx context.Context, t basilmoor.Target) bool {
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Connect.Duration())
 	defer cancel()
 	c, err := d.dialer.DialContext(ctx, "tcp", t.Address)
 	if err != nil {
-		return true
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	_ = c.Close()
 	return false
--- a/internal/request/bmdispatch/doc.go
+++ b/internal/request/bmdispatch/doc.go
@@ -23,10 +23,13 @@
 	Connect basilmoor.Millis
 
 	// FirstByte bounds the time without a byte between the last byte sent and
-	// the first byte received. A response that is not streamed arrives only
-	// when the engine has generated all of it.
+	// the first byte received.
 	FirstByte basilmoor.Millis
 
+	// FirstByteWhole takes the place of FirstByte for a response that an
+	// engine sends only when it has generated all of it.
+	FirstByteWhole basilmoor.Millis
+
 	// BetweenBytes bounds the time without a byte inside a response. Engines
 	// send keepalives more often than this.
 	BetweenBytes basilmoor.Millis
@@ -43,7 +46,8 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Connect:        2 * basilmoor.Second,
-		FirstByte:      2 * basilmoor.Minute,
+		FirstByte:      30 * basilmoor.Second,
+		FirstByteWhole: 10 * basilmoor.Minute,
 		BetweenBytes:   15 * basilmoor.Second,
 		ResumeAttempts: 3,
 		ResumeDelay:    200,
--- a/internal/request/bmdispatch/exchange.go
+++ b/internal/request/bmdispatch/exchange.go
@@ -14,6 +14,7 @@
 	errSilent         = errors.New("target delivered no byte within the bound")
 	errConnectTimeout = errors.New("no connection within the bound")
 	errExchangeOver   = errors.New("exchange is over")
+	errNotValid       = errors.New("grant or claim has expired")
 )
 
 // gate decides whether the bytes of an attempt may still be handed over. The
@@ -31,15 +32,18 @@
 
 // exchange is one request and its response on one connection.
 type exchange struct {
-	clock    basilmoor.Clock
-	settings Settings
-	gate     gate
-	attempt  int
-	onHanded func() // called once, after the first byte was handed over
+	clock     basilmoor.Clock
+	settings  Settings
+	firstByte basilmoor.Millis // bound of the time to the first byte
+	gate      gate
+	attempt   int
+	valid     func() bool // asked before the first byte is handed over; may be nil
+	onHanded  func()      // called once, after the first byte was handed over
 
 	mu       sync.Mutex
 	conn     *conn
 	closed   bool
+	expired  bool             // valid has refused the first write
 	writing  bool             // the first write has begun
 	handed   bool             // and has handed over bytes
 	answered bool             // the first byte of the response arrived
@@ -48,12 +52,13 @@
 
 func newExchange(clock basilmoor.Clock, s Settings, g gate, attempt int, onHanded func()) *exchange {
 	return &exchange{
-		clock:    clock,
-		settings: s,
-		gate:     g,
-		attempt:  attempt,
-		onHanded: onHanded,
-		activity: clock.Now(),
+		clock:     clock,
+		firstByte: s.FirstByte,
+		settings:  s,
+		gate:      g,
+		attempt:   attempt,
+		onHanded:  onHanded,
+		activity:  clock.Now(),
 	}
 }
 
@@ -97,6 +102,10 @@
 	if e.closed {
 		return errExchangeOver
 	}
+	if !e.writing && e.valid != nil && !e.valid() {
+		e.expired = true
+		return errNotValid
+	}
 	if err := e.gate.BeginWrite(e.attempt); err != nil {
 		return err
 	}
@@ -137,6 +146,12 @@
 	return true
 }
 
+func (e *exchange) hasExpired() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.expired
+}
+
 func (e *exchange) hasAnswer() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -166,7 +181,7 @@
 	if e.conn == nil {
 		return e.activity + e.settings.Connect - now, errConnectTimeout
 	}
-	bound := e.settings.FirstByte
+	bound := e.firstByte
 	if e.answered {
 		bound = e.settings.BetweenBytes
 	}
--- a/internal/request/bmdispatch/exchange_test.go
+++ b/internal/request/bmdispatch/exchange_test.go
@@ -1,10 +1,13 @@
 package bmdispatch
 
 import (
+	"context"
 	"net"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"basilmoor.example/basilmoor"
 )
 
 // Guards against a transport that writes after the exchange was given up, or
@@ -40,3 +43,18 @@
 	late.close()
 	require.ErrorIs(t, late.beginWrite(), errExchangeOver)
 }
+
+// Guards against a dispatch with a grant or a claim that expired while the
+// connection was being made.
+func TestExpiredBeforeFirstByte(t *testing.T) {
+	target := newRawTarget(t, func(*rawTarget, string) step { return step{send: okResponse} })
+	d, _ := newTestDispatcher(t)
+	r := chatRequest()
+	r.Valid = func() bool { return false }
+	a := granted(t, "r")
+	result := d.Do(context.Background(), a, target.target(basilmoor.EngineTarget), r, &memorySink{}, noProgress)
+	require.True(t, result.Retryable)
+	require.Equal(t, basilmoor.ReasonGrantExpired, result.Reason)
+	require.NoError(t, a.Wait())
+	require.Zero(t, target.count("POST"))
+}
--- a/internal/request/bmdispatch/stream.go
+++ b/internal/request/bmdispatch/stream.go
@@ -135,7 +135,7 @@
 	if n > 0 && d.clock.Sleep(c.caller, d.settings.ResumeDelay*basilmoor.Millis(n)) != nil {
 		return false, cause
 	}
-	a := d.begin(c.caller, openGate{}, 0, func() {})
+	a := d.beginControl(c.caller)
 	defer a.end()
 	uri := fmt.Sprintf("/v1/streams/%s?offset=%d", url.PathEscape(c.streamID), c.tokens)
 	res, err := d.control(a, c.target, http.MethodGet, uri)
@@ -176,7 +176,7 @@
 	defer d.wg.Done()
 	ctx, cancel := context.WithTimeout(d.ctx, dialTimeout)
 	defer cancel()
-	a := d.begin(ctx, openGate{}, 0, func() {})
+	a := d.beginControl(ctx)
 	defer a.end()
 	res, err := d.control(a, t, http.MethodDelete, "/v1/streams/"+url.PathEscape(id))
 	if err == nil {
--- a/internal/request/bmgateway/chat.go
+++ b/internal/request/bmgateway/chat.go
@@ -16,6 +16,7 @@
 	promptTokens int // words of the messages
 	outputTokens int // max_tokens; 0 if not told
 	prefixes     []uint64
+	stream       bool // the response is asked for as an event stream
 }
 
 type chatBody struct {
@@ -23,6 +24,7 @@
 	Messages            []chatMessage `json:"messages"`
 	MaxTokens           *int          `json:"max_tokens"`
 	MaxCompletionTokens *int          `json:"max_completion_tokens"`
+	Stream              bool          `json:"stream"`
 }
 
 type chatMessage struct {
@@ -47,7 +49,8 @@
 		return chat{}, errors.New("messages are missing")
 	}
 	c := chat{
-		model: b.Model,
+		model:  b.Model,
+		stream: b.Stream,
 	}
 	for _, n := range []*int{b.MaxTokens, b.MaxCompletionTokens} {
 		if n != nil && *n < 1 {
--- /dev/null
+++ b/internal/request/bmgateway/chat_test.go
@@ -0,0 +1,48 @@
+package bmgateway
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"basilmoor.example/basilmoor"
+)
+
+// Guards against a chat body that panics, and estimates out of bounds.
+func FuzzParseChat(f *testing.F) {
+	f.Add([]byte(chatRequest))
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"a b"}]}],"max_completion_tokens":5,"stream":true}`))
+	f.Add([]byte(`{"model":"m","messages":[{"content":null}],"max_tokens":0}`))
+	f.Add([]byte(`{"model":"m","messages":[{"content":"` + strings.Repeat("w ", 65) + `"}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		c, err := parseChat(body)
+		if err != nil {
+			return
+		}
+		require.NotEmpty(t, c.model)
+		require.GreaterOrEqual(t, c.outputTokens, 0)
+		require.LessOrEqual(t, c.promptTokens, len(body))
+		require.Len(t, c.prefixes, min(c.promptTokens/basilmoor.PrefixBlockTokens, maxPrefixDigests))
+	})
+}
+
+// Guards against digests that differ for prompts with the same prefix, or agree
+// for prompts that differ.
+func TestPrefixDigests(t *testing.T) {
+	digests := func(words ...string) []uint64 {
+		content, err := json.Marshal(strings.Join(words, " "))
+		require.NoError(t, err)
+		c, err := parseChat([]byte(`{"model":"m","messages":[{"role":"user","content":` + string(content) + `}]}`))
+		require.NoError(t, err)
+		return c.prefixes
+	}
+	shared := strings.Fields(strings.Repeat("a b ", 100))
+	one, other := digests(append(shared, "x")...), digests(append(shared, strings.Fields(strings.Repeat("y ", 100))...)...)
+	require.Len(t, one, 3)
+	require.Len(t, other, 4)
+	require.Equal(t, one, other[:3])
+	require.NotEqual(t, one[0], digests(append([]string{"z"}, shared...)...)[0])
+	require.NotEqual(t, digests(append([]string{"ab", "c"}, shared...)...)[0], digests(append([]string{"a", "bc"}, shared...)...)[0])
+}
--- a/internal/request/bmgateway/gateway_test.go
+++ b/internal/request/bmgateway/gateway_test.go
@@ -39,6 +39,7 @@
 		"content number":    {"POST", ChatPath, `{"model":"m1","messages":[{"content":3}]}`, nil, 400, basilmoor.ReasonMalformed},
 		"dot segments":      {"GET", "/stock/../orders", "", nil, 400, basilmoor.ReasonMalformed},
 		"encoded dots":      {"GET", "/stock/%2e%2e/orders", "", nil, 400, basilmoor.ReasonMalformed},
+		"dots, parameter":   {"GET", "/stock/..;a/orders", "", nil, 400, basilmoor.ReasonMalformed},
 		"empty segment":     {"GET", "/stock//x", "", nil, 400, basilmoor.ReasonMalformed},
 		"large body":        {"POST", "/stock", strings.Repeat("x", MaxBodyBytes+1), nil, 413, basilmoor.ReasonTooLarge},
 		"large headers":     {"GET", "/stock", "", []string{"X-Large", strings.Repeat("x", MaxHeaderBytes)}, 431, basilmoor.ReasonTooLarge},
--- a/internal/request/bmgateway/parse.go
+++ b/internal/request/bmgateway/parse.go
@@ -23,6 +23,7 @@
 	body      []byte
 	key       string
 	once      bool // may run at most once
+	whole     bool // an engine sends the response in one piece
 	demand    basilmoor.Demand
 	received  basilmoor.Millis
 	claimedAt basilmoor.Millis // before the first call for the claim
@@ -140,13 +141,26 @@
 	if !strings.HasPrefix(r.URL.Path, "/") || r.URL.Host != "" {
 		return refusal(basilmoor.ReasonMalformed, "the request target must be a path")
 	}
-	segments := strings.Split(r.URL.Path[1:], "/")
+	if !r.ProtoAtLeast(1, 1) {
+		return refusal(basilmoor.ReasonMalformed, "HTTP/1.1 is needed to tell a complete response from one that broke off")
+	}
+	if ambiguous(r.URL.Path) {
+		return refusal(basilmoor.ReasonMalformed, "the path has empty or dot segments or a backslash")
+	}
+	return nil
+}
+
+// ambiguous reports whether targets may differ in what the path means. Some
+// drop parameters after a semicolon before they resolve dot segments.
+func ambiguous(path string) bool {
+	segments := strings.Split(path[1:], "/")
 	for i, s := range segments {
-		if s == "." || s == ".." || (s == "" && i < len(segments)-1) {
-			return refusal(basilmoor.ReasonMalformed, "the path has empty or dot segments")
+		name, _, _ := strings.Cut(s, ";")
+		if name == "." || name == ".." || (name == "" && i < len(segments)-1) {
+			return true
 		}
 	}
-	return nil
+	return strings.Contains(path, `\`)
 }
 
 // readKind reads the body and finds the kind of the request.
@@ -173,6 +187,7 @@
 		return refusal(basilmoor.ReasonUnknownKind, "no kind has this model")
 	}
 	c.kind = kind
+	c.whole = !b.stream
 	c.demand.Model = b.model
 	c.demand.PromptTokens = b.promptTokens
 	c.demand.PrefixDigests = b.prefixes
--- a/internal/request/bmgateway/serve.go
+++ b/internal/request/bmgateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -72,7 +73,7 @@
 		c.sink.finish()
 		return true
 	}
-	g.cfg.Metrics.Refusal(p.reason)
+	g.cfg.Metrics.Add(counterPrefix(outcome)+string(p.reason), 1)
 	g.cfg.Log.Info().
 		Str("request", string(c.aggregate.ID())).
 		Str("workspace", c.workspace.Name).
@@ -85,6 +86,14 @@
 	return c.sink.abort(p)
 }
 
+// counterPrefix tells refusals from failures after dispatch.
+func counterPrefix(o basilmoor.Outcome) string {
+	if o == basilmoor.OutcomeNotRun {
+		return "refusals."
+	}
+	return "failures."
+}
+
 // run waits for grants and dispatches, at most maxAttempts times and only
 // until a byte was handed to a connection.
 func (g *Gateway) run(ctx context.Context, c *call) (problem, bmdispatch.Result) {
@@ -134,7 +143,11 @@
 		o.end(basilmoor.StageReturned, 0, 0)
 		return g.giveUp(c, basilmoor.ReasonTargetFailed, err.Error()), none, ""
 	}
-	if reason := g.unusable(ctx, c); reason != "" {
+	if ctx.Err() != nil || !g.claimFresh(c) {
+		reason := basilmoor.ReasonDeadline
+		if ctx.Err() != nil {
+			reason = basilmoor.ReasonCallerLeft
+		}
 		o.end(basilmoor.StageReturned, 0, 0)
 		return g.giveUp(c, reason, ""), none, ""
 	}
@@ -142,31 +155,27 @@
 		o.end(basilmoor.StageReturned, 0, 0)
 		return problem{}, none, basilmoor.ReasonGrantExpired
 	}
-	return g.dispatch(ctx, c, permit.Target(), o)
+	return g.dispatch(ctx, c, permit, o)
 }
 
 func (g *Gateway) notGranted(c *call, err error) problem {
 	var refused *basilmoor.RefusalError
 	if !errors.As(err, &refused) {
-		return g.giveUp(c, basilmoor.ReasonCallerLeft, "")
+		return g.giveUp(c, basilmoor.ReasonCallerLeft, err.Error())
 	}
 	_ = c.aggregate.Refuse(refused.Refusal.Reason)
 	return refusedBy(refused.Refusal, refused.Detail)
 }
 
-// unusable tells why a grant must not be used: the caller left, or the claim
-// is so old that a paused host could dispatch beside the key's next holder.
-func (g *Gateway) unusable(ctx context.Context, c *call) basilmoor.Reason {
-	if ctx.Err() != nil {
-		return basilmoor.ReasonCallerLeft
-	}
-	if c.claimed() && g.cfg.Clock.Now()-c.claimedAt > claimFresh {
-		return basilmoor.ReasonDeadline
-	}
-	return ""
+// claimFresh reports whether the request may still be dispatched under its
+// claim. Under an old one, a host that was stopped for long could dispatch
+// beside the key's next holder.
+func (g *Gateway) claimFresh(c *call) bool {
+	return !c.claimed() || g.cfg.Clock.Now()-c.claimedAt <= claimFresh
 }
 
-func (g *Gateway) dispatch(ctx context.Context, c *call, t basilmoor.Target, o *observer) (problem, bmdispatch.Result, basilmoor.Reason) {
+func (g *Gateway) dispatch(ctx context.Context, c *call, permit basilmoor.Permit, o *observer) (problem, bmdispatch.Result, basilmoor.Reason) {
+	t := permit.Target()
 	if c.claimed() {
 		// A repeat gets the recorded response, so that it is worth having
 		// even when this caller leaves.
@@ -180,11 +189,18 @@
 		Workspace: c.workspace.Name,
 		Key:       c.key,
 		Fresh:     c.once,
+		Whole:     c.whole,
+		Valid:     func() bool { return permit.Valid() && g.claimFresh(c) },
 	}, c.sink, o.progress)
 	if r.Retryable {
 		o.end(basilmoor.StageReturned, 0, 0)
-		c.demand.Excluded = append(c.demand.Excluded[:len(c.demand.Excluded):len(c.demand.Excluded)], t.Name)
-		return problem{}, r, basilmoor.ReasonConnectFailed
+		if r.Reason == basilmoor.ReasonConnectFailed {
+			c.demand.Excluded = append(slices.Clone(c.demand.Excluded), t.Name)
+		}
+		return problem{}, r, r.Reason
+	}
+	if r.Tokens == 0 {
+		r.Tokens, r.Cached = c.sink.usage()
 	}
 	o.end(lastStage(r), r.Tokens, r.Cached)
 	if r.Lost {
--- a/internal/request/bmgateway/sink.go
+++ b/internal/request/bmgateway/sink.go
@@ -140,6 +140,26 @@
 	}
 }
 
+// wholeUsage is what an engine's response in one piece tells of its tokens.
+type wholeUsage struct {
+	Usage struct {
+		Output  int `json:"completion_tokens"`
+		Details struct {
+			Cached int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+// usage returns the output tokens and the cached prompt tokens of a response
+// in one piece; 0 where it does not tell.
+func (s *sink) usage() (output, cached int) {
+	var u wholeUsage
+	if !s.chat || s.held == nil || json.Unmarshal(s.held.Bytes(), &u) != nil {
+		return 0, 0
+	}
+	return max(u.Usage.Output, 0), max(u.Usage.Details.Cached, 0)
+}
+
 // finish ends a complete response.
 func (s *sink) finish() {
 	outcome := string(basilmoor.OutcomeDone)
