--- a/internal/request/bmdispatch/dispatcher.go
+++ b/internal/request/bmdispatch/dispatcher.go
@@ -19,7 +19,9 @@
 	maxResponseHeaderBytes = 64 << 10
 	maxIdlePerTarget       = 32
 	maxIdle                = 1024
-	idleTimeout            = 30 * time.Second
+	// idleTimeout is below the 5 s after which common servers close an idle
+	// connection. A request that meets the close ends as unknown.
+	idleTimeout = 4 * time.Second
 	// dialTimeout ends dials whose request has already given up.
 	dialTimeout = 10 * time.Second
 	copyBytes   = 32 << 10
--- a/internal/request/bmdispatch/once_test.go
+++ b/internal/request/bmdispatch/once_test.go
@@ -17,6 +17,7 @@
 var faults = map[string]step{
 	"closes before reading":         {skipRead: true},
 	"resets before reading":         {skipRead: true, reset: true},
+	"silent before reading":         {skipRead: true, silent: true},
 	"closes after the head":         {onlyHead: true},
 	"resets after the head":         {onlyHead: true, reset: true},
 	"closes after the request":      {},
