Distribute the configuration to every host

An accepted version has to be in effect on every host within 5 s and must never revert, while the store's call rate grows more slowly than the fleet. The follower is a state machine that emits calls (Core) and a driver that makes them (Follower). One host a place watches the head, other hosts pull from the peer whose heartbeat announced a version, and each host reads the head every 30 s with jitter.

Decisions: - A higher version is taken only if its head does not contradict the one in effect: after the store was set back, later versions of another lineage would revert accepted notes. A head names 64 notes, so a host that is further behind can't tell. - A new host with peers waits up to 3 s for a heartbeat before it serves what the store holds, because the store may be set back. - The acceptor asks the follower for the latest version known. It refuses a note if the host hears from no majority of the fleet, lags, or knows a higher version than the store's. Without this, a set-back store gives a number to two notes. - Acceptor.Restore brings a set-back store forward to what a host holds, as an operator's step.

Known limits: a version that the store loses before a majority of the places holds it is gone. A head whose parts the store lost is reported as lagging and not repaired.

Failed first, without any fault put in: - (1 of about 1,000 sequences): a delayed swap landed on a store that had been restored to before the swap's parts were written. The trace shows a write that survives the restart of the service; the fake store now drops delayed writes on restoration.

--- a/internal/config/bmacceptance/acceptor.go
+++ b/internal/config/bmacceptance/acceptor.go
@@ -36,22 +36,26 @@
 	Plan bmnote.Plan `json:"plan"`
 }
 
+// Known gives the highest version that this host holds or heard of. The error
+// tells that it can't know, because it does not hear from enough of the fleet.
+type Known func() (int64, error)
+
 // Acceptor accepts notes on behalf of one host. It is safe for concurrent use.
 type Acceptor struct {
 	store basilmoor.Store
 	now   func() time.Time
-	known func() int64
+	known Known
 
 	mu   sync.Mutex
 	last *bmcatalog.Snapshot // spares reading unchanged parts again
 }
 
-// New returns an acceptor. Now gives the time for the audit. Known gives the
-// highest version that this host holds or heard of, so that a store restored
-// from a backup is noticed; nil if there is no such knowledge.
-func New(store basilmoor.Store, now func() time.Time, known func() int64) *Acceptor {
+// New returns an acceptor. Now gives the time for the audit. Known lets it
+// notice a store that was restored from a backup, where a new note would get a
+// number that another note has; nil if there is no fleet.
+func New(store basilmoor.Store, now func() time.Time, known Known) *Acceptor {
 	if known == nil {
-		known = func() int64 { return 0 }
+		known = func() (int64, error) { return 0, nil }
 	}
 	return &Acceptor{
 		store: store,
--- a/internal/config/bmacceptance/acceptor_test.go
+++ b/internal/config/bmacceptance/acceptor_test.go
@@ -289,13 +289,44 @@
 // which would give a number to two notes.
 func TestStoreBehind(t *testing.T) {
 	s := firstStore(t)
-	known := func() int64 { return 3 }
+	known := func() (int64, error) { return 3, nil }
 	_, err := New(s, fixedTime, known).Accept(ctx, pool(t, "mine", "mine"), "ada")
 	var behind *StoreBehindError
 	require.ErrorAs(t, err, &behind)
 	require.Equal(t, int64(1), load(t, s).Version())
 }
 
+// Guards against a set back store that can't be repaired, or whose repair
+// replaces a version that was accepted.
+func TestRestore(t *testing.T) {
+	s := firstStore(t)
+	backup := s.Backup()
+	a := newAcceptor(s)
+	for _, id := range []string{"two", "three"} {
+		_, err := a.Accept(ctx, pool(t, id, id), "ada")
+		require.NoError(t, err)
+	}
+	held := load(t, s)
+
+	s.Restore(backup)
+	require.NoError(t, newAcceptor(s).Restore(ctx, held))
+	require.Equal(t, held.HeadValue(), load(t, s).HeadValue())
+	r, err := newAcceptor(s).Accept(ctx, pool(t, "two", "two"), "ada")
+	require.NoError(t, err)
+	require.True(t, r.Already)
+	require.Len(t, s.Keys(bmcatalog.AuditKeyPrefix), 3)
+	_, err = newAcceptor(s).Accept(ctx, note(t, "late", "base-version: 1\nchanged: {pools: [{name: orders-east, region: west}]}\n"), "ada")
+	var conflict *ConflictError
+	require.ErrorAs(t, err, &conflict, "the text of a note in between is lost")
+
+	s.Restore(backup)
+	_, err = newAcceptor(s).Accept(ctx, pool(t, "other", "other"), "bo")
+	require.NoError(t, err)
+	var lineage *LineageError
+	require.ErrorAs(t, newAcceptor(s).Restore(ctx, held), &lineage)
+	require.Equal(t, "other", load(t, s).NoteID())
+}
+
 // Guards against an outcome other than not-accepted when nothing was swapped,
 // and against faults of the text that hide those against the configuration.
 func TestNotAccepted(t *testing.T) {
--- a/internal/config/bmacceptance/attempt.go
+++ b/internal/config/bmacceptance/attempt.go
@@ -36,7 +36,10 @@
 func (t *attempt) round(ctx context.Context) (Result, bool, error) {
 	// Known is asked before the head is read: a note accepted in between
 	// would otherwise look like a store that fell behind.
-	known := t.acceptor.known()
+	known, err := t.acceptor.known()
+	if err != nil {
+		return Result{}, true, t.fail(err)
+	}
 	entry, s, err := t.load(ctx)
 	if err != nil {
 		return Result{}, true, t.fail(err)
@@ -189,6 +192,15 @@
 	touched := t.note.Touched()
 	for _, ref := range between {
 		other, err := t.acceptor.readNote(ctx, ref)
+		var missing *basilmoor.NotFoundError
+		if errors.As(err, &missing) {
+			// A restored store lost the text; the note may touch anything.
+			conflict.Overlaps = append(conflict.Overlaps, Overlap{
+				Note:    ref.ID,
+				Version: ref.Version,
+			})
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/internal/config/bmacceptance/restore.go
@@ -0,0 +1,106 @@
+package bmacceptance
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/config/bmcatalog"
+)
+
+// LineageError tells that the store's head is not an ancestor of the version
+// that was to be put back.
+type LineageError struct {
+	Stored   bmcatalog.NoteRef
+	Snapshot bmcatalog.NoteRef
+}
+
+func (e *LineageError) Error() string {
+	return "the store holds a version that is not an ancestor of the one to restore: note " +
+		e.Stored.ID + " instead of an ancestor of note " + e.Snapshot.ID
+}
+
+// Restore brings a store that was set back by a backup forward to the version
+// that a host holds. It writes the parts and then the head, and only if the
+// store's head is an ancestor of that version. A store that holds the version
+// already, or a descendant, is left as it is.
+func (a *Acceptor) Restore(ctx context.Context, s *bmcatalog.Snapshot) error {
+	latest, err := a.known()
+	if err != nil {
+		return err
+	}
+	if latest > s.Version() {
+		return errors.Errorf("restore: version %d was accepted, this host holds version %d", latest, s.Version())
+	}
+	// The store's parts may be damaged or missing, so that only the head is
+	// read.
+	entry, head, err := a.readHead(ctx)
+	if err != nil {
+		return err
+	}
+	h := s.Head()
+	sameVersion := head.Version == h.Version && head.Note() != h.Note()
+	if sameVersion || h.Contradicts(head) || head.Contradicts(h) {
+		return &LineageError{
+			Stored:   head.Note(),
+			Snapshot: h.Note(),
+		}
+	}
+	if head.Version >= h.Version {
+		return nil
+	}
+	if err := a.writeParts(ctx, nil, s); err != nil {
+		return err
+	}
+	if err := a.writeLostRecords(ctx, head, h); err != nil {
+		return err
+	}
+	_, err = a.store.CompareAndSwap(ctx, bmcatalog.HeadKey, entry.Version, s.HeadValue(), "")
+	if err != nil {
+		return errors.Wrap(err, "restore head")
+	}
+	return a.writeRecord(ctx, s)
+}
+
+// writeLostRecords writes what the head still tells of the versions that the
+// store lost. Their authors and texts are gone.
+func (a *Acceptor) writeLostRecords(ctx context.Context, stored, h bmcatalog.Head) error {
+	refs, _ := h.NotesAfter(stored.Version)
+	for _, ref := range refs {
+		if ref.Version == h.Version {
+			continue
+		}
+		err := a.writeRecordOf(ctx, Record{
+			Version:    ref.Version,
+			Note:       ref.ID,
+			NoteDigest: ref.Digest,
+			AcceptedBy: lostAuthor,
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// lostAuthor stands in records that were restored from a head.
+const lostAuthor = "(lost by the store)"
+
+func (a *Acceptor) readHead(ctx context.Context) (basilmoor.Entry, bmcatalog.Head, error) {
+	var entry basilmoor.Entry
+	err := answered(ctx, func() error {
+		var err error
+		entry, err = a.store.Get(ctx, bmcatalog.HeadKey)
+		return err
+	})
+	var missing *basilmoor.NotFoundError
+	if errors.As(err, &missing) {
+		return basilmoor.Entry{}, bmcatalog.Head{}, nil
+	}
+	if err != nil {
+		return basilmoor.Entry{}, bmcatalog.Head{}, errors.Wrap(err, "read head")
+	}
+	head, err := bmcatalog.DecodeHead(entry.Value)
+	return entry, head, err
+}
--- a/internal/config/bmacceptance/store.go
+++ b/internal/config/bmacceptance/store.go
@@ -79,7 +79,7 @@
 		return nil
 	}
 	h := s.Head()
-	value, err := json.Marshal(Record{
+	return a.writeRecordOf(ctx, Record{
 		Version:      h.Version,
 		Note:         h.NoteID,
 		NoteDigest:   h.NoteDigest,
@@ -87,13 +87,17 @@
 		AcceptedAt:   h.AcceptedAt,
 		DroppedParts: h.DroppedParts,
 	})
+}
+
+func (a *Acceptor) writeRecordOf(ctx context.Context, r Record) error {
+	value, err := json.Marshal(r)
 	if err != nil {
 		return errors.Wrap(err, "encode audit record")
 	}
-	if err := a.create(ctx, AuditKey(h.Version), value); err != nil {
+	if err := a.create(ctx, AuditKey(r.Version), value); err != nil {
 		return err
 	}
-	return a.create(ctx, noteRecordPrefix+h.NoteID, value)
+	return a.create(ctx, noteRecordPrefix+r.Note, value)
 }
 
 // recordOfNote finds the record of an accepted note.
--- a/internal/config/bmcatalog/head.go
+++ b/internal/config/bmcatalog/head.go
@@ -121,6 +121,17 @@
 	return refs, refs[0].Version == version+1
 }
 
+// Contradicts reports whether h is a later version than o and names another
+// note for o's version. A head that doesn't reach back to o contradicts nothing.
+func (h Head) Contradicts(o Head) bool {
+	for _, n := range h.PreviousNotes {
+		if n.Version == o.Version && n != o.Note() {
+			return true
+		}
+	}
+	return false
+}
+
 // Encode returns the stored form.
 func (h Head) Encode() ([]byte, error) {
 	value, err := json.Marshal(h)
--- a/internal/config/bmconfigtest/store.go
+++ b/internal/config/bmconfigtest/store.go
@@ -103,12 +103,14 @@
 	}
 }
 
-// Restore sets the store back to a copy.
+// Restore sets the store back to a copy. Delayed writes are lost: the service
+// is stopped for a restoration, which ends the connections they came on.
 func (s *Store) Restore(b Backup) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entries = copyEntries(b.entries)
 	s.revision = b.revision
+	s.delayed = nil
 	s.cond.Broadcast()
 }
 
@@ -258,6 +260,14 @@
 	return nil, 0, ctx.Err()
 }
 
+// Poll returns what a watch would return now, without waiting. It is not
+// counted.
+func (s *Store) Poll(prefix string, revision int64) ([]basilmoor.Event, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changes(prefix, revision), s.revision
+}
+
 func (s *Store) changes(prefix string, revision int64) []basilmoor.Event {
 	var events []basilmoor.Event
 	for k, e := range s.entries {
--- /dev/null
+++ b/internal/config/bmfollower/follower_test.go
@@ -0,0 +1,95 @@
+package bmfollower
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/config/bmacceptance"
+	"basilmoor.example/basilmoor/internal/config/bmconfigtest"
+	"basilmoor.example/basilmoor/internal/config/bmnote"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
+)
+
+// Guards against a driver that loses effects or results, that blocks on a store
+// or peer that never answers, or that does not stop.
+func TestFollowersEndToEnd(t *testing.T) {
+	text, err := os.ReadFile("../../../docs/examples/first-note.yaml")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	store := bmconfigtest.NewStore()
+	clock := bmclock.NewManual(0)
+	acceptor := bmacceptance.New(store, time.Now, nil)
+	_, err = acceptor.AcceptText(ctx, text, "ada")
+	require.NoError(t, err)
+
+	followers := make(map[string]*Follower)
+	stopped := make(chan error, 2)
+	for _, name := range []string{"watcher", "other"} {
+		f := New(Options{
+			Config: Config{
+				Host:          name,
+				IsWatcher:     func() bool { return name == "watcher" },
+				FleetSize:     func() int { return 2 },
+				HearsMajority: func() bool { return true },
+			},
+			Clock: clock,
+			Store: store,
+			Log:   zerolog.Nop(),
+			Peer: func(host string) (basilmoor.ConfigPeer, bool) {
+				if host == "silent" {
+					return silentPeer{}, true
+				}
+				return followers[host], followers[host] != nil
+			},
+		})
+		followers[name] = f
+	}
+	for _, f := range followers {
+		go func() { stopped <- f.Serve(ctx) }()
+	}
+	w, o := followers["watcher"], followers["other"]
+	until := func(done func() bool) {
+		for !done() {
+			clock.Advance(tickInterval)
+			w.Heard("other", o.Held().Version(), o.Held().NoteID())
+			o.Heard("watcher", w.Held().Version(), w.Held().NoteID())
+			time.Sleep(time.Millisecond) // lets the tasks run; nothing depends on its length
+		}
+	}
+	until(func() bool { return w.Snapshot().Version() == 1 && o.Snapshot().Version() == 1 })
+	c, ok := o.Catalog()
+	require.True(t, ok)
+	_, ok = c.WorkspaceByToken("seedleaf-kinston-demo")
+	require.True(t, ok)
+
+	o.Heard("silent", 9, "n-9") // announces a version and never delivers it
+	n, err := bmnote.Parse([]byte("schema: 1\nnote: two\nchanged: {workspaces: [{name: seedleaf, weight: 9}]}\n"))
+	require.NoError(t, err)
+	_, err = acceptor.Accept(ctx, n, "ada")
+	require.NoError(t, err)
+	until(func() bool { return w.Snapshot().Version() == 2 && o.Snapshot().Version() == 2 })
+	require.Equal(t, ModeLagging, o.Status().Mode)
+	until(func() bool { return o.Status().Mode == ModeCurrent }) // the silent peer is forgotten
+	require.False(t, o.Isolated())
+	latest, err := o.Latest()
+	require.NoError(t, err)
+	require.Equal(t, int64(2), latest)
+
+	cancel()
+	require.ErrorIs(t, <-stopped, context.Canceled)
+	require.ErrorIs(t, <-stopped, context.Canceled)
+}
+
+type silentPeer struct{}
+
+func (silentPeer) Fetch(ctx context.Context, _ []string) ([]byte, []basilmoor.ConfigPart, error) {
+	<-ctx.Done()
+	return nil, nil, ctx.Err()
+}
--- a/internal/config/bmnote/note.go
+++ b/internal/config/bmnote/note.go
@@ -99,6 +99,9 @@
 }
 
 func (i Item) String() string {
+	if i == (Item{}) {
+		return "unknown items"
+	}
 	return singular[i.Section] + " " + i.Name
 }
 
