Assemble crash registry, limits and retry budget in the node

A death is announced to the peers at once. New process test: a request that crashes both engines is held back on every host after the second death, and allowed again by an operator. Run: go test ./internal/proof/bmprocess -run CrashesTargets, passed.

--- a/internal/node/bmadmin/client.go
+++ b/internal/node/bmadmin/client.go
@@ -83,5 +83,27 @@
 		}
 		return p
 	}
+	if answer == nil {
+		return nil
+	}
 	return errors.Wrap(json.Unmarshal(b, answer), "decode answer of node")
 }
+
+// Crash is a request's digest that was running on a target that died.
+type Crash struct {
+	Digest  string   `json:"digest"`
+	Targets []string `json:"targets"`
+	AgeMS   int64    `json:"age-ms"`
+	Lifted  bool     `json:"lifted"`
+}
+
+// Crashes lists requests that crashed targets.
+func (c *Client) Crashes(ctx context.Context) ([]Crash, error) {
+	var list []Crash
+	return list, c.call(ctx, http.MethodGet, "/v1/crashes", nil, &list)
+}
+
+// LiftCrash allows a held-back request again.
+func (c *Client) LiftCrash(ctx context.Context, digest string) error {
+	return c.call(ctx, http.MethodDelete, "/v1/crashes/"+digest, nil, nil)
+}
--- a/internal/node/bmadmin/server.go
+++ b/internal/node/bmadmin/server.go
@@ -108,15 +108,9 @@
 }
 
 func (s *Server) crashes(w http.ResponseWriter, _ *http.Request, _ string) error {
-	type crash struct {
-		Digest  string   `json:"digest"`
-		Targets []string `json:"targets"`
-		AgeMS   int64    `json:"age-ms"`
-		Lifted  bool     `json:"lifted"`
-	}
-	list := []crash{}
+	list := []Crash{}
 	for _, c := range s.backend.Crashes() {
-		list = append(list, crash{
+		list = append(list, Crash{
 			Digest:  strconv.FormatUint(c.Digest, 16),
 			Targets: c.Targets,
 			AgeMS:   int64(c.Age),
--- a/internal/node/bmnode/backend.go
+++ b/internal/node/bmnode/backend.go
@@ -134,10 +134,16 @@
 
 // Crashes implements bmadmin.Backend.
 func (n *Node) Crashes() []basilmoor.Crash {
-	return nil
+	return n.crashes.Recent()
 }
 
 // LiftCrash implements bmadmin.Backend.
-func (n *Node) LiftCrash(uint64) bool {
+func (n *Node) LiftCrash(digest uint64) bool {
+	for _, c := range n.crashes.Recent() {
+		if c.Digest == digest {
+			n.crashes.Lift(digest)
+			return true
+		}
+	}
 	return false
 }
--- a/internal/node/bmnode/build.go
+++ b/internal/node/bmnode/build.go
@@ -16,6 +16,7 @@
 	"basilmoor.example/basilmoor/internal/platform/bmstore"
 	"basilmoor.example/basilmoor/internal/request/bmdispatch"
 	"basilmoor.example/basilmoor/internal/request/bmgateway"
+	"basilmoor.example/basilmoor/internal/request/bmlimit"
 	"basilmoor.example/basilmoor/internal/schedule/bmbroker"
 	"basilmoor.example/basilmoor/internal/schedule/bmscheduler"
 )
@@ -116,6 +117,7 @@
 		Logger:    n.log,
 		List:      n.listMembers,
 		Status:    n.memberStatus,
+		Crashes:   n.crashes,
 	})
 	n.onClose(wait)
 	return members
@@ -192,6 +194,17 @@
 	return nil
 }
 
+// The retry budget keeps a pool whose targets don't accept connections from
+// being asked several times for each request.
+const (
+	retryPercent = 10
+	retryBurst   = 20
+)
+
+func (n *Node) liveHosts() int {
+	return len(n.members.Live())
+}
+
 func (n *Node) buildRequests() error {
 	settings := bmdispatch.DefaultSettings()
 	settings.FirstByte = n.settings.FirstByte
@@ -207,9 +220,15 @@
 		Scheduler:   n.client,
 		Dispatcher:  dispatcher,
 		Claimer:     n.claimer,
-		Metrics:     n.metrics,
-		Log:         n.log,
-		Isolated:    n.config.isolated,
+		Crashes: &announcedCrashes{
+			Registry: n.crashes,
+			members:  n.members,
+		},
+		Limiter:  bmlimit.New(n.clock, n.liveHosts),
+		Retries:  bmlimit.NewRetryBudget(retryPercent, retryBurst),
+		Metrics:  n.metrics,
+		Log:      n.log,
+		Isolated: n.config.isolated,
 	})
 	n.onClose(closeGateway)
 	n.gateway = gateway
--- /dev/null
+++ b/internal/node/bmnode/crashes.go
@@ -0,0 +1,20 @@
+package bmnode
+
+import (
+	"basilmoor.example/basilmoor/internal/fleet/bmmember"
+	"basilmoor.example/basilmoor/internal/request/bmcrash"
+)
+
+// announcedCrashes tells the peers of a death at once instead of at the next
+// heartbeat, because the caller may send the request again through another
+// host within milliseconds.
+type announcedCrashes struct {
+	*bmcrash.Registry
+	members *bmmember.Driver
+}
+
+// Died implements basilmoor.CrashRegistry.
+func (c *announcedCrashes) Died(digest uint64, target string) {
+	c.Registry.Died(digest, target)
+	c.members.Announce()
+}
--- a/internal/node/bmnode/node.go
+++ b/internal/node/bmnode/node.go
@@ -20,6 +20,7 @@
 	"basilmoor.example/basilmoor/internal/platform/bmhostlist"
 	"basilmoor.example/basilmoor/internal/platform/bmstore"
 	"basilmoor.example/basilmoor/internal/request/bmclaim"
+	"basilmoor.example/basilmoor/internal/request/bmcrash"
 	"basilmoor.example/basilmoor/internal/request/bmgateway"
 	"basilmoor.example/basilmoor/internal/schedule/bmscheduler"
 )
@@ -47,6 +48,7 @@
 	acceptor  *bmacceptance.Acceptor
 	committer *bmclaim.Committer
 	claimer   *bmclaim.Router
+	crashes   *bmcrash.Registry
 	marks     *leavingMarks
 	loads     *loadPoller
 	brokers   *bmscheduler.Service
@@ -69,6 +71,7 @@
 		log:      log.With().Str("host", s.Host).Logger(),
 		metrics:  bmmetrics.NewRegistry(),
 	}
+	n.crashes = bmcrash.New(n.clock)
 	for _, build := range []func() error{
 		n.buildPlatform,
 		n.buildClaims,
--- a/internal/proof/bmprocess/fleet_test.go
+++ b/internal/proof/bmprocess/fleet_test.go
@@ -307,3 +307,30 @@
 	}
 	f.t.Fatalf("timed out waiting for: %s", what)
 }
+
+// lift allows every request that is held back again, as an operator would.
+func (f *fleet) lift(n *process) error {
+	list, err := f.admin(n).Crashes(context.Background())
+	if err != nil {
+		return err
+	}
+	for _, c := range list {
+		if err := f.admin(n).LiftCrash(context.Background(), c.Digest); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// deaths counts the targets that a node knows to have died under a request.
+func (f *fleet) deaths(n *process) int {
+	list, err := f.admin(n).Crashes(context.Background())
+	require.NoError(f.t, err)
+	targets := make(map[string]bool)
+	for _, c := range list {
+		for _, t := range c.Targets {
+			targets[t] = true
+		}
+	}
+	return len(targets)
+}
--- a/internal/proof/bmprocess/targets_test.go
+++ b/internal/proof/bmprocess/targets_test.go
@@ -95,3 +95,39 @@
 	}
 	return n
 }
+
+// Guards against a request that crashes target after target because its caller
+// sends it again through other hosts, and against innocent requests that are
+// held back with it.
+func TestRequestThatCrashesTargets(t *testing.T) {
+	f := startFleet(t, 3)
+	l := f.newLoad()
+	for _, e := range f.engines {
+		f.fault(e, `{"crash-on-marker":true}`)
+	}
+	bad := chat(t, "crash-target", 50, false)
+	for death := range 2 {
+		r := l.send(context.Background(), f.nodes[death], bad)
+		require.NotEqual(t, basilmoor.OutcomeNotRun, r.Outcome, r.Body)
+		for _, n := range f.nodes {
+			f.eventually("death known on "+n.name, func() bool { return f.deaths(n) == death+1 })
+		}
+	}
+	for _, n := range f.nodes {
+		r := l.send(context.Background(), n, bad)
+		require.Equal(t, basilmoor.ReasonCrashSuspect, r.Reason, r.Body)
+		require.Equal(t, basilmoor.OutcomeNotRun, r.Outcome)
+	}
+	require.Len(t, f.executions(), 2, "held back after the second death")
+	for _, e := range f.engines {
+		f.fault(e, `{"revive":true}`)
+	}
+	f.eventually("innocent requests are served", func() bool {
+		return l.send(context.Background(), f.nodes[0], chat(t, "innocent", 5, false)).Outcome == basilmoor.OutcomeDone
+	})
+	require.NoError(t, f.lift(f.nodes[0]))
+	f.eventually("lift reaches the other hosts", func() bool {
+		return l.send(context.Background(), f.nodes[2], bad).Reason != basilmoor.ReasonCrashSuspect
+	})
+	f.check(l)
+}
