Send each death and lift of a crashing request with the next heartbeat

Cause: the registry reports one entry for each target that died, the membership kept what it had sent by digest only, so that entries overwrote each other and a lift waited for the repetition after 10 s. Ruled out: the announcement itself (deaths spread at once). Change: what was sent is kept by digest, targets and lift; a lift is announced. TestEveryChangeOfACrashIsSentAtOnce fails without the change and passes with it; TestRequestThatCrashesTargets took 51 requests before, 27 after. Run: go test ./internal/fleet/... ./internal/proof/bmprocess -run CrashesTargets.

--- /dev/null
+++ b/internal/fleet/bmmember/crashes_test.go
@@ -0,0 +1,55 @@
+package bmmember
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/request/bmcrash"
+)
+
+// Guards against a death or a lift that waits for the repetition after 10 s
+// instead of going out with the next heartbeat. Found by
+// TestRequestThatCrashesTargets: a registry reports each death of a digest on
+// its own, and the marks of what was sent were kept by digest only.
+func TestEveryChangeOfACrashIsSentAtOnce(t *testing.T) {
+	clock := bmclock.NewManual(0)
+	registry := bmcrash.New(clock)
+	s := NewState(basilmoor.Member{
+		Host: "entry-1",
+	}, registry)
+	p := s.peer("entry-2")
+	steps := []struct {
+		name   string
+		change func()
+		sent   int
+	}{
+		{
+			name:   "first death",
+			change: func() { registry.Died(7, "engine-1") },
+			sent:   1,
+		},
+		{
+			name:   "second death",
+			change: func() { registry.Died(7, "engine-2") },
+			sent:   1,
+		},
+		{
+			name:   "nothing new",
+			change: func() {},
+			sent:   0,
+		},
+		{
+			name:   "lift",
+			change: func() { registry.Lift(7) },
+			sent:   1,
+		},
+	}
+	for _, step := range steps {
+		clock.Advance(basilmoor.Second)
+		step.change()
+		require.Len(t, s.crashesFor(clock.Now(), p), step.sent, step.name)
+	}
+}
--- a/internal/fleet/bmmember/exchange.go
+++ b/internal/fleet/bmmember/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"basilmoor.example/basilmoor"
 )
@@ -21,23 +22,32 @@
 	sendKnown  bool // the peer's mesh differs from this host's
 	want       []string
 	push       []Roster
-	crashes    map[uint64]crashMark
+	crashes    map[crashKey]basilmoor.Millis // when each was sent last
 	failed     bool
 	failedAt   basilmoor.Millis
 }
 
-// crashMark is the state of a crash as sent to a peer.
-type crashMark struct {
-	targets int
+// crashKey identifies a crash as sent to a peer. A registry may report one
+// digest several times, with different targets.
+type crashKey struct {
+	digest  uint64
+	targets string
 	lifted  bool
-	at      basilmoor.Millis
+}
+
+func keyOf(c basilmoor.Crash) crashKey {
+	return crashKey{
+		digest:  c.Digest,
+		targets: strings.Join(c.Targets, "\x00"),
+		lifted:  c.Lifted,
+	}
 }
 
 func (s *State) peer(host string) *peer {
 	p, ok := s.peers[host]
 	if !ok {
 		p = &peer{
-			crashes: make(map[uint64]crashMark),
+			crashes: make(map[crashKey]basilmoor.Millis),
 		}
 		s.peers[host] = p
 	}
@@ -372,21 +382,17 @@
 		return nil
 	}
 	var out []basilmoor.Crash
-	current := make(map[uint64]crashMark)
+	current := make(map[crashKey]basilmoor.Millis)
 	for _, c := range s.crashes.Recent() {
-		mark, ok := p.crashes[c.Digest]
-		changed := !ok || mark.targets != len(c.Targets) || mark.lifted != c.Lifted
-		if (changed || now-mark.at >= crashResend) && len(out) < crashesPerBeat {
+		key := keyOf(c)
+		at, sent := p.crashes[key]
+		if (!sent || now-at >= crashResend) && len(out) < crashesPerBeat {
 			out = append(out, c)
-			mark = crashMark{
-				targets: len(c.Targets),
-				lifted:  c.Lifted,
-				at:      now,
-			}
-			ok = true
+			at = now
+			sent = true
 		}
-		if ok {
-			current[c.Digest] = mark
+		if sent {
+			current[key] = at
 		}
 	}
 	p.crashes = current
--- a/internal/node/bmnode/backend.go
+++ b/internal/node/bmnode/backend.go
@@ -141,7 +141,7 @@
 func (n *Node) LiftCrash(digest uint64) bool {
 	for _, c := range n.crashes.Recent() {
 		if c.Digest == digest {
-			n.crashes.Lift(digest)
+			n.announced.Lift(digest)
 			return true
 		}
 	}
--- a/internal/node/bmnode/build.go
+++ b/internal/node/bmnode/build.go
@@ -209,6 +209,10 @@
 	settings := bmdispatch.DefaultSettings()
 	settings.FirstByte = n.settings.FirstByte
 	settings.BetweenBytes = n.settings.BetweenBytes
+	n.announced = &announcedCrashes{
+		Registry: n.crashes,
+		members:  n.members,
+	}
 	dispatcher, closeDispatcher := bmdispatch.New(n.clock, settings)
 	n.onClose(closeDispatcher)
 	gateway, closeGateway := bmgateway.New(bmgateway.Config{
@@ -220,15 +224,12 @@
 		Scheduler:   n.client,
 		Dispatcher:  dispatcher,
 		Claimer:     n.claimer,
-		Crashes: &announcedCrashes{
-			Registry: n.crashes,
-			members:  n.members,
-		},
-		Limiter:  bmlimit.New(n.clock, n.liveHosts),
-		Retries:  bmlimit.NewRetryBudget(retryPercent, retryBurst),
-		Metrics:  n.metrics,
-		Log:      n.log,
-		Isolated: n.config.isolated,
+		Crashes:     n.announced,
+		Limiter:     bmlimit.New(n.clock, n.liveHosts),
+		Retries:     bmlimit.NewRetryBudget(retryPercent, retryBurst),
+		Metrics:     n.metrics,
+		Log:         n.log,
+		Isolated:    n.config.isolated,
 	})
 	n.onClose(closeGateway)
 	n.gateway = gateway
--- a/internal/node/bmnode/crashes.go
+++ b/internal/node/bmnode/crashes.go
@@ -13,6 +13,12 @@
 	members *bmmember.Driver
 }
 
+// Lift allows a request again on all hosts.
+func (c *announcedCrashes) Lift(digest uint64) {
+	c.Registry.Lift(digest)
+	c.members.Announce()
+}
+
 // Died implements basilmoor.CrashRegistry.
 func (c *announcedCrashes) Died(digest uint64, target string) {
 	c.Registry.Died(digest, target)
--- a/internal/node/bmnode/node.go
+++ b/internal/node/bmnode/node.go
@@ -49,6 +49,7 @@
 	committer *bmclaim.Committer
 	claimer   *bmclaim.Router
 	crashes   *bmcrash.Registry
+	announced *announcedCrashes
 	marks     *leavingMarks
 	loads     *loadPoller
 	brokers   *bmscheduler.Service
