--- a/internal/node/bmadmin/client.go
+++ b/internal/node/bmadmin/client.go
@@ -61,6 +61,13 @@
 	return a, c.call(ctx, http.MethodPost, "/v1/notes", note, &a)
 }
 
+// RestoreStore brings a store that was set back forward to the version that
+// the node holds.
+func (c *Client) RestoreStore(ctx context.Context) (Restored, error) {
+	var r Restored
+	return r, c.call(ctx, http.MethodPost, "/v1/store/restore", nil, &r)
+}
+
 func (c *Client) call(ctx context.Context, method, path string, body []byte, answer any) error {
 	r, err := http.NewRequestWithContext(ctx, method, c.url+path, bytes.NewReader(body))
 	if err != nil {
--- a/internal/node/bmadmin/server.go
+++ b/internal/node/bmadmin/server.go
@@ -40,6 +40,7 @@
 	s.handle("GET /v1/crashes", bmsettings.RoleViewer, s.crashes)
 	s.handle("POST /v1/notes/check", bmsettings.RoleViewer, s.checkNote)
 	s.handle("POST /v1/notes", bmsettings.RoleOperator, s.acceptNote)
+	s.handle("POST /v1/store/restore", bmsettings.RoleOperator, s.restoreStore)
 	s.handle("DELETE /v1/crashes/{digest}", bmsettings.RoleOperator, s.liftCrash)
 	return s
 }
@@ -166,6 +167,17 @@
 	return writeJSON(w, a)
 }
 
+func (s *Server) restoreStore(w http.ResponseWriter, r *http.Request, operator string) error {
+	version, err := s.backend.RestoreStore(r.Context())
+	if err != nil {
+		return err
+	}
+	s.log.Info().Str("operator", operator).Int64("version", version).Msg("store brought forward")
+	return writeJSON(w, Restored{
+		Version: version,
+	})
+}
+
 func readNote(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	note, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxNoteBytes))
 	if err != nil {
--- a/internal/node/bmadmin/server_test.go
+++ b/internal/node/bmadmin/server_test.go
@@ -41,6 +41,10 @@
 	return digest == 0xab
 }
 
+func (b *fakeBackend) RestoreStore(context.Context) (int64, error) {
+	return 7, nil
+}
+
 func (b *fakeBackend) CheckNote(_ context.Context, note []byte) (string, error) {
 	return "+ " + string(note), nil
 }
@@ -149,6 +153,19 @@
 			body:   strings.Repeat("x", maxNoteBytes+1),
 			status: 413,
 		},
+		"viewer may not restore": {
+			method: "POST",
+			path:   "/v1/store/restore",
+			token:  "view",
+			status: 403,
+		},
+		"operator restores": {
+			method:   "POST",
+			path:     "/v1/store/restore",
+			token:    "op",
+			status:   200,
+			contains: `"version":7`,
+		},
 		"operator lifts": {
 			method: "DELETE",
 			path:   "/v1/crashes/ab",
--- a/internal/node/bmadmin/types.go
+++ b/internal/node/bmadmin/types.go
@@ -33,7 +33,7 @@
 	ConfigVersion int64          `json:"config-version"`
 	ConfigNote    string         `json:"config-note"`
 	ConfigMode    string         `json:"config-mode"`
-	ConfigReason  string         `json:"config-reason,omitempty"`
+	ConfigReasons []string       `json:"config-reasons,omitempty"`
 	InProgress    int            `json:"in-progress"`
 	Hosts         []HostStatus   `json:"hosts"`
 	Targets       []TargetStatus `json:"targets"`
@@ -51,6 +51,11 @@
 	Plan    string `json:"plan"`
 }
 
+// Restored is the result of bringing a store forward that was set back.
+type Restored struct {
+	Version int64 `json:"version"`
+}
+
 // Problem is the body of an error response.
 type Problem struct {
 	Type   string `json:"type"`
@@ -86,6 +91,10 @@
 	// AcceptNote makes the note the next version.
 	AcceptNote(ctx context.Context, note []byte, author string) (Acceptance, error)
 
+	// RestoreStore brings a store that was set back forward to the version
+	// that this host holds, and returns that version.
+	RestoreStore(ctx context.Context) (int64, error)
+
 	// Crashes lists requests that crashed targets.
 	Crashes() []basilmoor.Crash
 
--- a/internal/node/bmnode/backend.go
+++ b/internal/node/bmnode/backend.go
@@ -22,11 +22,15 @@
 		Targets:    []bmadmin.TargetStatus{},
 		Lagging:    []string{},
 	}
-	c, ok := n.config.Catalog()
-	if ok {
-		s.ConfigVersion = c.Version()
-		s.ConfigNote = c.NoteID()
-		s.Targets = n.targetStatus(c)
+	c := n.config.Status()
+	s.ConfigVersion = c.Version
+	s.ConfigNote = c.Note
+	s.ConfigMode = string(c.Mode)
+	for _, condition := range c.Conditions {
+		s.ConfigReasons = append(s.ConfigReasons, condition.Reason)
+	}
+	if catalog, ok := n.config.Catalog(); ok {
+		s.Targets = n.targetStatus(catalog)
 	}
 	for _, m := range n.members.Live() {
 		s.Hosts = append(s.Hosts, bmadmin.HostStatus{
@@ -94,6 +98,18 @@
 	}, nil
 }
 
+// RestoreStore implements bmadmin.Backend.
+func (n *Node) RestoreStore(ctx context.Context) (int64, error) {
+	held := n.config.Snapshot()
+	if held == nil {
+		return 0, noteProblem(errors.New("this host holds no configuration"))
+	}
+	if err := n.acceptor.Restore(ctx, held); err != nil {
+		return 0, noteProblem(err)
+	}
+	return held.Version(), nil
+}
+
 // noteProblem tells the operator why a note was not accepted, or that this is
 // unknown.
 func noteProblem(err error) error {
@@ -109,6 +125,7 @@
 		reused   *bmacceptance.NoteReusedError
 		behind   *bmacceptance.StoreBehindError
 		unknown  *bmacceptance.UnknownError
+		lineage  *bmacceptance.LineageError
 	)
 	switch {
 	case errors.As(err, &unknown):
@@ -116,7 +133,7 @@
 		p.Status = http.StatusGatewayTimeout
 	case errors.As(err, &conflict):
 		p.Status = http.StatusConflict
-	case errors.As(err, &reused), errors.As(err, &behind):
+	case errors.As(err, &reused), errors.As(err, &behind), errors.As(err, &lineage):
 		p.Status = http.StatusConflict
 	case errors.As(err, &invalid):
 		p.Status = http.StatusUnprocessableEntity
--- a/internal/node/bmnode/build.go
+++ b/internal/node/bmnode/build.go
@@ -41,21 +41,13 @@
 	n.onClose(closeList)
 	n.store = store
 	n.hostList = list
-	n.config = newConfiguration(n.clock, store, n.log)
-	n.acceptor = bmacceptance.New(store.WithPurpose("acceptance"), time.Now, nil)
+	n.acceptor = bmacceptance.New(store.WithPurpose("acceptance"), time.Now, n.latestVersion)
 	n.marks = newLeavingMarks(n.clock, list, n.log)
 	return nil
 }
 
-// beater passes heartbeats on to the driver, which can be made only when the
-// address of the listener is known.
-type beater struct {
-	members *bmmember.Driver
-}
-
-// Handle implements bmpeer.Beater.
-func (b *beater) Handle(beat bmmember.Beat) bmmember.Beat {
-	return b.members.Handle(beat)
+func (n *Node) latestVersion() (int64, error) {
+	return n.config.Latest()
 }
 
 func (n *Node) buildFleet() error {
@@ -74,29 +66,29 @@
 	}
 	n.onClose(closePool)
 	n.pool = pool
-	b := &beater{}
-	brokers := &lateBroker{}
+	service := &peerService{
+		node: n,
+	}
 	peers, closePeers, err := bmpeer.NewServer(bmpeer.ServerConfig{
-		Address:    n.settings.PeersAddress,
-		Secret:     n.settings.FleetSecret,
-		TLS:        files,
-		Clock:      n.clock,
-		Broker:     brokers,
-		Claims:     n.committer,
-		Membership: b,
+		Address:       n.settings.PeersAddress,
+		Secret:        n.settings.FleetSecret,
+		TLS:           files,
+		Clock:         n.clock,
+		Broker:        service,
+		Claims:        n.committer,
+		Membership:    service,
+		Configuration: service,
 	})
 	if err != nil {
 		return err
 	}
 	n.onClose(closePeers)
 	n.peers = peers
-	n.members = n.newMembers(pool)
-	b.members = n.members
-	brokers.node = n
+	n.members = n.newMembers()
 	return nil
 }
 
-func (n *Node) newMembers(pool *bmpeer.Pool) *bmmember.Driver {
+func (n *Node) newMembers() *bmmember.Driver {
 	address := n.settings.AdvertiseAddress
 	if address == "" {
 		address = n.peers.Address()
@@ -113,11 +105,13 @@
 			// another host's.
 			Incarnation: uint64(time.Now().UnixMilli()),
 		},
-		Transport: pool,
-		Logger:    n.log,
-		List:      n.listMembers,
-		Status:    n.memberStatus,
-		Crashes:   n.crashes,
+		Transport: &beatTransport{
+			node: n,
+		},
+		Logger:  n.log,
+		List:    n.listMembers,
+		Status:  n.memberStatus,
+		Crashes: n.crashes,
 	})
 	n.onClose(wait)
 	return members
@@ -128,6 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
+	n.listedHosts.Store(int64(len(hosts)))
 	members := make([]basilmoor.Member, 0, len(hosts))
 	for _, h := range hosts {
 		members = append(members, basilmoor.Member{
@@ -148,9 +143,9 @@
 	if n.gateway != nil {
 		s.Load = n.gateway.InProgress()
 	}
-	if c, ok := n.config.Catalog(); ok {
-		s.ConfigVersion = c.Version()
-		s.ConfigNote = c.NoteID()
+	if held := n.config.Held(); held != nil {
+		s.ConfigVersion = held.Version()
+		s.ConfigNote = held.NoteID()
 	}
 	return s
 }
@@ -229,7 +224,7 @@
 		Retries:     bmlimit.NewRetryBudget(retryPercent, retryBurst),
 		Metrics:     n.metrics,
 		Log:         n.log,
-		Isolated:    n.config.isolated,
+		Isolated:    n.config.Isolated,
 	})
 	n.onClose(closeGateway)
 	n.gateway = gateway
--- a/internal/node/bmnode/configuration.go
+++ b/internal/node/bmnode/configuration.go
@@ -2,64 +2,86 @@
 
 import (
 	"context"
-	"sync/atomic"
-
-	"github.com/rs/zerolog"
+	"hash/fnv"
 
 	"basilmoor.example/basilmoor"
-	"basilmoor.example/basilmoor/internal/config/bmcatalog"
-	"basilmoor.example/basilmoor/internal/platform/bmstore"
+	"basilmoor.example/basilmoor/internal/config/bmfollower"
+	"basilmoor.example/basilmoor/internal/fleet/bmmember"
 )
 
-// headPeriod is the time between two reads of the head.
-const headPeriod = 500 * basilmoor.Millis(1)
-
-// configuration reads the configuration in effect from the store.
-type configuration struct {
-	clock   basilmoor.Clock
-	store   *bmstore.Client
-	log     zerolog.Logger
-	current atomic.Pointer[bmcatalog.Snapshot]
+// buildConfiguration makes the follower of the configuration.
+func (n *Node) buildConfiguration() error {
+	seed := fnv.New64a()
+	_, _ = seed.Write([]byte(n.settings.Host))
+	n.config = bmfollower.New(bmfollower.Options{
+		Config: bmfollower.Config{
+			Host:          n.settings.Host,
+			Seed:          seed.Sum64(),
+			IsWatcher:     n.isWatcher,
+			FleetSize:     n.fleetSize,
+			HearsMajority: n.hearsMajority,
+		},
+		Clock: n.clock,
+		Store: n.store.WithPurpose("configuration"),
+		Log:   n.log,
+		Peer:  n.configPeer,
+	})
+	return nil
 }
 
-func newConfiguration(clock basilmoor.Clock, store *bmstore.Client, log zerolog.Logger) *configuration {
-	return &configuration{
-		clock: clock,
-		store: store.WithPurpose("configuration"),
-		log:   log,
+// isWatcher is true for one live host of each place.
+func (n *Node) isWatcher() bool {
+	var place []basilmoor.Member
+	for _, m := range n.members.Live() {
+		if m.Place == n.settings.Place {
+			place = append(place, m)
+		}
 	}
+	owner, ok := bmmember.Owner("watch/"+n.settings.Place, place)
+	return ok && owner.Host == n.settings.Host
 }
 
-// Catalog implements basilmoor.CatalogSource.
-func (c *configuration) Catalog() (basilmoor.Catalog, bool) {
-	s := c.current.Load()
-	if s == nil {
-		return nil, false
-	}
-	return s, true
+// fleetSize counts the hosts of the platform's list as it was read last, or
+// the live ones if there are more. Live hosts alone would make a host that
+// lost all peers believe that it has none.
+func (n *Node) fleetSize() int {
+	return max(int(n.listedHosts.Load()), len(n.members.Live()))
 }
 
-func (c *configuration) isolated() bool { return false }
+func (n *Node) hearsMajority() bool {
+	return 2*len(n.members.Live()) > n.fleetSize()
+}
 
-// Serve reads the head until ctx ends.
-func (c *configuration) Serve(ctx context.Context) error {
-	for {
-		c.read(ctx)
-		if err := c.clock.Sleep(ctx, headPeriod); err != nil {
-			return err
+func (n *Node) configPeer(host string) (basilmoor.ConfigPeer, bool) {
+	for _, m := range n.members.Live() {
+		if m.Host == host {
+			return n.pool.ConfigPeer(m.Address), true
 		}
 	}
+	return nil, false
 }
 
-func (c *configuration) read(ctx context.Context) {
-	_, next, err := c.current.Load().Load(ctx, c.store)
-	if err != nil {
-		if ctx.Err() == nil {
-			c.log.Warn().Err(err).Msg("configuration not read")
+// heard passes the sender of a heartbeat on to the follower, which counts
+// every one as a contact.
+func (n *Node) heard(host string) {
+	for _, m := range n.members.Live() {
+		if m.Host == host {
+			n.config.Heard(m.Host, m.ConfigVersion, m.ConfigNote)
+			return
 		}
-		return
 	}
-	if next != nil && next.Version() > c.current.Load().Version() {
-		c.current.Store(next)
+}
+
+// beatTransport sends heartbeats and reports whose reply came.
+type beatTransport struct {
+	node *Node
+}
+
+// Beat implements bmmember.Transport.
+func (t *beatTransport) Beat(ctx context.Context, to basilmoor.Member, b bmmember.Beat) (bmmember.Beat, error) {
+	reply, err := t.node.pool.Beat(ctx, to, b)
+	if err == nil {
+		t.node.heard(to.Host)
 	}
+	return reply, err
 }
--- a/internal/node/bmnode/node.go
+++ b/internal/node/bmnode/node.go
@@ -11,6 +11,7 @@
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/config/bmacceptance"
+	"basilmoor.example/basilmoor/internal/config/bmfollower"
 	"basilmoor.example/basilmoor/internal/core/bmclock"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmmember"
@@ -44,7 +45,7 @@
 	pool      *bmpeer.Pool
 	members   *bmmember.Driver
 	peers     *bmpeer.Server
-	config    *configuration
+	config    *bmfollower.Follower
 	acceptor  *bmacceptance.Acceptor
 	committer *bmclaim.Committer
 	claimer   *bmclaim.Router
@@ -59,8 +60,9 @@
 	callers *httpServer
 	admin   *httpServer
 
-	stopping atomic.Bool
-	cleanups []func()
+	stopping    atomic.Bool
+	listedHosts atomic.Int64 // in the platform's list as read last
+	cleanups    []func()
 }
 
 // New opens the listeners of a node and makes its parts. The returned function
@@ -76,6 +78,7 @@
 	for _, build := range []func() error{
 		n.buildPlatform,
 		n.buildClaims,
+		n.buildConfiguration,
 		n.buildFleet,
 		n.buildScheduling,
 		n.buildRequests,
@@ -110,7 +113,7 @@
 
 // ready reports whether the balancer may send requests to this host.
 func (n *Node) ready() bool {
-	if n.stopping.Load() || n.config.isolated() {
+	if n.stopping.Load() || n.config.Isolated() {
 		return false
 	}
 	_, ok := n.config.Catalog()
--- a/internal/operator/bmcli/main.go
+++ b/internal/operator/bmcli/main.go
@@ -68,6 +68,11 @@
 			synopsis: "show versions, hosts and targets",
 			run:      runStatus,
 		},
+		{
+			name:     "restore",
+			synopsis: "bring a store that was set back forward to what a node holds",
+			run:      runRestore,
+		},
 		{
 			name:     "demo",
 			synopsis: "run a small fleet in this process and check its promises",
--- a/internal/operator/bmcli/status.go
+++ b/internal/operator/bmcli/status.go
@@ -52,8 +52,8 @@
 func printStatus(w io.Writer, s bmadmin.Status) {
 	fmt.Fprintf(w, "host %s: ready=%t in-progress=%d\n", s.Host, s.Ready, s.InProgress)
 	fmt.Fprintf(w, "configuration: version %d, note %q, %s", s.ConfigVersion, s.ConfigNote, s.ConfigMode)
-	if s.ConfigReason != "" {
-		fmt.Fprintf(w, " (%s)", s.ConfigReason)
+	if len(s.ConfigReasons) > 0 {
+		fmt.Fprintf(w, " (%s)", strings.Join(s.ConfigReasons, "; "))
 	}
 	fmt.Fprintf(w, "\n\n")
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
