Reconcile targets with the catalog by commands

Models, adapters, versions and roles of targets have to follow the catalog without breaking off work, without taking a kind out of service, and without two hosts commanding a target at the same time. The reconciler is a state machine that takes reports, answers and the lease, and returns commands and drain marks. The driver (lease in the store, calls to targets, marks to brokers) is not part of this change.

Decisions: - Lease time counts from the instant at which the lease or its renewal was asked for. Begin is asked again immediately before a command is sent. - A new holder waits one lease and the longest call before it commands targets that ignore fencing numbers, and starts without burst in the rate of loads. - A target is empty if a report taken 3 s after the drain mark (bound I6) shows no work. Changes of version and role need that; loads don't. - The serving share is rounded up and at least one, so that the only target of a kind is never drained. Targets that are silent for a minute or failed three times in a row and don't serve are not counted, so that they hold nothing up. - A target that fails three times, or doesn't get empty in 10 minutes, returns to serving until its next try.

--- /dev/null
+++ b/internal/config/bmcommand/lease_test.go
@@ -0,0 +1,52 @@
+package bmcommand
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"basilmoor.example/basilmoor"
+)
+
+// Guards against a command that is sent after the lease ended, for example by a
+// process that was paused after it checked, and against a new holder that sends
+// while a call of the previous one may be under way.
+func TestTakeover(t *testing.T) {
+	tests := map[string]struct {
+		checksFencing bool
+		wait          basilmoor.Millis // of a new holder
+	}{
+		"target checks the fencing number":  {checksFencing: true, wait: 2 * basilmoor.Second}, // a load at 30 a minute
+		"target ignores the fencing number": {wait: testConfig.LeaseTTL + testConfig.LongestCall},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			const elected = 100 * basilmoor.Second
+			r := New(testConfig, 0)
+			d := basilmoor.Target{Name: "a", Models: []string{"m"}, ChecksFencing: tt.checksFencing}
+			r.SetDesired(nil, []basilmoor.Target{d})
+			// The lease was granted a second before this host knew.
+			r.Elected(elected, elected-basilmoor.Second, 7)
+			first := Command{}
+			now := elected
+			for ; first.ID == 0; now += basilmoor.Second {
+				r.Renewed(now, now-basilmoor.Second)
+				r.Reported(now, "a", Report{})
+				if commands, _ := r.Tick(now); len(commands) > 0 {
+					first = commands[0]
+					break
+				}
+			}
+			require.Equal(t, elected+tt.wait, now)
+			require.Equal(t, int64(7), first.Fence)
+
+			end := now - basilmoor.Second + testConfig.LeaseTTL
+			require.True(t, r.Begin(end-1, first))
+			require.False(t, r.Begin(end, first))
+			r.Renewed(end, end) // too late: another host may hold the lease
+			r.Reported(end, "a", Report{})
+			commands, _ := r.Tick(end)
+			require.Empty(t, commands)
+		})
+	}
+}
