Measure changes of the catalog and test a start in an outage

The cost of a change at 25,000 workspaces and 12,000 targets was not measured, and the start of hosts from peers was covered only together with other faults. FuzzParse did not cover Validate, which goes on after faults of the text.

TestStartInOutage fails if a host that holds nothing doesn't pull from peers ("version 2 is known, version 0 is held"). go test -race ./internal/config/... passes. An acceptor that remembers which audit records it wrote was tried and dropped: after a restoration of the store it would leave out records.

--- a/internal/config/bmcatalog/part.go
+++ b/internal/config/bmcatalog/part.go
@@ -41,6 +41,13 @@
 	content Content
 }
 
+// markPools adds the pools whose targets the part holds.
+func (p *part) markPools(pools map[string]bool) {
+	for _, t := range p.content.Targets {
+		pools[t.Pool] = true
+	}
+}
+
 // storedPart is the stored form of a part. Version is the one for which the
 // part was first written.
 type storedPart struct {
--- a/internal/config/bmcatalog/snapshot.go
+++ b/internal/config/bmcatalog/snapshot.go
@@ -164,26 +164,22 @@
 	}
 	var changes tokenChanges
 	changedPools := make(map[string]bool)
-	note := func(p, other *part) {
-		for _, t := range p.content.Targets {
-			changedPools[t.Pool] = true
+	for name, p := range before {
+		if parts[name] == p {
+			continue
 		}
-		if other == nil {
+		p.markPools(changedPools)
+		if parts[name] == nil {
 			changes.addPart(p.content.Workspaces, nil)
 		}
 	}
-	for name, p := range before {
-		if parts[name] != p {
-			note(p, parts[name])
-		}
-	}
 	for name, p := range parts {
 		next.byDigest[p.digest] = p
 		old := before[name]
 		if old == p {
 			continue
 		}
-		note(p, p)
+		p.markPools(changedPools)
 		if old == nil {
 			old = &part{}
 		}
--- a/internal/config/bmcatalog/snapshot_test.go
+++ b/internal/config/bmcatalog/snapshot_test.go
@@ -83,6 +83,44 @@
 	require.Len(t, decoded.Targets("reviews"), 12000)
 }
 
+// BenchmarkChange measures one changed workspace at the planned size: on the
+// host that accepts it, and on a host that receives it.
+func BenchmarkChange(b *testing.B) {
+	c := largeContent()
+	first := mustNext(b, nil, c, "first")
+	c.Workspaces = append([]basilmoor.Workspace(nil), c.Workspaces...)
+	c.Workspaces[7] = workspace(7, 5)
+	second := mustNext(b, first, c, "second")
+	p, err := second.Part(first.Missing(second.Head())[0].Digest)
+	require.NoError(b, err)
+	b.Run("accept", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			mustNext(b, first, c, "second")
+		}
+	})
+	b.Run("receive", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			_, err := first.Decode(second.HeadValue(), map[string][]byte{p.Digest: p.Value})
+			require.NoError(b, err)
+		}
+	})
+	b.Run("receive everything", func(b *testing.B) {
+		values := make(map[string][]byte)
+		for _, d := range second.Digests() {
+			p, err := second.Part(d)
+			require.NoError(b, err)
+			values[d] = p.Value
+		}
+		b.ReportAllocs()
+		for b.Loop() {
+			_, err := (*Snapshot)(nil).Decode(second.HeadValue(), values)
+			require.NoError(b, err)
+		}
+	})
+}
+
 // Guards against use of damaged, mixed up or missing parts.
 func TestDecodeVerifies(t *testing.T) {
 	s := mustNext(t, nil, Content{
--- a/internal/config/bmfollower/fleet_faults_test.go
+++ b/internal/config/bmfollower/fleet_faults_test.go
@@ -210,6 +210,23 @@
 	}
 }
 
+// Guards against new hosts that wait for the store: in an outage a whole place
+// is replaced and gets the configuration from other hosts.
+func TestStartInOutage(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 0))
+	f := newFleet(t, 9, 3, r.IntN)
+	f.converge()
+	f.accept(f.hosts[0])
+	f.converge()
+	f.down = true
+	for _, h := range f.at[f.places[0]] {
+		h.stop()
+		h.start()
+	}
+	f.converge()
+	require.Equal(t, int64(2), f.latest())
+}
+
 // Guards against a load of the store that grows with the fleet: at 390 hosts
 // and 13,000 changes a day at most one watch a place and 0.05 reads a second
 // and host.
--- a/internal/config/bmnote/note_test.go
+++ b/internal/config/bmnote/note_test.go
@@ -178,8 +178,13 @@
 // does not give the same note.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(firstNote(f)))
+	content := firstContent(f)
 	f.Fuzz(func(t *testing.T, text []byte) {
 		n, err := Parse(text)
+		_, validateErr := Validate(text, content, 1)
+		if err != nil {
+			require.Error(t, validateErr)
+		}
 		if err != nil {
 			var invalid *InvalidError
 			require.ErrorAs(t, err, &invalid)
