--- a/internal/schedule/bmbroker/broker.go
+++ b/internal/schedule/bmbroker/broker.go
@@ -75,6 +75,7 @@
 // Submit implements basilmoor.Policy.
 func (b *Broker) Submit(now basilmoor.Millis, d basilmoor.Demand) []basilmoor.Decision {
 	b.start(now)
+	b.pool.Sweep(now)
 	if _, held := b.pool.Holds(d.Request); held || b.pool.HasRun(d.Request) {
 		return b.step(now)
 	}
--- a/internal/schedule/bmcapacity/observe.go
+++ b/internal/schedule/bmcapacity/observe.go
@@ -64,29 +64,42 @@
 	if ok && f.target.spec.Name == o.Target {
 		return f
 	}
-	t, known := p.targets[o.Target]
 	if ok {
-		if f.dispatched || !known {
+		if f.dispatched {
 			return nil
 		}
 		d := f.demand
 		f.target.remove(f)
 		delete(p.flights, o.Request)
-		return p.place(now, d, t, true)
+		p.drop(f.target)
+		return p.place(now, d, p.named(o.Target), true)
 	}
 	e, remembered := p.history.ended[o.Request]
 	switch {
-	case !known || remembered && e.ending != endedLapsed:
+	case remembered && e.ending != endedLapsed:
 		return nil
 	case o.Demand != nil:
-		return p.place(now, *o.Demand, t, true)
+		return p.place(now, *o.Demand, p.named(o.Target), true)
 	case remembered:
-		return p.place(now, e.demand, t, true)
+		return p.place(now, e.demand, p.named(o.Target), true)
 	default:
 		return nil
 	}
 }
 
+// named returns a target. One that is not listed any more is kept until its
+// requests have ended: a late report of a dispatch to it must not be lost, else
+// the request would be granted again.
+func (p *Pool) named(name string) *target {
+	t, ok := p.targets[name]
+	if !ok {
+		t = newTarget(basilmoor.Target{Name: name})
+		t.listed = false
+		p.targets[name] = t
+	}
+	return t
+}
+
 // Report records a load report. Reports are late: they are used only as a
 // hint, see target.hinted.
 func (p *Pool) Report(now basilmoor.Millis, r basilmoor.LoadReport) {
