Learn limits from first tokens and look at free targets only

- The bound of requests in flight is lowered when a request that filled it waited in the target's own queue, and rises again.
- Cause: the broker looked at every target for each candidate.

Found by a test: the first progress sample of a stream counted one token too many, which halved the long-run time between tokens.

--- a/internal/schedule/bmbench/deployments.go
+++ b/internal/schedule/bmbench/deployments.go
@@ -218,7 +218,7 @@
 				hosts:     3,
 			},
 		},
-		length:   95 * second,
+		length:   185 * second,
 		measured: 10 * second,
 		crests:   crests(),
 		slow:     slowMoments(),
@@ -338,7 +338,7 @@
 				hosts:     2,
 			},
 		},
-		length:   95 * second,
+		length:   185 * second,
 		measured: 10 * second,
 		crests:   crests(),
 		slow:     slowMoments(),
@@ -347,43 +347,27 @@
 
 // crests returns the demand swings: 1.6 times the capacity for six seconds.
 func crests() []window {
-	return []window{
-		{
-			from:   20 * second,
-			to:     26 * second,
+	var crests []window
+	for _, from := range []micros{20, 50, 78, 110, 140, 168} {
+		crests = append(crests, window{
+			from:   from * second,
+			to:     (from + 6) * second,
 			factor: 1.6,
-		},
-		{
-			from:   50 * second,
-			to:     56 * second,
-			factor: 1.6,
-		},
-		{
-			from:   78 * second,
-			to:     84 * second,
-			factor: 1.6,
-		},
+		})
 	}
+	return crests
 }
 
 // slowMoments returns the periods during which a third of the targets is four
-// times slower. The last one falls into a crest.
+// times slower. Every third one falls into a crest.
 func slowMoments() []window {
-	return []window{
-		{
-			from:   36 * second,
-			to:     40 * second,
+	var moments []window
+	for _, from := range []micros{36, 66, 80, 126, 156, 170} {
+		moments = append(moments, window{
+			from:   from * second,
+			to:     (from + 4) * second,
 			factor: 4,
-		},
-		{
-			from:   66 * second,
-			to:     70 * second,
-			factor: 4,
-		},
-		{
-			from:   80 * second,
-			to:     83 * second,
-			factor: 4,
-		},
+		})
 	}
+	return moments
 }
--- a/internal/schedule/bmbroker/broker.go
+++ b/internal/schedule/bmbroker/broker.go
@@ -193,6 +193,7 @@
 }
 
 func (b *Broker) match(now basilmoor.Millis) {
+	b.pool.CollectFree()
 	for b.queue.Len() > 0 {
 		item := b.queue.Best(func(c bmqueue.Class) bool {
 			return b.pool.AnyFree(func(t basilmoor.Target) bool { return b.classes.fits(c, t) })
@@ -200,7 +201,7 @@
 		if item == nil {
 			return
 		}
-		item, t, ok := b.choose(item)
+		item, t, ok := b.choose(now, item)
 		if !ok {
 			return
 		}
@@ -212,16 +213,16 @@
 // of the order, or one of those next to it whose prompt is cached to a larger
 // part on a free target. At least every fourth grant goes to the first demand,
 // so that one with a rare prompt is not starved.
-func (b *Broker) choose(first *bmqueue.Item) (*bmqueue.Item, basilmoor.Target, bool) {
+func (b *Broker) choose(now basilmoor.Millis, first *bmqueue.Item) (*bmqueue.Item, basilmoor.Target, bool) {
 	fit := func(t basilmoor.Target) bool { return b.classes.fits(first.Class, t) }
-	target, estimate, ok := b.pool.Choose(first.Demand, fit)
+	target, estimate, ok := b.pool.Choose(now, first.Demand, fit)
 	if !ok || b.passed >= maxPassed {
 		b.passed = 0
 		return first, target, ok
 	}
 	best := first
 	for _, item := range b.queue.Near(first, lookAhead) {
-		t, e, _ := b.pool.Choose(item.Demand, fit)
+		t, e, _ := b.pool.Choose(now, item.Demand, fit)
 		if e.PromptCost < estimate.PromptCost {
 			best = item
 			target = t
--- a/internal/schedule/bmcapacity/config.go
+++ b/internal/schedule/bmcapacity/config.go
@@ -56,8 +56,8 @@
 		StragglerFactor:   2.5,
 		RecoveredFactor:   1.75,
 		ReducedSlotsShare: 0.2,
-		ForgetAfter:       5 * basilmoor.Second,
-		StalledAfter:      3 * basilmoor.Second,
+		ForgetAfter:       10 * basilmoor.Second,
+		StalledAfter:      6 * basilmoor.Second,
 		OtherPlacePenalty: 4,
 	}
 }
--- a/internal/schedule/bmcapacity/estimate.go
+++ b/internal/schedule/bmcapacity/estimate.go
@@ -8,6 +8,14 @@
 	assumedPrefill = 0.2  // milliseconds per uncached prompt token
 )
 
+// promptWeight is the weight of PromptCost against the time to completion. In
+// trials, 2 gave the least tail of the time to first token: a long prompt also
+// delays the first tokens of the requests behind it.
+const promptWeight = 2
+
+// hintKept is the age at which a load report says nothing any more.
+const hintKept = 5 * basilmoor.Second
+
 // Estimate is the expected course of a demand on a target.
 type Estimate struct {
 	FirstToken float64 // milliseconds from now to the first token
@@ -19,7 +27,7 @@
 }
 
 func (e Estimate) cost() float64 {
-	return e.Completion + e.PromptCost
+	return e.Completion + promptWeight*e.PromptCost
 }
 
 // uncached returns the prompt tokens of d that the target must process.
@@ -28,7 +36,18 @@
 	return max(d.PromptTokens-held, 0)
 }
 
-func (p *Pool) estimate(t *target, d basilmoor.Demand) Estimate {
+// foreign is a hint at the load that others put on the target: what it reported
+// beyond the pool's own requests, fading with the age of the measurement.
+func (t *target) foreign(now basilmoor.Millis) float64 {
+	age := now - t.reported
+	if !t.hasLoad || age >= hintKept {
+		return 0
+	}
+	beyond := max(t.report.Running+t.report.Waiting-t.spec.Slots, 0)
+	return float64(beyond) * (1 - float64(age)/float64(hintKept))
+}
+
+func (p *Pool) estimate(now basilmoor.Millis, t *target, d basilmoor.Demand) Estimate {
 	pace := t.pace
 	if pace == 0 {
 		pace = assumedPace
@@ -38,7 +57,7 @@
 		prefill = assumedPrefill
 	}
 	uncached := t.uncached(d)
-	first := pace + prefill*float64(t.backlog+uncached)
+	first := pace*(1+t.foreign(now)) + prefill*float64(t.backlog+uncached)
 	if d.Place != t.spec.Place {
 		first += p.cfg.OtherPlacePenalty
 	}
@@ -49,18 +68,29 @@
 	}
 }
 
+// CollectFree notes which targets are free now. AnyFree and Choose look at these
+// only, because most targets of a busy pool are full.
+func (p *Pool) CollectFree() {
+	p.candidates = p.candidates[:0]
+	for _, t := range p.order {
+		if t.free(p.cfg) {
+			p.candidates = append(p.candidates, t)
+		}
+	}
+}
+
 // Choose returns the free target that is accepted by fit and where the demand
 // costs the least, or false if there is none. The cost is the time until the
 // demand completes, and the time that processing its prompt takes from the
 // other requests on the target.
-func (p *Pool) Choose(d basilmoor.Demand, fit func(basilmoor.Target) bool) (basilmoor.Target, Estimate, bool) {
+func (p *Pool) Choose(now basilmoor.Millis, d basilmoor.Demand, fit func(basilmoor.Target) bool) (basilmoor.Target, Estimate, bool) {
 	var best *target
 	var bestEstimate Estimate
-	for _, t := range p.order {
+	for _, t := range p.candidates {
 		if !t.free(p.cfg) || !fit(t.spec) {
 			continue
 		}
-		e := p.estimate(t, d)
+		e := p.estimate(now, t, d)
 		if best == nil || e.cost() < bestEstimate.cost() {
 			best = t
 			bestEstimate = e
@@ -74,7 +104,7 @@
 
 // AnyFree reports whether a free target is accepted by fit.
 func (p *Pool) AnyFree(fit func(basilmoor.Target) bool) bool {
-	for _, t := range p.order {
+	for _, t := range p.candidates {
 		if t.free(p.cfg) && fit(t.spec) {
 			return true
 		}
--- a/internal/schedule/bmcapacity/flight.go
+++ b/internal/schedule/bmcapacity/flight.go
@@ -9,7 +9,9 @@
 	granted    basilmoor.Millis
 	dispatched bool
 	streaming  bool
-	ahead      int // prompt tokens to process before its first token
+	uncached   int // own prompt tokens that the target must process
+	ahead      int // prompt tokens to process before its first token, with its own
+	rank       int // requests in flight on the target with this one, at the grant
 	last       basilmoor.Millis
 	tokens     int
 	elapsed    basilmoor.Millis
--- a/internal/schedule/bmcapacity/observe.go
+++ b/internal/schedule/bmcapacity/observe.go
@@ -49,9 +49,9 @@
 	f.last = now
 	switch o.Stage {
 	case basilmoor.StageFirstToken:
-		f.target.firstToken(now, f, o.Elapsed)
+		f.target.firstToken(now, f, o.Tokens, o.Elapsed)
 	case basilmoor.StageProgress:
-		f.target.firstToken(now, f, o.Elapsed)
+		f.target.firstToken(now, f, o.Tokens, o.Elapsed)
 		f.target.progress(now, f, o.Tokens, o.Elapsed)
 	}
 }
@@ -100,8 +100,8 @@
 	return t
 }
 
-// Report records a load report. Reports are late: they are used only as a
-// hint, see target.hinted.
+// Report records a load report. Reports are late and contain the pool's own
+// requests: they are only a hint at load beyond the slots.
 func (p *Pool) Report(now basilmoor.Millis, r basilmoor.LoadReport) {
 	t, ok := p.targets[r.Target]
 	if !ok {
--- a/internal/schedule/bmcapacity/pool.go
+++ b/internal/schedule/bmcapacity/pool.go
@@ -13,15 +13,17 @@
 // Pool is the learned state of all targets of a pool. It is not safe for
 // concurrent use.
 type Pool struct {
-	cfg      Config
-	targets  map[string]*target
-	order    []*target // listed targets by name
-	flights  map[basilmoor.RequestID]*flight
-	grants   []historyEntry // grants in order of time, to find lapsed ones
-	history  *history
-	swept    basilmoor.Millis
-	compared basilmoor.Millis // when the long-run speeds were updated
-	lapsed   int64
+	cfg     Config
+	targets map[string]*target
+	order   []*target // listed targets by name
+	// candidates are the targets that were free at the last CollectFree.
+	candidates []*target
+	flights    map[basilmoor.RequestID]*flight
+	grants     []historyEntry // grants in order of time, to find lapsed ones
+	history    *history
+	swept      basilmoor.Millis
+	compared   basilmoor.Millis // when the long-run speeds were updated
+	lapsed     int64
 }
 
 // NewPool returns a pool without targets.
@@ -102,12 +104,15 @@
 }
 
 func (p *Pool) place(now basilmoor.Millis, d basilmoor.Demand, t *target, dispatched bool) *flight {
+	uncached := t.uncached(d)
 	f := &flight{
 		demand:     d,
 		granted:    now,
 		dispatched: dispatched,
 		last:       now,
-		ahead:      t.uncached(d),
+		uncached:   uncached,
+		ahead:      t.backlog + uncached,
+		rank:       len(t.flights) + 1,
 	}
 	t.prefixes.use(d.PrefixDigests)
 	f.demand.PrefixDigests = nil
--- a/internal/schedule/bmcapacity/sampler.go
+++ b/internal/schedule/bmcapacity/sampler.go
@@ -5,7 +5,7 @@
 const (
 	// samplePeriod is the time after which a host reports progress even if
 	// the speed has not changed.
-	samplePeriod = 2 * basilmoor.Second
+	samplePeriod = 4 * basilmoor.Second
 
 	// sampleIntervals is the number of token intervals that a change of speed
 	// is judged by. The shortest of them counts: the prompts of other requests
--- a/internal/schedule/bmcapacity/target.go
+++ b/internal/schedule/bmcapacity/target.go
@@ -20,6 +20,17 @@
 	prefillWeight    = 0.1
 	minPrefillSample = 256
 
+	// A first token that comes later than queuedFactor times the expected time
+	// plus queuedMargin milliseconds means that the request waited in the
+	// target's own queue. The bounds are wide, because another request's long
+	// prompt delays a first token as well.
+	queuedFactor = 2.0
+	queuedMargin = 200.0
+
+	// limitRaise is what a request without such a wait adds to the limit.
+	// A wrongly lowered limit costs more than a few waits in the queue.
+	limitRaise = 1.0
+
 	// memoryShare is the share of an engine's KV cache up to which estimated
 	// tokens in flight are granted.
 	memoryShare = 0.95
@@ -33,10 +44,11 @@
 	tokens  int // estimated tokens in flight
 	backlog int // uncached prompt tokens without a first token
 
-	limit   float64 // learned bound of requests in flight
-	pace    float64 // recent milliseconds between tokens, 0 if unknown
-	steady  float64 // long-run milliseconds between tokens, 0 if unknown
-	prefill float64 // milliseconds per uncached prompt token, 0 if unknown
+	limit   float64          // learned bound of requests in flight
+	lowered basilmoor.Millis // when the limit was lowered
+	pace    float64          // recent milliseconds between tokens, 0 if unknown
+	steady  float64          // long-run milliseconds between tokens, 0 if unknown
+	prefill float64          // milliseconds per uncached prompt token, 0 if unknown
 	sampled basilmoor.Millis
 
 	reduced  bool
@@ -95,7 +107,7 @@
 	t.flights[f.demand.Request] = f
 	t.tokens += f.demand.Tokens()
 	if !f.streaming {
-		t.backlog += f.ahead
+		t.backlog += f.uncached
 	}
 }
 
@@ -103,22 +115,41 @@
 	delete(t.flights, f.demand.Request)
 	t.tokens -= f.demand.Tokens()
 	if !f.streaming {
-		t.backlog -= f.ahead
+		t.backlog -= f.uncached
 	}
 }
 
 // firstToken learns from the time to first token of f.
-func (t *target) firstToken(now basilmoor.Millis, f *flight, elapsed basilmoor.Millis) {
+func (t *target) firstToken(now basilmoor.Millis, f *flight, tokens int, elapsed basilmoor.Millis) {
 	if f.streaming {
 		return
 	}
 	f.streaming = true
-	t.backlog -= f.ahead
+	t.backlog -= f.uncached
+	f.tokens = max(tokens, 1)
 	f.elapsed = elapsed
 	t.sampled = max(t.sampled, now)
+	t.learnLimit(now, f, float64(elapsed))
 	t.learnPrefill(f, float64(elapsed))
 }
 
+// learnLimit lowers the bound of requests in flight when a request that filled
+// it waited in the target's own queue, and raises it again when one did not.
+func (t *target) learnLimit(now basilmoor.Millis, f *flight, elapsed float64) {
+	if f.rank < int(t.limit) || t.reduced || t.pace == 0 || t.prefill == 0 {
+		return
+	}
+	expected := t.pace + t.prefill*float64(f.ahead)
+	if elapsed <= queuedFactor*expected+queuedMargin {
+		t.limit = min(t.limit+limitRaise, float64(max(t.spec.Slots, 1)))
+		return
+	}
+	if now-t.lowered >= basilmoor.Second {
+		t.lowered = now
+		t.limit = max(t.limit-1, 1)
+	}
+}
+
 // learnPrefill learns the time per prompt token. One step passes in any case;
 // short prompts say nothing beyond it.
 func (t *target) learnPrefill(f *flight, elapsed float64) {
