Test membership and schedulers on simulated fleets

Simulated members and streams found faults that are fixed here: - Ages of places were counted per heartbeat, so that a place's tick ran up to once per member and second and overran the byte that carries it. The tick is now a clock in seconds that the members of a place keep in common. - A restarted host vouched for a place of which it knew one member. It now waits 5 s. - A restarted host without a list stayed in a mesh of its own place and never learned of the others. Heartbeats now tell that the fleet is large. - A restarted host got all rosters from every neighbour, and its neighbours exchanged all members: 14.5 KB/s at the busiest node over 30 s. Rosters are asked for once in 2 s, and only changed members are sent. - A broker dropped the demand of a resubmitted dispatch that it had granted itself, although the policy had expired the grant since, and overfilled the target. It also granted at once when hosts came back after all had left.

--- a/internal/fleet/bmmember/beat.go
+++ b/internal/fleet/bmmember/beat.go
@@ -36,6 +36,13 @@
 	// Introduce asks for the address, place and region of the receiver.
 	Introduce bool
 
+	// Large tells that the sender knows more hosts than one mesh holds.
+	Large bool
+
+	// PlaceTick is the tick of the place, if the receiver is in the same one
+	// and the fleet has rosters.
+	PlaceTick uint64
+
 	// MeshDigest covers the members of the sender's mesh and MeshTicks the
 	// low bytes of their ticks; 0 if the receiver is outside of that mesh.
 	MeshDigest uint64
--- a/internal/fleet/bmmember/doc.go
+++ b/internal/fleet/bmmember/doc.go
@@ -14,8 +14,8 @@
 // What is passed on is not the age of a heartbeat but its number, the tick: a
 // host is alive as long as its tick increases. Ages would grow younger by the
 // network's delay with each hop, so that a dead host could be kept by hosts
-// that hear of it from each other. A place's tick is the highest that one of
-// its members counts.
+// that hear of it from each other. A place's tick is a clock in
+// seconds that its members keep in common: the highest of theirs.
 //
 // Invariants: the incarnation known of a host never decreases, and within one
 // incarnation a heartbeat never overrides a later one.
--- a/internal/fleet/bmmember/driver.go
+++ b/internal/fleet/bmmember/driver.go
@@ -67,7 +67,7 @@
 	d := &Driver{
 		cfg:      cfg,
 		announce: make(chan struct{}, 1),
-		state:    NewState(cfg.Self, cfg.Crashes),
+		state:    NewState(cfg.Clock.Now(), cfg.Self, cfg.Crashes),
 		inFlight: make(map[string]bool),
 	}
 	d.refreshStatus()
--- /dev/null
+++ b/internal/fleet/bmmember/driver_test.go
@@ -0,0 +1,126 @@
+package bmmember_test
+
+import (
+	"context"
+	"runtime"
+	"sync"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/fleet/bmmember"
+)
+
+// directTransport calls the drivers of one process by address.
+type directTransport struct {
+	mu      sync.Mutex
+	drivers map[string]*bmmember.Driver
+}
+
+func (d *directTransport) Beat(_ context.Context, to basilmoor.Member, b bmmember.Beat) (bmmember.Beat, error) {
+	d.mu.Lock()
+	driver, ok := d.drivers[to.Address]
+	d.mu.Unlock()
+	if !ok {
+		return bmmember.Beat{}, errors.New("connection refused")
+	}
+	return driver.Handle(b), nil
+}
+
+// crashLog is a registry that keeps what heartbeats brought.
+type crashLog struct {
+	mu     sync.Mutex
+	recent []basilmoor.Crash
+}
+
+func (c *crashLog) Died(uint64, string) {}
+
+func (c *crashLog) Suspect(uint64) bool { return false }
+
+func (c *crashLog) Recent() []basilmoor.Crash {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.recent
+}
+
+func (c *crashLog) Merge(crashes []basilmoor.Crash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recent = crashes
+}
+
+// Guards against a driver that doesn't find its peers, doesn't pass on crashes
+// and versions of the configuration, keeps a peer that is gone, or is stopped
+// by a list that fails.
+func TestDriver(t *testing.T) {
+	clock := bmclock.NewManual(0)
+	transport := &directTransport{
+		drivers: make(map[string]*bmmember.Driver),
+	}
+	members := []basilmoor.Member{
+		{Host: "host-a", Address: "127.0.0.1:1", Place: "bole", Region: "addis", Incarnation: 1000},
+		{Host: "host-b", Address: "127.0.0.1:2", Place: "merkato", Region: "addis", Incarnation: 1000},
+	}
+	versions := make(chan int64, 100)
+	crashes := []*crashLog{{recent: []basilmoor.Crash{{Digest: 7}}}, {}}
+	var drivers []*bmmember.Driver
+	for i, m := range members {
+		d, cleanup := bmmember.NewDriver(bmmember.Config{
+			Clock:     clock,
+			Self:      m,
+			Transport: transport,
+			Logger:    zerolog.Nop(),
+			Crashes:   crashes[i],
+			List: func(context.Context) ([]basilmoor.Member, error) {
+				if i == 1 {
+					return nil, errors.New("list not available")
+				}
+				return members, nil
+			},
+			Status: func() bmmember.Status {
+				return bmmember.Status{
+					ConfigVersion: int64(10 - i),
+				}
+			},
+			OnVersion: func(host string, version int64, _ string) {
+				if host == "host-a" {
+					versions <- version
+				}
+			},
+		})
+		transport.drivers[m.Address] = d
+		drivers = append(drivers, d)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = d.Serve(ctx)
+		}()
+		t.Cleanup(func() {
+			cancel()
+			<-done
+			cleanup()
+		})
+	}
+	until := func(condition func() bool) {
+		for !condition() {
+			clock.Advance(10)
+			runtime.Gosched()
+		}
+	}
+	until(func() bool { return len(drivers[0].Live()) == 2 && len(drivers[1].Live()) == 2 })
+	require.Equal(t, int64(10), <-versions)
+	until(func() bool { return len(crashes[1].Recent()) == 1 })
+
+	transport.mu.Lock()
+	clear(transport.drivers)
+	transport.mu.Unlock()
+	stopped := clock.Now()
+	until(func() bool { return len(drivers[0].Live()) == 1 })
+	require.LessOrEqual(t, clock.Now()-stopped, bmmember.SuspectAfter+bmmember.Period)
+	require.Equal(t, "host-a", drivers[0].Self().Host)
+}
--- a/internal/fleet/bmmember/exchange.go
+++ b/internal/fleet/bmmember/exchange.go
@@ -14,11 +14,21 @@
 // crashesPerBeat bounds the crashes in one heartbeat.
 const crashesPerBeat = 16
 
+const (
+	// changedFor is how long a change in the mesh is sent to peers whose mesh
+	// differs. Two hops take two periods.
+	changedFor = 4 * basilmoor.Second
+
+	// differsAll is the number of exchanges after which a peer whose mesh
+	// still differs is sent all members.
+	differsAll = 4
+)
+
 // peer is what the protocol remembers of an exchange partner.
 type peer struct {
 	introduced bool // the peer holds this host's address, place and region
 	introduce  bool // this host doesn't hold the peer's
-	sendKnown  bool // the peer's mesh differs from this host's
+	differs    int  // exchanges in sequence after which the meshes differed
 	want       []string
 	push       []Roster
 	crashes    map[uint64]crashMark
@@ -47,7 +57,6 @@
 // Beats returns the heartbeats that are due. The caller calls it once a Period.
 func (s *State) Beats(now basilmoor.Millis) []Outgoing {
 	s.tick++
-	s.placeTick++
 	s.expire(now)
 	targets := s.meshTargets(now)
 	targets = append(targets, s.dueCandidates(now)...)
@@ -67,7 +76,7 @@
 
 // view holds what all heartbeats of one instant have in common.
 type view struct {
-	mesh         []basilmoor.Member
+	mesh         []*record
 	meshDigest   uint64
 	rosters      []*roster
 	rosterDigest uint64
@@ -77,7 +86,7 @@
 	v := view{
 		mesh: s.mesh(),
 	}
-	v.meshDigest = digestMembers(v.mesh)
+	v.meshDigest = digestRecords(v.mesh)
 	v.rosters, v.rosterDigest = s.allRosters(now)
 	return v
 }
@@ -91,6 +100,7 @@
 		Sequence:  s.sequence,
 		Tick:      s.tick,
 		Introduce: !held || p.introduce,
+		Large:     s.counted,
 		Want:      p.want,
 		Rosters:   p.push,
 		Crashes:   s.crashesFor(now, p),
@@ -99,13 +109,13 @@
 	p.push = nil
 	if s.inMesh(to.Place) {
 		b.MeshDigest = v.meshDigest
-		b.MeshTicks = s.meshTicks(v.mesh)
+		b.MeshTicks = meshTicks(v.mesh)
 	}
-	if b.MeshDigest != 0 && p.sendKnown {
-		b.Known = s.known(now, v.mesh)
-		p.sendKnown = false
+	if b.MeshDigest != 0 && p.differs > 0 {
+		b.Known = s.known(now, v.mesh, p, to.Host)
 	}
 	if v.rosterDigest != 0 {
+		b.PlaceTick = s.placeTickFor(now, to.Place)
 		b.RosterDigest = v.rosterDigest
 		b.RosterTicks = rosterTicks(v.rosters)
 	}
@@ -130,29 +140,33 @@
 // Handle merges a heartbeat that a peer sent and returns the reply.
 func (s *State) Handle(now basilmoor.Millis, in Beat) Beat {
 	known := s.learn(now, in)
+	s.noteShape(now, in)
 	p := s.peer(in.Self.Host)
-	before := s.newView(now)
-	s.merge(now, in, before)
-	v := s.newView(now)
+	v := s.merge(now, in)
 	s.sequence++
 	out := Beat{
 		Self:      s.describe(!in.Introduce),
 		Sequence:  s.sequence,
 		Tick:      s.tick,
 		Introduce: !known,
+		Large:     s.counted,
 		Crashes:   s.crashesFor(now, p),
 	}
 	if in.MeshDigest != 0 {
 		out.MeshDigest = v.meshDigest
-		out.MeshTicks = s.meshTicks(v.mesh)
+		out.MeshTicks = meshTicks(v.mesh)
 	}
-	if in.MeshDigest != 0 && in.MeshDigest != v.meshDigest {
+	p.compareMesh(in, v)
+	if p.differs > 0 {
 		out.MeshTicks = nil
-		out.Known = s.known(now, v.mesh)
+		out.Known = s.known(now, v.mesh, p, in.Self.Host)
 	}
 	if in.RosterDigest == 0 || v.rosterDigest == 0 {
 		return out
 	}
+	if r, held := s.records[in.Self.Host]; held {
+		out.PlaceTick = s.placeTickFor(now, r.member.Place)
+	}
 	out.RosterDigest = v.rosterDigest
 	if in.RosterDigest == v.rosterDigest {
 		out.RosterTicks = rosterTicks(v.rosters)
@@ -161,7 +175,7 @@
 	}
 	for _, r := range v.rosters {
 		if slices.Contains(in.Want, r.place) {
-			out.Rosters = append(out.Rosters, r.export(now))
+			out.Rosters = append(out.Rosters, s.export(now, r))
 		}
 	}
 	return out
@@ -176,14 +190,13 @@
 		return nil
 	}
 	known := s.learn(now, in)
+	s.noteShape(now, in)
 	p := s.peer(to.Host)
 	p.failed = false
 	p.introduce = !known
 	p.introduced = !in.Introduce
-	before := s.newView(now)
-	s.merge(now, in, before)
-	v := s.newView(now)
-	p.sendKnown = in.MeshDigest != 0 && in.MeshDigest != v.meshDigest
+	v := s.merge(now, in)
+	p.compareMesh(in, v)
 	p.want, p.push = nil, nil
 	if v.rosterDigest != 0 && len(in.Summaries) > 0 {
 		p.want, p.push = s.compare(now, to.Place, in.Summaries)
@@ -230,13 +243,19 @@
 	}
 	if !held || r.member.Incarnation != m.Incarnation {
 		delete(s.peers, m.Host)
-		r = &record{}
-		s.records[m.Host] = r
+		r = &record{
+			member:  m,
+			changed: now,
+		}
+		s.putRecord(r)
 	}
 	if in.Sequence <= r.sequence {
 		return true
 	}
 	delete(s.candidates, m.Host)
+	if r.member.Leaving != m.Leaving {
+		r.changed = now
+	}
 	r.sequence = in.Sequence
 	r.tick = max(r.tick, in.Tick)
 	r.heard = now
@@ -246,6 +265,14 @@
 	return true
 }
 
+func (s *State) noteShape(now basilmoor.Millis, in Beat) {
+	if in.Large {
+		s.told = true
+		s.toldLarge = now
+		s.large = true
+	}
+}
+
 func (s *State) noteVersion(m basilmoor.Member) {
 	if m.ConfigVersion < s.self.ConfigVersion {
 		return
@@ -260,16 +287,27 @@
 	})
 }
 
-// merge takes over what a heartbeat says of other hosts.
-func (s *State) merge(now basilmoor.Millis, in Beat, v view) {
+// compareMesh counts the exchanges after which the peer's mesh differs.
+func (p *peer) compareMesh(in Beat, v view) {
+	if in.MeshDigest == 0 || in.MeshDigest == v.meshDigest {
+		p.differs = 0
+		return
+	}
+	p.differs++
+}
+
+// merge takes over what a heartbeat says of other hosts and returns the view
+// after that.
+func (s *State) merge(now basilmoor.Millis, in Beat) view {
+	s.placeClock = max(s.placeClock, basilmoor.Millis(in.PlaceTick)*basilmoor.Second-now)
+	v := s.newView(now)
+	changes := s.changes
 	for _, k := range in.Known {
 		s.sight(now, k)
 	}
 	if in.MeshDigest != 0 && in.MeshDigest == v.meshDigest && len(in.MeshTicks) == len(v.mesh) {
-		for i, m := range v.mesh {
-			if r, ok := s.records[m.Host]; ok {
-				s.advanceRecord(now, r, advance(r.tick, in.MeshTicks[i]))
-			}
+		for i, r := range v.mesh {
+			s.advanceRecord(now, r, advance(r.tick, in.MeshTicks[i]))
 		}
 	}
 	if in.RosterDigest != 0 && in.RosterDigest == v.rosterDigest && len(in.RosterTicks) == len(v.rosters) {
@@ -281,23 +319,26 @@
 	if s.crashes != nil && len(in.Crashes) > 0 {
 		s.crashes.Merge(in.Crashes)
 	}
+	if s.changes != changes {
+		v = s.newView(now)
+	}
+	return v
 }
 
 func (s *State) advanceRecord(now basilmoor.Millis, r *record, tick uint64) {
-	if tick > r.tick && s.accept(now, r.member, tick) {
-		r.tick = tick
-		r.heard = now
+	if tick <= r.tick || !s.accept(now, r.member, tick) {
+		return
+	}
+	if now-r.heard >= SuspectAfter {
+		s.changes++
 	}
+	r.tick = tick
+	r.heard = now
 }
 
 func (s *State) advanceRosters(now basilmoor.Millis, all []*roster, ticks []byte) {
 	for i, r := range all {
-		tick := advance(r.tick, ticks[i])
-		if r.place == s.self.Place {
-			s.placeTick = max(s.placeTick, tick)
-			continue
-		}
-		if tick > r.tick {
+		if tick := advance(r.tick, ticks[i]); tick > r.tick && r.place != s.self.Place {
 			r.tick = tick
 			r.vouched = now
 		}
@@ -317,27 +358,38 @@
 	r, held := s.records[m.Host]
 	if held && r.member.Incarnation == m.Incarnation {
 		s.advanceRecord(now, r, k.Tick)
-		r.member.Leaving = r.member.Leaving || m.Leaving
+		if m.Leaving && !r.member.Leaving {
+			r.member.Leaving = true
+			r.changed = now
+			s.changes++
+		}
 		return
 	}
 	if m.Incarnation == before.incarnation && k.Tick <= before.tick {
 		return
 	}
 	delete(s.peers, m.Host)
-	s.records[m.Host] = &record{
-		member: m,
-		tick:   k.Tick,
-		heard:  now - max(k.Age, 0),
-		direct: now - silentAfter,
-	}
+	s.putRecord(&record{
+		member:  m,
+		tick:    k.Tick,
+		heard:   now - max(k.Age, 0),
+		direct:  now - silentAfter,
+		changed: now,
+	})
 }
 
-func (s *State) known(now basilmoor.Millis, mesh []basilmoor.Member) []Sighting {
+// known returns the members that a peer with another mesh may lack: those that
+// changed lately, or all if the peer has just been met or the difference stays.
+// A restarted host changes the meshes of all its neighbours at once; with all
+// members in each heartbeat, that doubled their traffic for half a minute.
+func (s *State) known(now basilmoor.Millis, mesh []*record, p *peer, host string) []Sighting {
+	met, held := s.records[host]
+	all := !held || now-met.changed < changedFor || p.differs >= differsAll
 	var out []Sighting
-	for _, m := range mesh {
-		if r, ok := s.records[m.Host]; ok {
+	for _, r := range mesh {
+		if r.member.Host != s.self.Host && (all || now-r.changed < changedFor) {
 			out = append(out, Sighting{
-				Member: m,
+				Member: r.member,
 				Tick:   r.tick,
 				Age:    now - r.heard,
 			})
@@ -346,14 +398,10 @@
 	return out
 }
 
-func (s *State) meshTicks(mesh []basilmoor.Member) []byte {
+func meshTicks(mesh []*record) []byte {
 	ticks := make([]byte, len(mesh))
-	for i, m := range mesh {
-		if r, ok := s.records[m.Host]; ok {
-			ticks[i] = byte(r.tick)
-		} else {
-			ticks[i] = byte(s.tick)
-		}
+	for i, r := range mesh {
+		ticks[i] = byte(r.tick)
 	}
 	return ticks
 }
--- a/internal/fleet/bmmember/roster.go
+++ b/internal/fleet/bmmember/roster.go
@@ -3,13 +3,15 @@
 import (
 	"encoding/binary"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
 	"basilmoor.example/basilmoor"
 )
 
-// roster is what is known of another place. It is never changed in place but
+// roster is what is known of a place. The own place's has no members; they are
+// in the records. It is never changed in place but
 // for tick and vouched, which only grow while the digest stays the same.
 type roster struct {
 	place   string
@@ -37,19 +39,31 @@
 func digestMembers(members []basilmoor.Member) uint64 {
 	var d xxhash.Digest
 	d.Reset()
-	var buf [9]byte
 	for i := range members {
-		writeField(&d, members[i].Host)
-		binary.LittleEndian.PutUint64(buf[:8], members[i].Incarnation)
-		buf[8] = 0
-		if members[i].Leaving {
-			buf[8] = 1
-		}
-		_, _ = d.Write(buf[:])
+		writeMember(&d, &members[i])
 	}
 	return nonZero(d.Sum64())
 }
 
+func digestRecords(records []*record) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, r := range records {
+		writeMember(&d, &r.member)
+	}
+	return nonZero(d.Sum64())
+}
+
+func writeMember(d *xxhash.Digest, m *basilmoor.Member) {
+	var buf [9]byte
+	writeField(d, m.Host)
+	binary.LittleEndian.PutUint64(buf[:8], m.Incarnation)
+	if m.Leaving {
+		buf[8] = 1
+	}
+	_, _ = d.Write(buf[:])
+}
+
 // nonZero keeps 0 free for "no digest".
 func nonZero(digest uint64) uint64 {
 	if digest == 0 {
@@ -81,30 +95,106 @@
 	return false
 }
 
-// ownRoster lists the members of this host's place that aren't suspected.
-func (s *State) ownRoster(now basilmoor.Millis) *roster {
-	members := []basilmoor.Member{s.self}
-	for _, r := range s.records {
-		if r.member.Place == s.self.Place && now-r.heard < SuspectAfter {
-			members = append(members, r.member)
+// ownPlace returns the members of this host's place that aren't suspected,
+// ordered by name.
+func (s *State) ownPlace(now basilmoor.Millis) []*record {
+	return slices.DeleteFunc(s.mesh(), func(r *record) bool {
+		suspected := r.member.Host != s.self.Host && now-r.heard >= SuspectAfter
+		return suspected || r.member.Place != s.self.Place
+	})
+}
+
+func (s *State) ownMembers(now basilmoor.Millis) []basilmoor.Member {
+	records := s.ownPlace(now)
+	members := make([]basilmoor.Member, 0, len(records))
+	for _, r := range records {
+		members = append(members, r.member)
+	}
+	return members
+}
+
+func (s *State) deleteRoster(place string) {
+	delete(s.rosters, place)
+	s.places = nil
+	s.changes++
+}
+
+func (s *State) putRoster(r *roster) {
+	s.rosters[r.place] = r
+	delete(s.wanted, r.place)
+	s.places = nil
+	s.changes++
+}
+
+// orderedRosters returns the rosters of the other places by name.
+func (s *State) orderedRosters() []*roster {
+	if s.places == nil {
+		s.places = make([]*roster, 0, len(s.rosters))
+		for _, r := range s.rosters {
+			s.places = append(s.places, r)
 		}
+		slices.SortFunc(s.places, func(a, b *roster) int { return strings.Compare(a.place, b.place) })
 	}
-	sortMembers(members)
-	return newRoster(s.self.Place, s.self.Region, members, s.placeTick, now)
+	return s.places
+}
+
+// vouchAfter is the time after its start from which a host vouches for the
+// members of its place. Before, it doesn't know them all.
+const vouchAfter = 5 * basilmoor.Second
+
+// tombFor is how long the tick of a removed roster is kept, so that the roster
+// isn't taken up again from hearsay. A place that is restarted with clocks
+// behind its former tick is known again after that.
+const tombFor = 2 * basilmoor.Minute
+
+// tombstone remembers a removed roster.
+type tombstone struct {
+	tick uint64
+	at   basilmoor.Millis
+}
+
+// placeTick returns the tick of this host's place.
+func (s *State) placeTick(now basilmoor.Millis) uint64 {
+	return uint64((now + s.placeClock) / basilmoor.Second)
 }
 
-// allRosters returns the rosters of all places including this host's own,
-// ordered by place, and their digest. A fleet that is one mesh has none.
+// placeTickFor returns what a heartbeat to a host of the place says.
+func (s *State) placeTickFor(now basilmoor.Millis, place string) uint64 {
+	if place != s.self.Place {
+		return 0
+	}
+	return s.placeTick(now)
+}
+
+// allRosters returns the rosters of all places, ordered by place, and their
+// digest. This host's own is among them once it can vouch for it. A fleet that
+// is one mesh has none.
 func (s *State) allRosters(now basilmoor.Millis) ([]*roster, uint64) {
 	if !s.large {
 		return nil, 0
 	}
-	all := make([]*roster, 0, 1+len(s.rosters))
-	all = append(all, s.ownRoster(now))
-	for _, r := range s.rosters {
-		all = append(all, r)
+	others := s.orderedRosters()
+	if now-s.started < vouchAfter {
+		return others, digestRosters(others)
+	}
+	at, _ := slices.BinarySearchFunc(others, s.self.Place, func(r *roster, place string) int {
+		return strings.Compare(r.place, place)
+	})
+	own := &roster{
+		place:   s.self.Place,
+		region:  s.self.Region,
+		digest:  digestRecords(s.ownPlace(now)),
+		tick:    s.placeTick(now),
+		vouched: now,
 	}
-	slices.SortFunc(all, comparePlaces)
+	all := make([]*roster, 0, 1+len(others))
+	all = append(all, others[:at]...)
+	all = append(all, own)
+	all = append(all, others[at:]...)
+	return all, digestRosters(all)
+}
+
+func digestRosters(all []*roster) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	var buf [8]byte
@@ -113,7 +203,7 @@
 		binary.LittleEndian.PutUint64(buf[:], r.digest)
 		_, _ = d.Write(buf[:])
 	}
-	return all, nonZero(d.Sum64())
+	return nonZero(d.Sum64())
 }
 
 // mergeRoster takes over a roster with a higher tick than the one held.
@@ -123,7 +213,7 @@
 		return
 	}
 	held, ok := s.rosters[in.Place]
-	if ok && held.tick >= in.Tick || !ok && s.placeTicks[in.Place] >= in.Tick {
+	if ok && held.tick >= in.Tick || !ok && s.tombs[in.Place].tick >= in.Tick {
 		return
 	}
 	members := make([]basilmoor.Member, 0, len(in.Members))
@@ -137,7 +227,7 @@
 	if now-vouched >= s.rosterRemoveAfter(r) {
 		return
 	}
-	s.rosters[in.Place] = r
+	s.putRoster(r)
 	if ok {
 		s.keepLost(now, held, r)
 	}
@@ -165,8 +255,14 @@
 	return out
 }
 
+// wantAgain is the time after which a roster that was asked for is asked for
+// again. A host that has just started would else get all rosters, 20 KB at 390
+// hosts, from each of its neighbours.
+const wantAgain = 2 * basilmoor.Second
+
 // compare finds the rosters of which the sender of the summaries holds a later
-// state, to ask for, and those of which this host does, to send.
+// state, to ask for, and those of which this host does, to send. Hosts of one
+// place only ask, since each of them starts exchanges inside the place.
 func (s *State) compare(now basilmoor.Millis, place string, theirs []Summary) (want []string, push []Roster) {
 	all, _ := s.allRosters(now)
 	byPlace := make(map[string]Summary, len(theirs))
@@ -176,47 +272,42 @@
 			continue
 		}
 		held, ok := s.rosters[t.Place]
-		if !ok && t.Tick > s.placeTicks[t.Place] || ok && held.digest != t.Digest && held.tick < t.Tick {
-			want = append(want, t.Place)
+		missing := !ok && t.Tick > s.tombs[t.Place].tick
+		older := ok && held.digest != t.Digest && held.tick < t.Tick
+		asked, recently := s.wanted[t.Place]
+		if recently && now-asked < wantAgain || !missing && !older {
+			continue
 		}
+		s.wanted[t.Place] = now
+		want = append(want, t.Place)
+	}
+	if place == s.self.Place {
+		return want, nil
 	}
 	for _, r := range all {
 		t, ok := byPlace[r.place]
 		if r.place != place && (!ok || t.Digest != r.digest && t.Tick < r.tick) {
-			push = append(push, r.export(now))
+			push = append(push, s.export(now, r))
 		}
 	}
 	return want, push
 }
 
-func (r *roster) export(now basilmoor.Millis) Roster {
+// export returns a roster with its members.
+func (s *State) export(now basilmoor.Millis, r *roster) Roster {
+	members := r.members
+	if r.place == s.self.Place {
+		members = s.ownMembers(now)
+	}
 	return Roster{
 		Place:   r.place,
 		Region:  r.region,
 		Tick:    r.tick,
 		Age:     now - r.vouched,
-		Members: r.members,
+		Members: members,
 	}
 }
 
 func compareHost(m basilmoor.Member, host string) int {
-	switch {
-	case m.Host < host:
-		return -1
-	case m.Host > host:
-		return 1
-	default:
-		return 0
-	}
-}
-
-func comparePlaces(a, b *roster) int {
-	switch {
-	case a.place < b.place:
-		return -1
-	case a.place > b.place:
-		return 1
-	default:
-		return 0
-	}
+	return strings.Compare(m.Host, host)
 }
--- a/internal/fleet/bmmember/state.go
+++ b/internal/fleet/bmmember/state.go
@@ -66,6 +66,7 @@
 	tick     uint64
 	heard    basilmoor.Millis // last increase of the tick
 	direct   basilmoor.Millis // last heartbeat at this host
+	changed  basilmoor.Millis // last change that the digest of the mesh covers
 }
 
 // highest is the highest incarnation and tick seen of a host. It outlives the
@@ -81,15 +82,23 @@
 	self       basilmoor.Member
 	sequence   uint64
 	tick       uint64
-	placeTick  uint64
+	started    basilmoor.Millis
+	placeClock basilmoor.Millis // added to the time, gives the place's tick in ms
 	crashes    basilmoor.CrashRegistry
 	records    map[string]*record
 	rosters    map[string]*roster
 	candidates map[string]*candidate
 	peers      map[string]*peer
 	highest    map[string]highest
-	placeTicks map[string]uint64
-	large      bool
+	tombs      map[string]tombstone
+	wanted     map[string]basilmoor.Millis // places whose roster was asked for
+	order      []*record                   // records by host name; nil after a change
+	places     []*roster                   // rosters by place; nil after a change
+	changes    int                         // counts what a view depends on
+	large      bool                        // whether the fleet is larger than one mesh
+	counted    bool                        // whether this host knows so many hosts itself
+	toldLarge  basilmoor.Millis            // last time that a peer said so
+	told       bool
 	versions   []VersionNews
 }
 
@@ -106,17 +115,19 @@
 // The incarnation of self is the time of the process's start in milliseconds
 // of the wall clock. A place's tick starts there, so that it also grows when
 // all hosts of the place are restarted.
-func NewState(self basilmoor.Member, crashes basilmoor.CrashRegistry) *State {
+func NewState(now basilmoor.Millis, self basilmoor.Member, crashes basilmoor.CrashRegistry) *State {
 	return &State{
 		self:       self,
-		placeTick:  self.Incarnation,
+		started:    now,
+		placeClock: basilmoor.Millis(self.Incarnation) - now,
 		crashes:    crashes,
 		records:    make(map[string]*record),
 		rosters:    make(map[string]*roster),
 		candidates: make(map[string]*candidate),
 		peers:      make(map[string]*peer),
 		highest:    make(map[string]highest),
-		placeTicks: make(map[string]uint64),
+		tombs:      make(map[string]tombstone),
+		wanted:     make(map[string]basilmoor.Millis),
 	}
 }
 
@@ -189,32 +200,70 @@
 
 // mesh returns the members of the mesh including this host, suspects and those
 // that are leaving, ordered by name.
-func (s *State) mesh() []basilmoor.Member {
-	members := make([]basilmoor.Member, 0, 1+len(s.records))
-	members = append(members, s.self)
-	for _, r := range s.records {
+func (s *State) mesh() []*record {
+	self := &record{
+		member: s.self,
+		tick:   s.tick,
+	}
+	members := make([]*record, 0, 1+len(s.records))
+	for _, r := range s.ordered() {
+		if self != nil && s.self.Host < r.member.Host {
+			members = append(members, self)
+			self = nil
+		}
 		if s.inMesh(r.member.Place) {
-			members = append(members, r.member)
+			members = append(members, r)
 		}
 	}
-	sortMembers(members)
+	if self != nil {
+		members = append(members, self)
+	}
 	return members
 }
 
+// ordered returns the records by host name.
+func (s *State) ordered() []*record {
+	if s.order == nil {
+		s.order = make([]*record, 0, len(s.records))
+		for _, r := range s.records {
+			s.order = append(s.order, r)
+		}
+		slices.SortFunc(s.order, func(a, b *record) int {
+			return strings.Compare(a.member.Host, b.member.Host)
+		})
+	}
+	return s.order
+}
+
+func (s *State) putRecord(r *record) {
+	s.records[r.member.Host] = r
+	s.order = nil
+	s.changes++
+}
+
+func (s *State) deleteRecord(host string) {
+	delete(s.records, host)
+	delete(s.peers, host)
+	s.order = nil
+	s.changes++
+}
+
 // expire removes what has been silent for too long and chooses the shape of
 // the mesh.
 func (s *State) expire(now basilmoor.Millis) {
 	for host, r := range s.records {
 		if now-r.heard >= RemoveAfter {
-			delete(s.records, host)
-			delete(s.peers, host)
+			s.deleteRecord(host)
 			s.addFormer(now, r.member)
 		}
 	}
 	for place, r := range s.rosters {
 		if now-r.vouched >= s.rosterRemoveAfter(r) {
-			delete(s.rosters, place)
-			s.placeTicks[place] = r.tick
+			s.deleteRoster(place)
+			s.tombs[place] = tombstone{
+				tick: r.tick,
+				at:   now,
+			}
 			s.addFormerRoster(now, r)
 		}
 	}
@@ -223,27 +272,47 @@
 			delete(s.highest, host)
 		}
 	}
+	for place, t := range s.tombs {
+		if now-t.at >= tombFor {
+			delete(s.tombs, place)
+		}
+	}
 	s.expireCandidates(now)
 	s.expirePeers()
-	s.large = s.countHosts() > FullMeshHosts
+	s.chooseShape(now)
+}
+
+// chooseShape decides whether the fleet is larger than one mesh. A host that
+// has just started learns it from its peers. It isn't passed on as hearsay,
+// so that it ends when the fleet shrinks.
+func (s *State) chooseShape(now basilmoor.Millis) {
+	s.counted = s.manyHosts()
+	s.large = s.counted || s.told && now-s.toldLarge < RemoveAfter
 }
 
-// countHosts counts the distinct hosts that may exist.
-func (s *State) countHosts() int {
+// manyHosts reports whether more distinct hosts are known or listed than one
+// mesh holds. It stops counting there.
+func (s *State) manyHosts() bool {
 	n := 1 + len(s.records)
 	for _, r := range s.rosters {
 		for _, m := range r.members {
+			if n > FullMeshHosts {
+				return true
+			}
 			if _, ok := s.records[m.Host]; !ok && m.Host != s.self.Host {
 				n++
 			}
 		}
 	}
-	for host := range s.candidates {
-		if _, ok := s.records[host]; !ok && !s.inRosters(host) {
+	for host, c := range s.candidates {
+		if n > FullMeshHosts {
+			return true
+		}
+		if _, ok := s.records[host]; !ok && c.listed && !s.inRosters(host) {
 			n++
 		}
 	}
-	return n
+	return n > FullMeshHosts
 }
 
 // expirePeers forgets the protocol state of hosts that are no longer contacted.
--- a/internal/fleet/bmmember/targets.go
+++ b/internal/fleet/bmmember/targets.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -48,12 +49,14 @@
 func (s *State) meshTargets(now basilmoor.Millis) []basilmoor.Member {
 	ring := s.mesh()
 	n := len(ring)
-	at, _ := slices.BinarySearchFunc(ring, s.self.Host, compareHost)
+	at, _ := slices.BinarySearchFunc(ring, s.self.Host, func(r *record, host string) int {
+		return strings.Compare(r.member.Host, host)
+	})
 	full := !s.large || n <= sparseAbove
 	var targets []basilmoor.Member
 	for _, o := range ringOffsets(n, full) {
-		next := ring[(at+o)%n]
-		previous := ring[(at-o%n+n)%n]
+		next := ring[(at+o)%n].member
+		previous := ring[(at-o%n+n)%n].member
 		opposite := 2*o == n
 		if !opposite || at < o || s.silent(now, next.Host) {
 			targets = append(targets, next)
@@ -77,7 +80,7 @@
 	if !s.large {
 		return nil
 	}
-	own := s.placeMembers(s.ownRoster(now))
+	own := staying(s.ownMembers(now))
 	var targets []basilmoor.Member
 	regions := s.placesByRegion()
 	for _, place := range regions[s.self.Region] {
@@ -100,13 +103,13 @@
 	return ok && owner.Host == s.self.Host
 }
 
-// placeMembers prefers members that stay over those that are leaving.
-func (s *State) placeMembers(r *roster) []basilmoor.Member {
-	staying := slices.DeleteFunc(slices.Clone(r.members), func(m basilmoor.Member) bool { return m.Leaving })
-	if len(staying) == 0 {
-		return r.members
+// staying prefers members that stay over those that are leaving.
+func staying(members []basilmoor.Member) []basilmoor.Member {
+	rest := slices.DeleteFunc(slices.Clone(members), func(m basilmoor.Member) bool { return m.Leaving })
+	if len(rest) == 0 {
+		return members
 	}
-	return staying
+	return rest
 }
 
 // linkDue reports whether this place is to start the exchange with another
@@ -176,7 +179,7 @@
 		}
 		return targets
 	}
-	members := slices.DeleteFunc(slices.Clone(s.placeMembers(r)), func(m basilmoor.Member) bool {
+	members := slices.DeleteFunc(slices.Clone(staying(r.members)), func(m basilmoor.Member) bool {
 		p, known := s.peers[m.Host]
 		return known && p.failed && now-p.failedAt < failedFor
 	})
--- a/internal/fleet/bmpeer/peer_test.go
+++ b/internal/fleet/bmpeer/peer_test.go
@@ -159,6 +159,8 @@
 		Sequence:   8,
 		Tick:       9,
 		Introduce:  true,
+		Large:      true,
+		PlaceTick:  18,
 		MeshDigest: 10,
 		MeshTicks:  []byte{1, 2},
 		Known: []bmmember.Sighting{{
--- a/internal/schedule/bmscheduler/broker.go
+++ b/internal/schedule/bmscheduler/broker.go
@@ -96,6 +96,17 @@
 	return len(b.hosts) == 0
 }
 
+// connected reports whether any host has a session. A broker that had none for
+// a while doesn't know what other brokers granted meanwhile.
+func (b *broker) connected() bool {
+	for _, h := range b.hosts {
+		if h.session != nil {
+			return true
+		}
+	}
+	return false
+}
+
 func (b *broker) setTargets(now basilmoor.Millis, targets []basilmoor.Target) {
 	b.route(now, b.policy.SetTargets(now, targets))
 }
@@ -106,7 +117,7 @@
 
 // attach begins a session of a host and ends the one before.
 func (b *broker) attach(now basilmoor.Millis, host, place string, s session) {
-	if b.idle() && b.hold {
+	if b.hold && !b.connected() {
 		b.holding = true
 		b.holdUntil = now + holdBound
 	}
@@ -139,6 +150,7 @@
 		return
 	}
 	h.session = nil
+	h.resubmitted = false
 	b.withdraw(now, h)
 }
 
@@ -239,7 +251,9 @@
 }
 
 // observe passes an observation on. One that carries its demand makes an open
-// dispatch known.
+// dispatch known. The demand is passed on even if this broker granted the
+// request, because the policy may have expired the grant since; a policy that
+// knows the request ignores it.
 func (b *broker) observe(now basilmoor.Millis, host string, s session, o basilmoor.Observation) {
 	h, ok := b.heard(now, host, s)
 	if !ok {
@@ -249,9 +263,7 @@
 	if !open && o.Demand == nil {
 		return
 	}
-	if open {
-		o.Demand = nil
-	} else {
+	if o.Demand != nil {
 		g = b.adopt(now, h, host, &o)
 	}
 	h.mentioned[o.Request] = true
@@ -263,7 +275,7 @@
 	b.route(now, b.policy.Observe(now, o))
 }
 
-// adopt takes up a dispatch that another broker granted.
+// adopt takes up a dispatch that a host has resubmitted.
 func (b *broker) adopt(now basilmoor.Millis, h *brokerHost, host string, o *basilmoor.Observation) *openGrant {
 	if h.waiting[o.Request] {
 		b.forget(h, o.Request)
--- /dev/null
+++ b/internal/schedule/bmscheduler/model_test.go
@@ -0,0 +1,369 @@
+package bmscheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmmetrics"
+)
+
+// model runs the state machines of entry hosts and brokers on one simulated
+// clock, connected by links that deliver in order, with delay, until they are
+// cut. It has no goroutines.
+type model struct {
+	t       *rapid.T
+	rng     *rand.Rand
+	now     basilmoor.Millis
+	brokers []*modelBroker
+	hosts   []*modelHost
+	links   []*modelLink
+	total   int
+	ended   int
+}
+
+type modelBroker struct {
+	broker *broker
+	policy *fakePolicy
+	paused bool
+}
+
+type modelHost struct {
+	name    string
+	ledger  *ledger
+	link    *modelLink
+	entries []*modelEntry
+}
+
+// modelEntry is one Acquire and what its caller has seen.
+type modelEntry struct {
+	entry   *entry
+	grants  int
+	refused int
+	state   basilmoor.Stage
+	ends    basilmoor.Millis
+}
+
+// message is in transit on a link until it is due.
+type message struct {
+	due basilmoor.Millis
+	run func()
+}
+
+// modelLink is one stream. It is the uplink of a ledger and the session of a
+// broker.
+type modelLink struct {
+	m      *model
+	host   *modelHost
+	to     *modelBroker
+	epoch  int
+	up     []message
+	down   []message
+	cut    bool // nothing passes, and nobody is told
+	closed bool
+}
+
+func (l *modelLink) send(queue *[]message, run func()) {
+	due := l.m.now + basilmoor.Millis(1+l.m.rng.IntN(30))
+	if n := len(*queue); n > 0 {
+		due = max(due, (*queue)[n-1].due)
+	}
+	*queue = append(*queue, message{
+		due: due,
+		run: run,
+	})
+}
+
+func (l *modelLink) toBroker(f func(b *broker, now basilmoor.Millis)) {
+	l.send(&l.up, func() { f(l.to.broker, l.m.now) })
+}
+
+func (l *modelLink) submit(d basilmoor.Demand) {
+	l.toBroker(func(b *broker, now basilmoor.Millis) { b.submit(now, l.host.name, l, d) })
+}
+
+func (l *modelLink) cancel(id basilmoor.RequestID) {
+	l.toBroker(func(b *broker, now basilmoor.Millis) { b.cancel(now, l.host.name, l, id) })
+}
+
+func (l *modelLink) observe(o basilmoor.Observation) {
+	l.toBroker(func(b *broker, now basilmoor.Millis) { b.observe(now, l.host.name, l, o) })
+}
+
+func (l *modelLink) resubmitted() {
+	l.toBroker(func(b *broker, now basilmoor.Millis) { b.endResubmission(now, l.host.name, l) })
+}
+
+func (l *modelLink) keepalive() {
+	l.toBroker(func(b *broker, now basilmoor.Millis) { b.keepalive(now, l.host.name, l) })
+}
+
+// end ends the stream from either side; a cut one tells nobody.
+func (l *modelLink) end() {
+	l.toBroker(func(b *broker, now basilmoor.Millis) { b.detach(now, l.host.name, l) })
+	l.send(&l.down, func() { l.closed = true })
+}
+
+func (l *modelLink) deliver(d basilmoor.Decision) bool {
+	l.send(&l.down, func() { l.host.ledger.decide(l.m.now, l.epoch, d) })
+	return true
+}
+
+func (l *modelLink) alive() {
+	l.send(&l.down, func() { l.host.ledger.hear(l.m.now, l.epoch) })
+}
+
+// pump delivers what is due. A paused broker receives nothing until it resumes.
+func (l *modelLink) pump() {
+	if l.cut {
+		return
+	}
+	for !l.to.paused && len(l.up) > 0 && l.up[0].due <= l.m.now {
+		next := l.up[0]
+		l.up = l.up[1:]
+		next.run()
+	}
+	for len(l.down) > 0 && l.down[0].due <= l.m.now {
+		next := l.down[0]
+		l.down = l.down[1:]
+		next.run()
+	}
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		t:   t,
+		rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+	}
+	catalog := oneTarget(rapid.IntRange(1, 4).Draw(t, "slots"))
+	for i := range 3 {
+		name := fmt.Sprintf("host-%d", i)
+		m.hosts = append(m.hosts, &modelHost{
+			name:   name,
+			ledger: newLedger("models", catalog, bmmetrics.NewRegistry()),
+		})
+		policy := newFakePolicy()
+		b := newBroker("models", policy, true, m.liveHosts)
+		b.setTargets(0, catalog.targets)
+		m.brokers = append(m.brokers, &modelBroker{
+			broker: b,
+			policy: policy,
+		})
+	}
+	return m
+}
+
+func (m *model) liveHosts() []string { return []string{"host-0", "host-1", "host-2"} }
+
+// connect gives a host a new stream to a broker.
+func (m *model) connect(h *modelHost, to *modelBroker) {
+	l := &modelLink{
+		m:     m,
+		host:  h,
+		to:    to,
+		epoch: h.ledger.detach(),
+	}
+	h.link = l
+	m.links = append(m.links, l)
+	l.toBroker(func(b *broker, now basilmoor.Millis) { b.attach(now, h.name, "bole", l) })
+	h.ledger.attach(m.now, l.epoch, l, grantsRemote)
+}
+
+// step advances the clock by one tick.
+func (m *model) step() {
+	for range tickPeriod / 10 {
+		m.now += 10
+		for _, l := range m.links {
+			l.pump()
+		}
+	}
+	m.links = slices.DeleteFunc(m.links, func(l *modelLink) bool {
+		return l.cut || l.host.link != l && len(l.up) == 0 && len(l.down) == 0
+	})
+	for _, b := range m.brokers {
+		if !b.paused {
+			b.broker.tick(m.now)
+		}
+	}
+	for _, h := range m.hosts {
+		m.stepHost(h)
+	}
+}
+
+func (m *model) stepHost(h *modelHost) {
+	h.ledger.tick(m.now)
+	if h.link != nil && (h.link.closed || m.now-h.ledger.status().heard >= silenceBound) {
+		h.ledger.detach()
+		h.link = nil
+	}
+	for _, e := range h.entries {
+		m.callers(h, e)
+	}
+}
+
+// callers plays the holder of a request: it dispatches a grant while it is
+// valid and ends it a little later.
+func (m *model) callers(h *modelHost, e *modelEntry) {
+	select {
+	case d := <-e.entry.decided:
+		if d.Refusal != nil {
+			e.refused++
+			m.ended++
+			return
+		}
+		e.grants++
+		e.ends = m.now + basilmoor.Millis(m.rng.IntN(2000))
+	default:
+	}
+	if e.grants == 0 || Terminal(e.state) {
+		return
+	}
+	if e.state == "" && m.rng.IntN(3) == 0 {
+		m.report(h, e, basilmoor.StageDispatched)
+	}
+	unused := e.state == "" && m.now-e.entry.received >= e.entry.ttl
+	if m.now >= e.ends || unused {
+		stage := basilmoor.StageFinished
+		if e.state == "" {
+			stage = basilmoor.StageReturned
+		}
+		m.report(h, e, stage)
+		m.ended++
+	}
+}
+
+func (m *model) report(h *modelHost, e *modelEntry, stage basilmoor.Stage) {
+	e.state = stage
+	h.ledger.observe(m.now, e.entry, basilmoor.Observation{
+		Stage: stage,
+	})
+}
+
+func (m *model) submit(h *modelHost) {
+	m.total++
+	d := demand(fmt.Sprintf("r%d", m.total))
+	d.Deadline = 10 * basilmoor.Minute
+	h.entries = append(h.entries, &modelEntry{
+		entry: h.ledger.add(m.now, d),
+	})
+}
+
+// inUse counts the requests that callers have granted or dispatched.
+func (m *model) inUse() int {
+	n := 0
+	for _, h := range m.hosts {
+		for _, e := range h.entries {
+			if e.grants > 0 && !Terminal(e.state) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// disturb makes one random change.
+func (m *model) disturb() {
+	h := m.hosts[rapid.IntRange(0, 2).Draw(m.t, "host")]
+	b := m.brokers[rapid.IntRange(0, 2).Draw(m.t, "broker")]
+	switch rapid.SampledFrom([]string{"connect", "cut", "pause", "resume", "restart", "submit", "move"}).Draw(m.t, "change") {
+	case "connect":
+		m.connect(h, b)
+	case "cut":
+		if h.link != nil {
+			h.link.cut = true
+		}
+	case "pause":
+		b.paused = true
+	case "resume":
+		m.resume(b)
+	case "restart":
+		b.policy = newFakePolicy()
+		b.broker = newBroker("models", b.policy, true, m.liveHosts)
+		b.broker.setTargets(m.now, oneTarget(2).targets)
+	case "move":
+		for _, h := range m.hosts {
+			m.connect(h, b)
+		}
+	case "submit":
+		for range 4 {
+			m.submit(h)
+		}
+	}
+}
+
+func (m *model) resume(b *modelBroker) {
+	if b.paused {
+		b.paused = false
+		b.broker.reset(m.now)
+	}
+}
+
+// Guards against demands that are lost or granted twice, and against slots that
+// stay taken, when brokers change, pause and restart and streams break or stop
+// delivering.
+func TestNoDemandIsLostOrGrantedTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		for range rapid.IntRange(1, 30).Draw(t, "changes") {
+			m.disturb()
+			for range rapid.IntRange(1, 40).Draw(t, "ticks") {
+				m.step()
+			}
+		}
+		last := m.brokers[0]
+		m.resume(last)
+		for _, h := range m.hosts {
+			m.connect(h, last)
+		}
+		for range 100_000 {
+			if m.ended == m.total {
+				break
+			}
+			m.step()
+		}
+		for range 10 * basilmoor.Second / tickPeriod {
+			m.step()
+		}
+		for _, h := range m.hosts {
+			for _, e := range h.entries {
+				require.Equal(t, 1, e.grants+e.refused, "%s", e.entry.id)
+				require.Zero(t, e.refused, "%s", e.entry.id)
+			}
+			require.Zero(t, h.ledger.status().entries)
+		}
+		waiting, running := last.policy.counts()
+		require.Zero(t, waiting)
+		require.Zero(t, running)
+		require.Empty(t, last.broker.owner)
+	})
+}
+
+// Guards against a broker that grants slots which are taken by dispatches that
+// another broker granted: while all hosts move together, no target is
+// overfilled.
+func TestMovesDontOverfillTargets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		slots := m.brokers[0].policy.targets[0].Slots
+		for range rapid.IntRange(1, 20).Draw(t, "moves") {
+			for _, h := range m.hosts {
+				for range rapid.IntRange(0, 3).Draw(t, "demands") {
+					m.submit(h)
+				}
+			}
+			to := m.brokers[rapid.IntRange(0, 2).Draw(t, "broker")]
+			for _, h := range m.hosts {
+				m.connect(h, to)
+			}
+			for range rapid.IntRange(1, 100).Draw(t, "ticks") {
+				m.step()
+				require.LessOrEqual(t, m.inUse(), slots)
+			}
+		}
+	})
+}
--- a/internal/schedule/bmscheduler/nodes_test.go
+++ b/internal/schedule/bmscheduler/nodes_test.go
@@ -282,3 +282,126 @@
 	require.Equal(t, int64(1), other.metrics.Snapshot()[grantsRemote])
 	require.Equal(t, int64(1), owner.metrics.Snapshot()[grantsLocal])
 }
+
+// owner returns the node that is the pool's broker, and the others.
+func (f *fleet) owner(nodes ...*node) (*node, []*node) {
+	broker, ok := brokerOf("models", f.catalog, view{
+		fakeMembers: f.members,
+	})
+	require.True(f.t, ok)
+	var others []*node
+	var owner *node
+	for _, n := range nodes {
+		if n.member.Host == broker.Host {
+			owner = n
+		} else {
+			others = append(others, n)
+		}
+	}
+	return owner, others
+}
+
+// Guards against a waiting demand that is lost with its broker, and against an
+// open dispatch that the next broker doesn't count.
+func TestBrokerDies(t *testing.T) {
+	f := newFleet(t, oneTarget(1))
+	a, b, c := f.start("host-a"), f.start("host-b"), f.start("host-c")
+	f.members.set(a.member, b.member, c.member)
+	owner, others := f.owner(a, b, c)
+	running := f.await(acquire(context.Background(), others[0], demand("r1")))
+	require.NoError(t, running.err)
+	running.permit.Observe(basilmoor.Observation{
+		Stage: basilmoor.StageDispatched,
+	})
+	waiting := acquire(context.Background(), others[1], demand("r2"))
+	f.until(func() bool { return owner.running() == 1 && others[1].client.pool("models").ledger.status().attached })
+
+	owner.stop()
+	f.members.set(others[0].member, others[1].member)
+	next, _ := f.owner(others...)
+	f.until(func() bool { return next.running() == 1 })
+	select {
+	case <-waiting:
+		t.Fatal("the slot is taken")
+	default:
+	}
+	running.permit.Observe(basilmoor.Observation{
+		Stage: basilmoor.StageFinished,
+	})
+	granted := f.await(waiting)
+	require.NoError(t, granted.err)
+	require.Positive(t, others[1].metrics.Snapshot()["retries.broker-lost"])
+	granted.permit.Observe(basilmoor.Observation{
+		Stage: basilmoor.StageReturned,
+	})
+	f.until(func() bool { return next.running() == 0 })
+}
+
+// Guards against a host that doesn't serve while no broker is reachable, and
+// against its dispatches being unknown to the broker that comes back.
+func TestFallbackWhileNoBrokerIsReachable(t *testing.T) {
+	f := newFleet(t, oneTarget(4))
+	a, b := f.start("host-a"), f.start("host-b")
+	f.members.set(a.member, b.member)
+	owner, others := f.owner(a, b)
+	lost := owner.member
+	lost.Address = "127.0.0.1:1"
+	f.members.set(others[0].member, lost)
+	first := f.await(acquire(context.Background(), others[0], demand("r1")))
+	second := f.await(acquire(context.Background(), others[0], demand("r2")))
+	require.NoError(t, first.err)
+	require.NoError(t, second.err)
+	first.permit.Observe(basilmoor.Observation{
+		Stage: basilmoor.StageDispatched,
+	})
+	third := acquire(context.Background(), others[0], demand("r3"))
+	f.until(func() bool { return others[0].client.pool("models").ledger.status().entries == 3 })
+	require.Equal(t, int64(2), others[0].metrics.Snapshot()[grantsFallback], "half of four slots")
+
+	f.members.set(others[0].member, owner.member)
+	granted := f.await(third)
+	require.NoError(t, granted.err)
+	require.Equal(t, 3, owner.running())
+	require.Equal(t, int64(1), others[0].metrics.Snapshot()[grantsRemote])
+}
+
+// Guards against a cancelled demand that still gets a slot, and a refusal that
+// doesn't reach the caller.
+func TestCancelAndRefusal(t *testing.T) {
+	f := newFleet(t, oneTarget(1))
+	a, b := f.start("host-a"), f.start("host-b")
+	f.members.set(a.member, b.member)
+	owner, others := f.owner(a, b)
+	held := f.await(acquire(context.Background(), owner, demand("r1")))
+	require.NoError(t, held.err)
+	ctx, cancel := context.WithCancel(context.Background())
+	left := acquire(ctx, others[0], demand("r2"))
+	late := demand("r3")
+	late.Deadline = basilmoor.Second
+	refused := f.await(acquire(context.Background(), others[0], late))
+	var refusal *basilmoor.RefusalError
+	require.ErrorAs(t, refused.err, &refusal)
+	require.Equal(t, basilmoor.ReasonDeadline, refusal.Refusal.Reason)
+	require.Equal(t, basilmoor.RequestID("r3"), refusal.Refusal.Request)
+	cancel()
+	require.ErrorIs(t, f.await(left).err, context.Canceled)
+	held.permit.Observe(basilmoor.Observation{
+		Stage: basilmoor.StageReturned,
+	})
+	f.until(func() bool { return owner.running() == 0 })
+	require.Zero(t, others[0].client.pool("models").ledger.status().entries)
+}
+
+// Guards against a caller that waits for ever when its node stops.
+func TestStopRefusesWaitingDemands(t *testing.T) {
+	f := newFleet(t, oneTarget(0))
+	a := f.start("host-a")
+	f.members.set(a.member)
+	waiting := acquire(context.Background(), a, demand("r1"))
+	f.until(func() bool { return a.client.pool("models").ledger.status().attached })
+	a.stop()
+	var refusal *basilmoor.RefusalError
+	require.ErrorAs(t, (<-waiting).err, &refusal)
+	require.Equal(t, basilmoor.ReasonStopping, refusal.Refusal.Reason)
+	require.Empty(t, a.service.Brokers())
+}
