Bound the age of what heartbeats pass on, and measure control messages

A check of TestLargeFleet with three regions failed: a host counted a place as live 46 s after it was cut off. A tick that was held back while the digests of two hosts differed counted as heard when it arrived, 30 s late. Ticks are one a second, so their arrival now tells their age, and a late one counts as heard when it should have arrived. Hosts that have just started include their own place in the digest, because each of their exchanges else carried summaries for 5 s, and rosters leave out what other places don't need.

--- a/internal/fleet/bmmember/beat.go
+++ b/internal/fleet/bmmember/beat.go
@@ -66,6 +66,31 @@
 	Beat Beat
 }
 
+// hearsaySlack is the largest age that passing a tick on is taken to cause: one
+// second of rounding and one on the way. A tick that arrives later than that
+// counts as heard when it should have arrived, so that an old one, held back
+// while digests differed, doesn't keep a dead host.
+const hearsaySlack = 2 * basilmoor.Second
+
+// timeline relates the ticks of a host or place, one a second, to this host's
+// time: origin is the earliest instant that tick 0 can have had.
+type timeline struct {
+	origin basilmoor.Millis
+}
+
+func newTimeline(heard basilmoor.Millis, tick uint64) timeline {
+	return timeline{
+		origin: heard - basilmoor.Millis(tick)*basilmoor.Second,
+	}
+}
+
+// heard returns when a tick that arrives now counts as heard.
+func (t *timeline) heard(now basilmoor.Millis, tick uint64) basilmoor.Millis {
+	since := basilmoor.Millis(tick) * basilmoor.Second
+	t.origin = min(t.origin, now-since)
+	return min(now, t.origin+since+hearsaySlack)
+}
+
 // advance returns the tick whose low byte is b, if it is ahead of tick by less
 // than half of the range, else tick. What is passed on is a few seconds old at
 // most, and the range is 256 s.
--- a/internal/fleet/bmmember/driver.go
+++ b/internal/fleet/bmmember/driver.go
@@ -82,8 +82,8 @@
 	return d.state.Self()
 }
 
-// Live returns the live members including this host, ordered by name. The
-// caller must not change the slice.
+// Live returns the live members including this host, ordered by name, as State
+// does. The caller must not change the slice.
 func (d *Driver) Live() []basilmoor.Member {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/fleet/bmmember/exchange.go
+++ b/internal/fleet/bmmember/exchange.go
@@ -56,7 +56,7 @@
 
 // Beats returns the heartbeats that are due. The caller calls it once a Period.
 func (s *State) Beats(now basilmoor.Millis) []Outgoing {
-	s.tick++
+	s.countTick(now)
 	s.expire(now)
 	targets := s.meshTargets(now)
 	targets = append(targets, s.dueCandidates(now)...)
@@ -74,6 +74,11 @@
 	return out
 }
 
+// countTick counts the seconds of this incarnation, from 1.
+func (s *State) countTick(now basilmoor.Millis) {
+	s.tick = uint64((now-s.started)/basilmoor.Second) + 1
+}
+
 // view holds what all heartbeats of one instant have in common.
 type view struct {
 	mesh         []*record
@@ -117,7 +122,7 @@
 	if v.rosterDigest != 0 {
 		b.PlaceTick = s.placeTickFor(now, to.Place)
 		b.RosterDigest = v.rosterDigest
-		b.RosterTicks = rosterTicks(v.rosters)
+		b.RosterTicks = s.rosterTicks(now, to.Place, v.rosters)
 	}
 	return Outgoing{
 		Peer: to,
@@ -143,6 +148,7 @@
 	s.noteShape(now, in)
 	p := s.peer(in.Self.Host)
 	v := s.merge(now, in)
+	s.countTick(now)
 	s.sequence++
 	out := Beat{
 		Self:      s.describe(!in.Introduce),
@@ -164,12 +170,14 @@
 	if in.RosterDigest == 0 || v.rosterDigest == 0 {
 		return out
 	}
+	place := ""
 	if r, held := s.records[in.Self.Host]; held {
-		out.PlaceTick = s.placeTickFor(now, r.member.Place)
+		place = r.member.Place
 	}
+	out.PlaceTick = s.placeTickFor(now, place)
 	out.RosterDigest = v.rosterDigest
 	if in.RosterDigest == v.rosterDigest {
-		out.RosterTicks = rosterTicks(v.rosters)
+		out.RosterTicks = s.rosterTicks(now, place, v.rosters)
 	} else {
 		out.Summaries = summaries(v.rosters)
 	}
@@ -246,6 +254,7 @@
 		r = &record{
 			member:  m,
 			changed: now,
+			line:    newTimeline(now, in.Tick),
 		}
 		s.putRecord(r)
 	}
@@ -258,6 +267,7 @@
 	}
 	r.sequence = in.Sequence
 	r.tick = max(r.tick, in.Tick)
+	r.line.heard(now, in.Tick)
 	r.heard = now
 	r.direct = now
 	r.member = m
@@ -307,7 +317,7 @@
 	}
 	if in.MeshDigest != 0 && in.MeshDigest == v.meshDigest && len(in.MeshTicks) == len(v.mesh) {
 		for i, r := range v.mesh {
-			s.advanceRecord(now, r, advance(r.tick, in.MeshTicks[i]))
+			s.advanceRecord(now, r, advance(r.tick, in.MeshTicks[i]), 0)
 		}
 	}
 	if in.RosterDigest != 0 && in.RosterDigest == v.rosterDigest && len(in.RosterTicks) == len(v.rosters) {
@@ -325,7 +335,7 @@
 	return v
 }
 
-func (s *State) advanceRecord(now basilmoor.Millis, r *record, tick uint64) {
+func (s *State) advanceRecord(now basilmoor.Millis, r *record, tick uint64, age basilmoor.Millis) {
 	if tick <= r.tick || !s.accept(now, r.member, tick) {
 		return
 	}
@@ -333,14 +343,14 @@
 		s.changes++
 	}
 	r.tick = tick
-	r.heard = now
+	r.heard = max(r.heard, min(now-age, r.line.heard(now, tick)))
 }
 
 func (s *State) advanceRosters(now basilmoor.Millis, all []*roster, ticks []byte) {
 	for i, r := range all {
 		if tick := advance(r.tick, ticks[i]); tick > r.tick && r.place != s.self.Place {
 			r.tick = tick
-			r.vouched = now
+			r.vouched = max(r.vouched, r.line.heard(now, tick))
 		}
 	}
 }
@@ -357,7 +367,7 @@
 	}
 	r, held := s.records[m.Host]
 	if held && r.member.Incarnation == m.Incarnation {
-		s.advanceRecord(now, r, k.Tick)
+		s.advanceRecord(now, r, k.Tick, max(k.Age, 0))
 		if m.Leaving && !r.member.Leaving {
 			r.member.Leaving = true
 			r.changed = now
@@ -374,6 +384,7 @@
 		tick:    k.Tick,
 		heard:   now - max(k.Age, 0),
 		direct:  now - silentAfter,
+		line:    newTimeline(now-max(k.Age, 0), k.Tick),
 		changed: now,
 	})
 }
@@ -406,7 +417,12 @@
 	return ticks
 }
 
-func rosterTicks(all []*roster) []byte {
+// rosterTicks returns the low bytes of the ticks for a host of the place.
+// Another place isn't sent any before this host can vouch for its own.
+func (s *State) rosterTicks(now basilmoor.Millis, place string, all []*roster) []byte {
+	if place != s.self.Place && s.young(now) {
+		return nil
+	}
 	ticks := make([]byte, len(all))
 	for i, r := range all {
 		ticks[i] = byte(r.tick)
--- a/internal/fleet/bmmember/roster.go
+++ b/internal/fleet/bmmember/roster.go
@@ -19,7 +19,8 @@
 	members []basilmoor.Member
 	digest  uint64
 	tick    uint64
-	vouched basilmoor.Millis // last increase of the tick
+	vouched basilmoor.Millis // when the tick counts as heard
+	line    timeline
 }
 
 func newRoster(place, region string, members []basilmoor.Member, tick uint64, vouched basilmoor.Millis) *roster {
@@ -30,12 +31,13 @@
 		digest:  digestMembers(members),
 		tick:    tick,
 		vouched: vouched,
+		line:    newTimeline(vouched, tick),
 	}
 }
 
 // digestMembers covers what a change of has to be passed on. Load, shed level
-// and configuration version change too often for that; other places learn them
-// together with the next change.
+// and configuration version change too often for that; other places don't
+// learn them.
 func digestMembers(members []basilmoor.Member) uint64 {
 	var d xxhash.Digest
 	d.Reset()
@@ -113,6 +115,20 @@
 	return members
 }
 
+// forRoster returns the members without what changes too often to be passed on
+// to other places.
+func forRoster(members []basilmoor.Member) []basilmoor.Member {
+	out := make([]basilmoor.Member, 0, len(members))
+	for _, m := range members {
+		m.ConfigVersion = 0
+		m.ConfigNote = ""
+		m.Load = 0
+		m.ShedLevel = 0
+		out = append(out, m)
+	}
+	return out
+}
+
 func (s *State) deleteRoster(place string) {
 	delete(s.rosters, place)
 	s.places = nil
@@ -166,17 +182,19 @@
 	return s.placeTick(now)
 }
 
+// young reports whether this host can't vouch for its place yet.
+func (s *State) young(now basilmoor.Millis) bool {
+	return now-s.started < vouchAfter
+}
+
 // allRosters returns the rosters of all places, ordered by place, and their
-// digest. This host's own is among them once it can vouch for it. A fleet that
-// is one mesh has none.
+// digest. This host's own has tick 0, which nobody takes over, until the host
+// can vouch for it. A fleet that is one mesh has none.
 func (s *State) allRosters(now basilmoor.Millis) ([]*roster, uint64) {
 	if !s.large {
 		return nil, 0
 	}
 	others := s.orderedRosters()
-	if now-s.started < vouchAfter {
-		return others, digestRosters(others)
-	}
 	at, _ := slices.BinarySearchFunc(others, s.self.Place, func(r *roster, place string) int {
 		return strings.Compare(r.place, place)
 	})
@@ -187,6 +205,9 @@
 		tick:    s.placeTick(now),
 		vouched: now,
 	}
+	if s.young(now) {
+		own.tick = 0
+	}
 	all := make([]*roster, 0, 1+len(others))
 	all = append(all, others[:at]...)
 	all = append(all, own)
@@ -227,6 +248,10 @@
 	if now-vouched >= s.rosterRemoveAfter(r) {
 		return
 	}
+	if ok {
+		r.line.origin = min(r.line.origin, held.line.origin)
+		r.vouched = min(vouched, r.line.heard(now, r.tick))
+	}
 	s.putRoster(r)
 	if ok {
 		s.keepLost(now, held, r)
@@ -297,7 +322,7 @@
 func (s *State) export(now basilmoor.Millis, r *roster) Roster {
 	members := r.members
 	if r.place == s.self.Place {
-		members = s.ownMembers(now)
+		members = forRoster(s.ownMembers(now))
 	}
 	return Roster{
 		Place:   r.place,
--- a/internal/fleet/bmmember/state.go
+++ b/internal/fleet/bmmember/state.go
@@ -64,8 +64,9 @@
 	member   basilmoor.Member
 	sequence uint64
 	tick     uint64
-	heard    basilmoor.Millis // last increase of the tick
+	heard    basilmoor.Millis // when the tick counts as heard
 	direct   basilmoor.Millis // last heartbeat at this host
+	line     timeline
 	changed  basilmoor.Millis // last change that the digest of the mesh covers
 }
 
@@ -146,7 +147,8 @@
 }
 
 // Live returns the live members including this host, ordered by name, without
-// those that are leaving.
+// those that are leaving. In fleets of more than FullMeshHosts, members of
+// other places have no configuration version, load and shed level.
 func (s *State) Live(now basilmoor.Millis) []basilmoor.Member {
 	members := make([]basilmoor.Member, 0, 1+len(s.records))
 	if !s.self.Leaving {
--- /dev/null
+++ b/internal/schedule/bmscheduler/bench_test.go
@@ -0,0 +1,219 @@
+package bmscheduler
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmmetrics"
+	"basilmoor.example/basilmoor/internal/fleet/bmpeerpb"
+)
+
+// Framing of one message on an open stream that is sent alone: an IP and TCP
+// header, a DATA frame and the gRPC prefix. Messages that are sent together
+// share the first part, so that this is an upper bound.
+const messageFraming = 52 + 9 + 5
+
+// fifoPolicy grants in order of arrival in constant time, so that the
+// benchmark measures the path and not the policy.
+type fifoPolicy struct {
+	target  basilmoor.Target
+	free    int
+	waiting []basilmoor.RequestID
+}
+
+func (p *fifoPolicy) SetTargets(_ basilmoor.Millis, targets []basilmoor.Target) []basilmoor.Decision {
+	p.target = targets[0]
+	p.free = p.target.Slots
+	return nil
+}
+
+func (p *fifoPolicy) Submit(_ basilmoor.Millis, d basilmoor.Demand) []basilmoor.Decision {
+	p.waiting = append(p.waiting, d.Request)
+	return p.grant()
+}
+
+func (p *fifoPolicy) Observe(_ basilmoor.Millis, o basilmoor.Observation) []basilmoor.Decision {
+	if Terminal(o.Stage) {
+		p.free++
+	}
+	return p.grant()
+}
+
+func (p *fifoPolicy) grant() []basilmoor.Decision {
+	if p.free == 0 || len(p.waiting) == 0 {
+		return nil
+	}
+	p.free--
+	id := p.waiting[0]
+	p.waiting = p.waiting[1:]
+	return []basilmoor.Decision{{
+		Grant: &basilmoor.Grant{
+			Request: id,
+			Target:  p.target,
+			TTL:     fakeTTL,
+		},
+	}}
+}
+
+func (p *fifoPolicy) Cancel(basilmoor.Millis, basilmoor.RequestID) []basilmoor.Decision { return nil }
+
+func (p *fifoPolicy) Report(basilmoor.Millis, basilmoor.LoadReport) []basilmoor.Decision { return nil }
+
+func (p *fifoPolicy) Tick(basilmoor.Millis) []basilmoor.Decision { return nil }
+
+// encodedLink carries messages in encoded form between a ledger and a broker.
+type encodedLink struct {
+	b      *testing.B
+	broker *broker
+	ledger *ledger
+	host   string
+	epoch  int
+	sess   *streamSession
+	up     *streamUplink
+	bytes  int
+	sent   int
+}
+
+func newEncodedLink(b *testing.B, br *broker, host string) *encodedLink {
+	l := &encodedLink{
+		b:      b,
+		broker: br,
+		ledger: newLedger("models", oneTarget(1), bmmetrics.NewRegistry()),
+		host:   host,
+		sess: &streamSession{
+			host:   host,
+			outbox: newMailbox[*bmpeerpb.ScheduleResponse](),
+		},
+		up: &streamUplink{
+			outbox: newMailbox[*bmpeerpb.ScheduleRequest](),
+		},
+	}
+	br.attach(0, host, "bole", l.sess)
+	l.epoch = l.ledger.detach()
+	l.ledger.attach(0, l.epoch, l.up, grantsRemote)
+	l.pump()
+	return l
+}
+
+// pump carries everything that is queued in both directions.
+func (l *encodedLink) pump() {
+	for _, m := range l.up.outbox.take() {
+		in := &bmpeerpb.ScheduleRequest{}
+		l.carry(m, in)
+		l.sess.action(in)(l.broker, 0)
+	}
+	for _, m := range l.sess.outbox.take() {
+		in := &bmpeerpb.ScheduleResponse{}
+		l.carry(m, in)
+		if d, ok := decodeDecision(in); ok {
+			l.ledger.decide(0, l.epoch, d)
+		}
+	}
+}
+
+func (l *encodedLink) carry(out, in proto.Message) {
+	wire, err := proto.Marshal(out)
+	if err != nil {
+		l.b.Fatal(err)
+	}
+	if err := proto.Unmarshal(wire, in); err != nil {
+		l.b.Fatal(err)
+	}
+	l.bytes += len(wire) + messageFraming
+	l.sent++
+}
+
+// benchmarkDemand is a label review of 2,000 tokens with prefix digests for
+// its first 1,024.
+func benchmarkDemand(n int) basilmoor.Demand {
+	d := demand(fmt.Sprintf("10.1.0.16-1764820000-%d", n))
+	d.Workspace = "piedmont-seedleaf"
+	d.Kind = "label-review"
+	d.Model = "seedpaper-8b"
+	d.PromptTokens = 1500
+	d.OutputTokens = 500
+	d.BodyBytes = 6000
+	d.PrefixDigests = make([]uint64, 1024/basilmoor.PrefixBlockTokens)
+	return d
+}
+
+// BenchmarkControl reports the cost of one demand from submission to its end
+// through the encoded path: bytes on the wire with framing, messages,
+// allocations and time of both ends, by the number of hosts and of demands
+// that wait. Each demand reports dispatch, first token, seven times progress,
+// and end.
+func BenchmarkControl(b *testing.B) {
+	sizes := []struct{ hosts, waiting int }{
+		{hosts: 6, waiting: 10},
+		{hosts: 9, waiting: 100},
+		{hosts: 96, waiting: 1000},
+		{hosts: 390, waiting: 10000},
+	}
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("hosts=%d/waiting=%d", size.hosts, size.waiting), func(b *testing.B) {
+			br := newBroker("models", &fifoPolicy{}, false, nil)
+			br.setTargets(0, oneTarget(1).targets)
+			links := make([]*encodedLink, size.hosts)
+			for i := range links {
+				links[i] = newEncodedLink(b, br, fmt.Sprintf("host-%d", i))
+			}
+			var queue []*entry
+			submit := func(n int) {
+				l := links[n%size.hosts]
+				queue = append(queue, l.ledger.add(0, benchmarkDemand(n)))
+				l.pump()
+			}
+			for n := range size.waiting {
+				submit(n)
+			}
+			for _, l := range links {
+				l.bytes, l.sent = 0, 0
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for n := range b.N {
+				submit(size.waiting + n)
+				finish(b, links, links[n%size.hosts], queue[n])
+			}
+			bytes, sent := 0, 0
+			for _, l := range links {
+				bytes += l.bytes
+				sent += l.sent
+			}
+			b.ReportMetric(float64(bytes)/float64(b.N), "B/demand")
+			b.ReportMetric(float64(sent)/float64(b.N), "messages/demand")
+		})
+	}
+}
+
+// finish plays the life of the demand that is granted next. The end of one
+// grants the next, which may belong to any host.
+func finish(b *testing.B, links []*encodedLink, l *encodedLink, e *entry) {
+	if len(e.decided) != 1 {
+		b.Fatalf("%s is not granted", e.id)
+	}
+	now := basilmoor.Millis(0)
+	report := func(stage basilmoor.Stage) {
+		l.ledger.observe(now, e, basilmoor.Observation{
+			Stage:   stage,
+			Tokens:  int(now / 31),
+			Elapsed: now,
+		})
+		l.pump()
+	}
+	report(basilmoor.StageDispatched)
+	report(basilmoor.StageFirstToken)
+	for range 7 {
+		now += progressPeriod
+		report(basilmoor.StageProgress)
+	}
+	report(basilmoor.StageFinished)
+	for _, other := range links {
+		if len(other.sess.outbox.ready) > 0 {
+			other.pump()
+		}
+	}
+}
