--- a/internal/schedule/bmscheduler/convert.go
+++ b/internal/schedule/bmscheduler/convert.go
@@ -1,13 +1,59 @@
 package bmscheduler
 
 import (
+	"strconv"
+
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/fleet/bmpeerpb"
 )
 
-func encodeDemand(d basilmoor.Demand) *bmpeerpb.Demand {
+// codec converts the requests of one run of a host's process. On the wire they
+// are numbers, since names would be half of all control traffic.
+type codec struct {
+	prefix string
+}
+
+func newCodec(host string, incarnation uint64) codec {
+	return codec{
+		prefix: host + "#" + strconv.FormatUint(incarnation, 36) + "/",
+	}
+}
+
+func (c codec) id(number uint64) basilmoor.RequestID {
+	return basilmoor.RequestID(c.prefix + strconv.FormatUint(number, 10))
+}
+
+// number returns the number in an id that this codec made.
+func (c codec) number(id basilmoor.RequestID) uint64 {
+	n, err := strconv.ParseUint(string(id[len(c.prefix):]), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+var stageCodes = map[basilmoor.Stage]bmpeerpb.Stage{
+	basilmoor.StageReturned:   bmpeerpb.Stage_STAGE_RETURNED,
+	basilmoor.StageDispatched: bmpeerpb.Stage_STAGE_DISPATCHED,
+	basilmoor.StageFirstToken: bmpeerpb.Stage_STAGE_FIRST_TOKEN,
+	basilmoor.StageProgress:   bmpeerpb.Stage_STAGE_PROGRESS,
+	basilmoor.StageFinished:   bmpeerpb.Stage_STAGE_FINISHED,
+	basilmoor.StageFailed:     bmpeerpb.Stage_STAGE_FAILED,
+}
+
+// decodeStage takes a stage that a newer node may send as progress.
+func decodeStage(code bmpeerpb.Stage) basilmoor.Stage {
+	for stage, c := range stageCodes {
+		if c == code {
+			return stage
+		}
+	}
+	return basilmoor.StageProgress
+}
+
+func (c codec) encodeDemand(d basilmoor.Demand) *bmpeerpb.Demand {
 	return &bmpeerpb.Demand{
-		Request:       string(d.Request),
+		Number:        c.number(d.Request),
 		Workspace:     d.Workspace,
 		Weight:        int32(d.Weight),
 		Tier:          int32(d.Tier),
@@ -24,9 +70,9 @@
 }
 
 // decodeDemand leaves out host, place and pool, which belong to the stream.
-func decodeDemand(in *bmpeerpb.Demand) basilmoor.Demand {
+func (c codec) decodeDemand(in *bmpeerpb.Demand) basilmoor.Demand {
 	return basilmoor.Demand{
-		Request:       basilmoor.RequestID(in.GetRequest()),
+		Request:       c.id(in.GetNumber()),
 		Workspace:     in.GetWorkspace(),
 		Weight:        int(in.GetWeight()),
 		Tier:          int(in.GetTier()),
@@ -42,47 +88,47 @@
 	}
 }
 
-func encodeObservation(o basilmoor.Observation) *bmpeerpb.Observation {
+func (c codec) encodeObservation(o basilmoor.Observation) *bmpeerpb.Observation {
 	out := &bmpeerpb.Observation{
-		Request:      string(o.Request),
-		Stage:        string(o.Stage),
+		Number:       c.number(o.Request),
+		Stage:        stageCodes[o.Stage],
 		Tokens:       int32(o.Tokens),
 		ElapsedMs:    int64(o.Elapsed),
 		CachedTokens: int32(o.CachedTokens),
 	}
 	if o.Demand != nil {
 		out.Target = o.Target
-		out.Demand = encodeDemand(*o.Demand)
-		out.Demand.Request = ""
+		out.Demand = c.encodeDemand(*o.Demand)
+		out.Demand.Number = 0
 	}
 	return out
 }
 
-func decodeObservation(in *bmpeerpb.Observation) basilmoor.Observation {
+func (c codec) decodeObservation(in *bmpeerpb.Observation) basilmoor.Observation {
 	o := basilmoor.Observation{
-		Request:      basilmoor.RequestID(in.GetRequest()),
+		Request:      c.id(in.GetNumber()),
 		Target:       in.GetTarget(),
-		Stage:        basilmoor.Stage(in.GetStage()),
+		Stage:        decodeStage(in.GetStage()),
 		Tokens:       int(in.GetTokens()),
 		Elapsed:      basilmoor.Millis(in.GetElapsedMs()),
 		CachedTokens: int(in.GetCachedTokens()),
 	}
 	if in.GetDemand() != nil {
-		d := decodeDemand(in.GetDemand())
+		d := c.decodeDemand(in.GetDemand())
 		d.Request = o.Request
 		o.Demand = &d
 	}
 	return o
 }
 
-func encodeDecision(d basilmoor.Decision) *bmpeerpb.ScheduleResponse {
+func (c codec) encodeDecision(d basilmoor.Decision) *bmpeerpb.ScheduleResponse {
 	if d.Grant != nil {
 		return &bmpeerpb.ScheduleResponse{
 			Message: &bmpeerpb.ScheduleResponse_Grant{
 				Grant: &bmpeerpb.Grant{
-					Request: string(d.Grant.Request),
-					Target:  d.Grant.Target.Name,
-					TtlMs:   int64(d.Grant.TTL),
+					Number: c.number(d.Grant.Request),
+					Target: d.Grant.Target.Name,
+					TtlMs:  int64(d.Grant.TTL),
 				},
 			},
 		}
@@ -90,7 +136,7 @@
 	return &bmpeerpb.ScheduleResponse{
 		Message: &bmpeerpb.ScheduleResponse_Refusal{
 			Refusal: &bmpeerpb.Refusal{
-				Request:      string(d.Refusal.Request),
+				Number:       c.number(d.Refusal.Request),
 				Reason:       string(d.Refusal.Reason),
 				RetryAfterMs: int64(d.Refusal.RetryAfter),
 			},
@@ -100,12 +146,12 @@
 
 // decodeDecision returns a grant whose target has only its name; false for a
 // keepalive.
-func decodeDecision(in *bmpeerpb.ScheduleResponse) (basilmoor.Decision, bool) {
+func (c codec) decodeDecision(in *bmpeerpb.ScheduleResponse) (basilmoor.Decision, bool) {
 	switch m := in.GetMessage().(type) {
 	case *bmpeerpb.ScheduleResponse_Grant:
 		return basilmoor.Decision{
 			Grant: &basilmoor.Grant{
-				Request: basilmoor.RequestID(m.Grant.GetRequest()),
+				Request: c.id(m.Grant.GetNumber()),
 				Target: basilmoor.Target{
 					Name: m.Grant.GetTarget(),
 				},
@@ -115,7 +161,7 @@
 	case *bmpeerpb.ScheduleResponse_Refusal:
 		return basilmoor.Decision{
 			Refusal: &basilmoor.Refusal{
-				Request:    basilmoor.RequestID(m.Refusal.GetRequest()),
+				Request:    c.id(m.Refusal.GetNumber()),
 				Reason:     basilmoor.Reason(m.Refusal.GetReason()),
 				RetryAfter: basilmoor.Millis(m.Refusal.GetRetryAfterMs()),
 			},
--- a/internal/schedule/bmscheduler/ledger.go
+++ b/internal/schedule/bmscheduler/ledger.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 
@@ -11,9 +10,13 @@
 )
 
 // progressPeriod is the least time between two progress reports of a request.
-// A request that streams for 15 s costs seven of them; one for each token
+// A request that streams for 15 s costs three of them; one for each token
 // would exceed the node's budget for control messages.
-const progressPeriod = 2 * basilmoor.Second
+const progressPeriod = 5 * basilmoor.Second
+
+// flushPeriod bounds the time that reports which don't free capacity are held
+// back, so that several share one segment.
+const flushPeriod basilmoor.Millis = 250
 
 // uplink is the client's side of a session. Its methods don't block and don't
 // call the ledger.
@@ -23,6 +26,8 @@
 	observe(o basilmoor.Observation)
 	resubmitted()
 	keepalive()
+	// flush sends what was held back to be sent together.
+	flush()
 	end()
 }
 
@@ -54,6 +59,7 @@
 // ledger holds the waiting demands and open grants of one pool at their entry
 // host. It is safe for concurrent use.
 type ledger struct {
+	codec   codec
 	pool    string
 	catalog basilmoor.CatalogSource
 	metrics *bmmetrics.Registry
@@ -65,13 +71,15 @@
 	epoch   int
 	source  string // counter of grants from up
 	sent    basilmoor.Millis
+	flushed basilmoor.Millis
 	heard   basilmoor.Millis
 	used    basilmoor.Millis // last time with an entry
 	stopped bool
 }
 
-func newLedger(pool string, catalog basilmoor.CatalogSource, metrics *bmmetrics.Registry) *ledger {
+func newLedger(pool string, c codec, catalog basilmoor.CatalogSource, metrics *bmmetrics.Registry) *ledger {
 	return &ledger{
+		codec:   c,
 		pool:    pool,
 		catalog: catalog,
 		metrics: metrics,
@@ -85,7 +93,7 @@
 	defer l.mu.Unlock()
 	l.next++
 	e := &entry{
-		id:        d.Request + basilmoor.RequestID("."+strconv.FormatUint(l.next, 36)),
+		id:        l.codec.id(l.next),
 		demand:    d,
 		submitted: now,
 		decided:   make(chan basilmoor.Decision, 1),
@@ -335,6 +343,10 @@
 	if len(l.entries) > 0 {
 		l.used = now
 	}
+	if l.up != nil && now-l.flushed >= flushPeriod {
+		l.flushed = now
+		l.up.flush()
+	}
 	if l.up != nil && now-l.sent >= keepalivePeriod {
 		l.sent = now
 		l.up.keepalive()
--- a/internal/schedule/bmscheduler/mailbox.go
+++ b/internal/schedule/bmscheduler/mailbox.go
@@ -21,16 +21,29 @@
 
 // put appends an item. It returns the length, or 0 if the mailbox is closed.
 func (m *mailbox[T]) put(item T) int {
+	n := m.putLater(item)
+	m.wake()
+	return n
+}
+
+// putLater appends an item without waking the receiver.
+func (m *mailbox[T]) putLater(item T) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.closed {
 		return 0
 	}
 	m.items = append(m.items, item)
-	m.wake()
 	return len(m.items)
 }
 
+// empty reports whether there are no items.
+func (m *mailbox[T]) empty() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.items) == 0
+}
+
 // take removes and returns all items.
 func (m *mailbox[T]) take() []T {
 	m.mu.Lock()
--- a/internal/schedule/bmscheduler/pool_client.go
+++ b/internal/schedule/bmscheduler/pool_client.go
@@ -67,10 +67,11 @@
 }
 
 func newPoolClient(cfg ClientConfig, pool string) *poolClient {
+	self := cfg.Membership.Self()
 	return &poolClient{
 		cfg:    cfg,
 		pool:   pool,
-		ledger: newLedger(pool, cfg.Catalog, cfg.Metrics),
+		ledger: newLedger(pool, newCodec(self.Host, self.Incarnation), cfg.Catalog, cfg.Metrics),
 		wakeUp: make(chan struct{}, 1),
 		opened: make(chan openedStream, 1),
 		broken: make(chan int, 16),
@@ -178,9 +179,10 @@
 	p.address = broker.Address
 	p.wg.Add(1)
 	go p.loop(ctx, broker, &bmpeerpb.Hello{
-		Pool:  p.pool,
-		Host:  self.Host,
-		Place: self.Place,
+		Pool:        p.pool,
+		Host:        self.Host,
+		Place:       self.Place,
+		Incarnation: self.Incarnation,
 	})
 }
 
@@ -285,6 +287,7 @@
 	epoch := p.ledger.detach()
 	up := &streamUplink{
 		stream:  o.stream,
+		codec:   p.ledger.codec,
 		cancels: o.cancel,
 		outbox:  newMailbox[*bmpeerpb.ScheduleRequest](),
 		clock:   p.cfg.Clock,
--- a/internal/schedule/bmscheduler/stream_client.go
+++ b/internal/schedule/bmscheduler/stream_client.go
@@ -17,6 +17,7 @@
 // streamUplink connects a client to a broker on another node.
 type streamUplink struct {
 	stream  scheduleClient
+	codec   codec
 	cancels context.CancelFunc
 	outbox  *mailbox[*bmpeerpb.ScheduleRequest]
 	clock   basilmoor.Clock
@@ -80,7 +81,7 @@
 		}
 		u.metrics.Add("control.messages-received", 1)
 		u.metrics.Add("control.bytes-received", int64(proto.Size(m)))
-		d, ok := decodeDecision(m)
+		d, ok := u.codec.decodeDecision(m)
 		if !ok {
 			u.ledger.hear(u.clock.Now(), u.epoch)
 			continue
@@ -89,6 +90,20 @@
 	}
 }
 
+// queueLater queues a message that goes out with the next one, or at the next
+// flush.
+func (u *streamUplink) queueLater(m *bmpeerpb.ScheduleRequest) {
+	if u.outbox.putLater(m) > maxQueuedMessages {
+		u.end()
+	}
+}
+
+func (u *streamUplink) flush() {
+	if !u.outbox.empty() {
+		u.outbox.wake()
+	}
+}
+
 func (u *streamUplink) queue(m *bmpeerpb.ScheduleRequest) {
 	if u.outbox.put(m) > maxQueuedMessages {
 		u.end()
@@ -98,7 +113,7 @@
 func (u *streamUplink) submit(d basilmoor.Demand) {
 	u.queue(&bmpeerpb.ScheduleRequest{
 		Message: &bmpeerpb.ScheduleRequest_Demand{
-			Demand: encodeDemand(d),
+			Demand: u.codec.encodeDemand(d),
 		},
 	})
 }
@@ -106,17 +121,22 @@
 func (u *streamUplink) cancel(id basilmoor.RequestID) {
 	u.queue(&bmpeerpb.ScheduleRequest{
 		Message: &bmpeerpb.ScheduleRequest_Cancel{
-			Cancel: string(id),
+			Cancel: u.codec.number(id),
 		},
 	})
 }
 
 func (u *streamUplink) observe(o basilmoor.Observation) {
-	u.queue(&bmpeerpb.ScheduleRequest{
+	m := &bmpeerpb.ScheduleRequest{
 		Message: &bmpeerpb.ScheduleRequest_Observation{
-			Observation: encodeObservation(o),
+			Observation: u.codec.encodeObservation(o),
 		},
-	})
+	}
+	if o.Stage == basilmoor.StageFirstToken || o.Stage == basilmoor.StageProgress {
+		u.queueLater(m)
+		return
+	}
+	u.queue(m)
 }
 
 func (u *streamUplink) resubmitted() {
--- a/internal/schedule/bmscheduler/stream_server.go
+++ b/internal/schedule/bmscheduler/stream_server.go
@@ -20,6 +20,7 @@
 // streamSession is the session of a remote host.
 type streamSession struct {
 	stream scheduleServer
+	codec  codec
 	host   string
 	loop   *poolLoop
 	outbox *mailbox[*bmpeerpb.ScheduleResponse]
@@ -39,6 +40,7 @@
 	}
 	sess := &streamSession{
 		stream: stream,
+		codec:  newCodec(hello.GetHost(), hello.GetIncarnation()),
 		host:   hello.GetHost(),
 		outbox: newMailbox[*bmpeerpb.ScheduleResponse](),
 		over:   make(chan struct{}),
@@ -90,11 +92,11 @@
 	return func(b *broker, now basilmoor.Millis) {
 		switch m := m.GetMessage().(type) {
 		case *bmpeerpb.ScheduleRequest_Demand:
-			b.submit(now, s.host, s, decodeDemand(m.Demand))
+			b.submit(now, s.host, s, s.codec.decodeDemand(m.Demand))
 		case *bmpeerpb.ScheduleRequest_Cancel:
-			b.cancel(now, s.host, s, basilmoor.RequestID(m.Cancel))
+			b.cancel(now, s.host, s, s.codec.id(m.Cancel))
 		case *bmpeerpb.ScheduleRequest_Observation:
-			b.observe(now, s.host, s, decodeObservation(m.Observation))
+			b.observe(now, s.host, s, s.codec.decodeObservation(m.Observation))
 		case *bmpeerpb.ScheduleRequest_Resubmitted:
 			b.endResubmission(now, s.host, s)
 		default:
@@ -104,7 +106,7 @@
 }
 
 func (s *streamSession) deliver(d basilmoor.Decision) bool {
-	return s.queue(encodeDecision(d))
+	return s.queue(s.codec.encodeDecision(d))
 }
 
 func (s *streamSession) alive() {
--- a/internal/schedule/bmscheduler/uplink.go
+++ b/internal/schedule/bmscheduler/uplink.go
@@ -71,6 +71,8 @@
 	u.call(func(b *broker, now basilmoor.Millis, s session) { b.keepalive(now, u.host, s) })
 }
 
+func (u *localUplink) flush() {}
+
 func (u *localUplink) end() {
 	u.call(func(b *broker, now basilmoor.Millis, s session) { b.detach(now, u.host, s) })
 }
