--- a/internal/capacity/bmmeasure/control.go
+++ b/internal/capacity/bmmeasure/control.go
@@ -45,8 +45,9 @@
 	return []Series{byPrompt, byTargets}
 }
 
-// requestID has the length that the identifiers of entry hosts have.
-const requestID = "entry-123-1796356800000-123456"
+// typicalNumber stands for the number of a request, which takes as many bytes
+// as that of the hundred thousandth request of a host.
+const typicalNumber = 123456
 
 func requestBytes(prefixes int) int {
 	digests := make([]uint64, prefixes)
@@ -57,7 +58,7 @@
 		&bmpeerpb.ScheduleRequest{
 			Message: &bmpeerpb.ScheduleRequest_Demand{
 				Demand: &bmpeerpb.Demand{
-					Request:       requestID,
+					Number:        typicalNumber,
 					Workspace:     "workspace-12345",
 					Weight:        3,
 					Tier:          1,
@@ -74,15 +75,15 @@
 		&bmpeerpb.ScheduleResponse{
 			Message: &bmpeerpb.ScheduleResponse_Grant{
 				Grant: &bmpeerpb.Grant{
-					Request: requestID,
-					Target:  "engine-kinston-123",
-					TtlMs:   1000,
+					Number: typicalNumber,
+					Target: "engine-kinston-123",
+					TtlMs:  1000,
 				},
 			},
 		},
-		observation("dispatched", 0, 0),
-		observation("first-token", 1, 300),
-		observation("finished", 500, 15000),
+		observation(bmpeerpb.Stage_STAGE_DISPATCHED, 0, 0),
+		observation(bmpeerpb.Stage_STAGE_FIRST_TOKEN, 1, 300),
+		observation(bmpeerpb.Stage_STAGE_FINISHED, 500, 15000),
 	}
 	n := 0
 	for _, m := range messages {
@@ -92,15 +93,14 @@
 }
 
 func progressBytes() int {
-	return proto.Size(observation("progress", 250, 7750)) + framing
+	return proto.Size(observation(bmpeerpb.Stage_STAGE_PROGRESS, 250, 7750)) + framing
 }
 
-func observation(stage string, tokens, elapsed int) *bmpeerpb.ScheduleRequest {
+func observation(stage bmpeerpb.Stage, tokens, elapsed int) *bmpeerpb.ScheduleRequest {
 	return &bmpeerpb.ScheduleRequest{
 		Message: &bmpeerpb.ScheduleRequest_Observation{
 			Observation: &bmpeerpb.Observation{
-				Request:   requestID,
-				Target:    "engine-kinston-123",
+				Number:    typicalNumber,
 				Stage:     stage,
 				Tokens:    int32(tokens),
 				ElapsedMs: int64(elapsed),
--- a/internal/config/bmfollower/follower.go
+++ b/internal/config/bmfollower/follower.go
@@ -36,6 +36,7 @@
 type Follower struct {
 	opts    Options
 	current atomic.Pointer[bmcatalog.Snapshot]
+	held    atomic.Pointer[bmcatalog.Snapshot]
 
 	mu        sync.Mutex
 	core      *Core
@@ -102,6 +103,7 @@
 }
 
 func (f *Follower) publish() {
+	f.held.Store(f.core.Held())
 	next := f.core.Snapshot()
 	if next == f.current.Load() {
 		return
@@ -146,12 +148,9 @@
 func (f *Follower) Snapshot() *bmcatalog.Snapshot { return f.current.Load() }
 
 // Held returns the snapshot that heartbeats report: it may be ahead of the one
-// in effect while this host starts.
-func (f *Follower) Held() *bmcatalog.Snapshot {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.core.Held()
-}
+// in effect while this host starts. It takes no lock, because heartbeats are
+// composed while the core asks the membership who is live.
+func (f *Follower) Held() *bmcatalog.Snapshot { return f.held.Load() }
 
 // Fetch serves the configuration to a peer.
 func (f *Follower) Fetch(_ context.Context, held []string) ([]byte, []basilmoor.ConfigPart, error) {
--- a/internal/fleet/bmmember/crashes_test.go
+++ b/internal/fleet/bmmember/crashes_test.go
@@ -17,7 +17,7 @@
 func TestEveryChangeOfACrashIsSentAtOnce(t *testing.T) {
 	clock := bmclock.NewManual(0)
 	registry := bmcrash.New(clock)
-	s := NewState(basilmoor.Member{
+	s := NewState(0, basilmoor.Member{
 		Host: "entry-1",
 	}, registry)
 	p := s.peer("entry-2")
--- a/internal/fleet/bmmember/driver.go
+++ b/internal/fleet/bmmember/driver.go
@@ -67,7 +67,7 @@
 	d := &Driver{
 		cfg:      cfg,
 		announce: make(chan struct{}, 1),
-		state:    NewState(cfg.Self, cfg.Crashes),
+		state:    NewState(cfg.Clock.Now(), cfg.Self, cfg.Crashes),
 		inFlight: make(map[string]bool),
 	}
 	d.refreshStatus()
@@ -82,8 +82,8 @@
 	return d.state.Self()
 }
 
-// Live returns the live members including this host, ordered by name. The
-// caller must not change the slice.
+// Live returns the live members including this host, ordered by name, as State
+// does. The caller must not change the slice.
 func (d *Driver) Live() []basilmoor.Member {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/schedule/bmbench/host.go
+++ b/internal/schedule/bmbench/host.go
@@ -144,7 +144,7 @@
 	e := r.target
 	p.end(r)
 	if e == nil {
-		p.measure.cancelMessage(p, r)
+		p.measure.cancelMessage(p)
 		p.toPolicy(r, func(in *instance) []basilmoor.Decision {
 			delete(in.waiting, r.id)
 			return in.policy.Cancel(p.sim.clock(), r.id)
--- a/internal/schedule/bmbench/measure.go
+++ b/internal/schedule/bmbench/measure.go
@@ -57,6 +57,10 @@
 	m.idleTargets += elapsed * float64(min(idle, waiting))
 }
 
+// typicalNumber stands for the number of a request, which takes as many bytes
+// as that of the hundred thousandth request of a host.
+const typicalNumber = 123456
+
 func (m *measure) grant(p *poolRun, r *request, g basilmoor.Grant) {
 	if p.higherWaits(r, g.Target) {
 		m.inversions++
@@ -64,9 +68,9 @@
 	m.message(p, &bmpeerpb.ScheduleResponse{
 		Message: &bmpeerpb.ScheduleResponse_Grant{
 			Grant: &bmpeerpb.Grant{
-				Request: string(g.Request),
-				Target:  g.Target.Name,
-				TtlMs:   int64(g.TTL),
+				Number: typicalNumber,
+				Target: g.Target.Name,
+				TtlMs:  int64(g.TTL),
 			},
 		},
 	})
@@ -116,7 +120,7 @@
 	m.message(p, &bmpeerpb.ScheduleResponse{
 		Message: &bmpeerpb.ScheduleResponse_Refusal{
 			Refusal: &bmpeerpb.Refusal{
-				Request:      string(refusal.Request),
+				Number:       typicalNumber,
 				Reason:       string(refusal.Reason),
 				RetryAfterMs: int64(refusal.RetryAfter),
 			},
@@ -128,7 +132,7 @@
 	m.message(p, &bmpeerpb.ScheduleRequest{
 		Message: &bmpeerpb.ScheduleRequest_Demand{
 			Demand: &bmpeerpb.Demand{
-				Request:       string(d.Request),
+				Number:        typicalNumber,
 				Workspace:     d.Workspace,
 				Weight:        int32(d.Weight),
 				Tier:          int32(d.Tier),
@@ -150,9 +154,8 @@
 	m.message(p, &bmpeerpb.ScheduleRequest{
 		Message: &bmpeerpb.ScheduleRequest_Observation{
 			Observation: &bmpeerpb.Observation{
-				Request:   string(o.Request),
-				Target:    o.Target,
-				Stage:     string(o.Stage),
+				Number:    typicalNumber,
+				Stage:     bmpeerpb.Stage_STAGE_PROGRESS, // all stages have one size
 				Tokens:    int32(o.Tokens),
 				ElapsedMs: int64(o.Elapsed),
 			},
@@ -160,9 +163,9 @@
 	})
 }
 
-func (m *measure) cancelMessage(p *poolRun, r *request) {
+func (m *measure) cancelMessage(p *poolRun) {
 	m.message(p, &bmpeerpb.ScheduleRequest{
-		Message: &bmpeerpb.ScheduleRequest_Cancel{Cancel: string(r.id)},
+		Message: &bmpeerpb.ScheduleRequest_Cancel{Cancel: typicalNumber},
 	})
 }
 
--- a/internal/schedule/bmscheduler/ledger.go
+++ b/internal/schedule/bmscheduler/ledger.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 
@@ -11,6 +10,10 @@
 	"basilmoor.example/basilmoor/internal/schedule/bmcapacity"
 )
 
+// flushPeriod bounds the time that reports which don't free capacity are held
+// back, so that several share one segment.
+const flushPeriod basilmoor.Millis = 250
+
 // uplink is the client's side of a session. Its methods don't block and don't
 // call the ledger.
 type uplink interface {
@@ -19,6 +22,8 @@
 	observe(o basilmoor.Observation)
 	resubmitted()
 	keepalive()
+	// flush sends what was held back to be sent together.
+	flush()
 	end()
 }
 
@@ -49,6 +54,7 @@
 // ledger holds the waiting demands and open grants of one pool at their entry
 // host. It is safe for concurrent use.
 type ledger struct {
+	codec   codec
 	pool    string
 	catalog basilmoor.CatalogSource
 	metrics *bmmetrics.Registry
@@ -60,6 +66,7 @@
 	epoch   int
 	source  string // counter of grants from up
 	sent    basilmoor.Millis
+	flushed basilmoor.Millis
 	heard   basilmoor.Millis
 	used    basilmoor.Millis // last time with an entry
 	stopped bool
@@ -69,8 +76,9 @@
 	samplers map[string]*bmcapacity.Sampler
 }
 
-func newLedger(pool string, catalog basilmoor.CatalogSource, metrics *bmmetrics.Registry) *ledger {
+func newLedger(pool string, c codec, catalog basilmoor.CatalogSource, metrics *bmmetrics.Registry) *ledger {
 	return &ledger{
+		codec:    c,
 		pool:     pool,
 		catalog:  catalog,
 		metrics:  metrics,
@@ -85,7 +93,7 @@
 	defer l.mu.Unlock()
 	l.next++
 	e := &entry{
-		id:        d.Request + basilmoor.RequestID("."+strconv.FormatUint(l.next, 36)),
+		id:        l.codec.id(l.next),
 		demand:    d,
 		submitted: now,
 		decided:   make(chan basilmoor.Decision, 1),
@@ -365,6 +373,10 @@
 	if len(l.entries) > 0 {
 		l.used = now
 	}
+	if l.up != nil && now-l.flushed >= flushPeriod {
+		l.flushed = now
+		l.up.flush()
+	}
 	if l.up != nil && now-l.sent >= keepalivePeriod {
 		l.sent = now
 		l.up.keepalive()
--- a/internal/schedule/bmscheduler/progress_test.go
+++ b/internal/schedule/bmscheduler/progress_test.go
@@ -18,13 +18,14 @@
 func (u *recordingUplink) resubmitted()                    {}
 func (u *recordingUplink) keepalive()                      {}
 func (u *recordingUplink) end()                            {}
+func (u *recordingUplink) flush()                          {}
 func (u *recordingUplink) observe(o basilmoor.Observation) { u.observed = append(u.observed, o) }
 
 // Guards against a report for every token, which would exceed the node's
 // budget for control messages, and against a target that becomes slow without
 // a report within a few tokens.
 func TestProgressIsReportedWhenTheSpeedChanges(t *testing.T) {
-	l := newLedger("models", nil, nil)
+	l := newLedger("models", newCodec("entry-1", 1), nil, nil)
 	up := &recordingUplink{}
 	e := l.add(0, demandOf("a"))
 	e.state = entryGranted
