Try an unreachable target by one request at a time

Cause: an engine that died has all its slots free, so that the broker granted it to request after request; the retry budget ran out, and the demo refused 8 of 241 model requests as target-unreachable while two engines served. Change: hosts report a refused connection as a stage of its own. The broker then tries the target with one request after 100 ms, doubling to 1 s, until a dispatch succeeds. A grant that expired is returned and does not exclude the target.

--- a/internal/request/bmgateway/serve.go
+++ b/internal/request/bmgateway/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 
 	"github.com/pkg/errors"
 
@@ -193,15 +192,9 @@
 		Valid:     func() bool { return permit.Valid() && g.claimFresh(c) },
 	}, c.sink, o.progress)
 	if r.Retryable {
-		o.end(basilmoor.StageReturned, 0, 0)
-		if r.Reason == basilmoor.ReasonConnectFailed {
-			c.demand.Excluded = append(slices.Clone(c.demand.Excluded), t.Name)
-		}
+		g.returnGrant(c, t, o, r.Reason)
 		return problem{}, r, r.Reason
 	}
-	if r.Tokens == 0 {
-		r.Tokens, r.Cached = c.sink.usage()
-	}
 	o.end(lastStage(r), r.Tokens, r.Cached)
 	if r.Lost {
 		g.probe(t, c.crashDigest())
@@ -211,6 +204,16 @@
 	return p, r, ""
 }
 
+// returnGrant gives back a grant of which nothing was handed over.
+func (g *Gateway) returnGrant(c *call, t basilmoor.Target, o *observer, reason basilmoor.Reason) {
+	if reason == basilmoor.ReasonGrantExpired {
+		o.end(basilmoor.StageReturned, 0, 0)
+		return
+	}
+	o.end(basilmoor.StageUnreachable, 0, 0)
+	c.demand.Excluded = append(c.demand.Excluded[:len(c.demand.Excluded):len(c.demand.Excluded)], t.Name)
+}
+
 // lastStage tells the scheduler how the request left the target. A caller that
 // left is not the target's failure.
 func lastStage(r bmdispatch.Result) basilmoor.Stage {
--- a/internal/schedule/bmbaseline/host.go
+++ b/internal/schedule/bmbaseline/host.go
@@ -58,7 +58,7 @@
 
 func (v *hostView) observe(o basilmoor.Observation) {
 	switch o.Stage {
-	case basilmoor.StageReturned, basilmoor.StageFinished, basilmoor.StageFailed:
+	case basilmoor.StageReturned, basilmoor.StageUnreachable, basilmoor.StageFinished, basilmoor.StageFailed:
 		v.remove(o.Request)
 	}
 }
--- a/internal/schedule/bmbroker/broker.go
+++ b/internal/schedule/bmbroker/broker.go
@@ -193,10 +193,10 @@
 }
 
 func (b *Broker) match(now basilmoor.Millis) {
-	b.pool.CollectFree()
+	b.pool.CollectFree(now)
 	for b.queue.Len() > 0 {
 		item := b.queue.Best(func(c bmqueue.Class) bool {
-			return b.pool.AnyFree(func(t basilmoor.Target) bool { return b.classes.fits(c, t) })
+			return b.pool.AnyFree(now, func(t basilmoor.Target) bool { return b.classes.fits(c, t) })
 		})
 		if item == nil {
 			return
--- a/internal/schedule/bmcapacity/estimate.go
+++ b/internal/schedule/bmcapacity/estimate.go
@@ -70,10 +70,10 @@
 
 // CollectFree notes which targets are free now. AnyFree and Choose look at these
 // only, because most targets of a busy pool are full.
-func (p *Pool) CollectFree() {
+func (p *Pool) CollectFree(now basilmoor.Millis) {
 	p.candidates = p.candidates[:0]
 	for _, t := range p.order {
-		if t.free(p.cfg) {
+		if t.free(p.cfg) && t.accepts(now) {
 			p.candidates = append(p.candidates, t)
 		}
 	}
@@ -87,7 +87,7 @@
 	var best *target
 	var bestEstimate Estimate
 	for _, t := range p.candidates {
-		if !t.free(p.cfg) || !fit(t.spec) {
+		if !t.free(p.cfg) || !t.accepts(now) || !fit(t.spec) {
 			continue
 		}
 		e := p.estimate(now, t, d)
@@ -103,9 +103,9 @@
 }
 
 // AnyFree reports whether a free target is accepted by fit.
-func (p *Pool) AnyFree(fit func(basilmoor.Target) bool) bool {
+func (p *Pool) AnyFree(now basilmoor.Millis, fit func(basilmoor.Target) bool) bool {
 	for _, t := range p.candidates {
-		if t.free(p.cfg) && fit(t.spec) {
+		if t.free(p.cfg) && t.accepts(now) && fit(t.spec) {
 			return true
 		}
 	}
--- a/internal/schedule/bmcapacity/observe.go
+++ b/internal/schedule/bmcapacity/observe.go
@@ -8,6 +8,11 @@
 	switch o.Stage {
 	case basilmoor.StageReturned:
 		p.returned(now, o)
+	case basilmoor.StageUnreachable:
+		if t, ok := p.targets[o.Target]; ok {
+			t.refuse(now)
+		}
+		p.returned(now, o)
 	case basilmoor.StageFinished, basilmoor.StageFailed:
 		p.ended(now, o)
 	case basilmoor.StageDispatched, basilmoor.StageFirstToken, basilmoor.StageProgress:
@@ -47,6 +52,9 @@
 	}
 	f.dispatched = true
 	f.last = now
+	if o.Stage == basilmoor.StageDispatched {
+		f.target.refusals = 0
+	}
 	switch o.Stage {
 	case basilmoor.StageFirstToken:
 		f.target.firstToken(now, f, o.Tokens, o.Elapsed)
--- a/internal/schedule/bmcapacity/target.go
+++ b/internal/schedule/bmcapacity/target.go
@@ -36,6 +36,14 @@
 	memoryShare = 0.95
 )
 
+// Times between attempts to reach a target that refuses connections. The
+// longest one bounds how long a revived target stays idle.
+const (
+	firstRetry   basilmoor.Millis = 100
+	lastRetry    basilmoor.Millis = 1000
+	maxDoublings                  = 8
+)
+
 // target is the learned state of one target.
 type target struct {
 	spec    basilmoor.Target
@@ -54,6 +62,9 @@
 	reduced  bool
 	prefixes *prefixCache
 
+	refusals int              // connections refused since the last dispatch
+	retryAt  basilmoor.Millis // when the next one may be tried
+
 	report   basilmoor.LoadReport
 	reported basilmoor.Millis // when the measurement was taken
 	hasLoad  bool
@@ -102,6 +113,30 @@
 	return t.spec.CacheTokens == 0 || float64(t.tokens) < memoryShare*float64(t.spec.CacheTokens)
 }
 
+// refuse notes that the target did not accept a connection.
+func (t *target) refuse(now basilmoor.Millis) {
+	t.refusals++
+	t.retryAt = now + min(firstRetry<<min(t.refusals-1, maxDoublings), lastRetry)
+}
+
+// accepts tells whether the target may be tried. After a refused connection
+// one request at a time tries it: a target that died has all its slots free
+// and would draw every waiting demand.
+func (t *target) accepts(now basilmoor.Millis) bool {
+	if t.refusals == 0 {
+		return true
+	}
+	if now < t.retryAt {
+		return false
+	}
+	for _, f := range t.flights {
+		if !f.dispatched {
+			return false
+		}
+	}
+	return true
+}
+
 func (t *target) add(f *flight) {
 	f.target = t
 	t.flights[f.demand.Request] = f
--- a/internal/schedule/bmscheduler/broker.go
+++ b/internal/schedule/bmscheduler/broker.go
@@ -444,7 +444,11 @@
 
 // Terminal reports whether a stage is the last one of a grant.
 func Terminal(s basilmoor.Stage) bool {
-	return s == basilmoor.StageReturned || s == basilmoor.StageFinished || s == basilmoor.StageFailed
+	switch s {
+	case basilmoor.StageReturned, basilmoor.StageUnreachable, basilmoor.StageFinished, basilmoor.StageFailed:
+		return true
+	}
+	return false
 }
 
 func sortedKeys[K ~string, V any](m map[K]V) []K {
--- a/internal/schedule/bmscheduler/convert.go
+++ b/internal/schedule/bmscheduler/convert.go
@@ -33,12 +33,13 @@
 }
 
 var stageCodes = map[basilmoor.Stage]bmpeerpb.Stage{
-	basilmoor.StageReturned:   bmpeerpb.Stage_STAGE_RETURNED,
-	basilmoor.StageDispatched: bmpeerpb.Stage_STAGE_DISPATCHED,
-	basilmoor.StageFirstToken: bmpeerpb.Stage_STAGE_FIRST_TOKEN,
-	basilmoor.StageProgress:   bmpeerpb.Stage_STAGE_PROGRESS,
-	basilmoor.StageFinished:   bmpeerpb.Stage_STAGE_FINISHED,
-	basilmoor.StageFailed:     bmpeerpb.Stage_STAGE_FAILED,
+	basilmoor.StageReturned:    bmpeerpb.Stage_STAGE_RETURNED,
+	basilmoor.StageDispatched:  bmpeerpb.Stage_STAGE_DISPATCHED,
+	basilmoor.StageFirstToken:  bmpeerpb.Stage_STAGE_FIRST_TOKEN,
+	basilmoor.StageProgress:    bmpeerpb.Stage_STAGE_PROGRESS,
+	basilmoor.StageFinished:    bmpeerpb.Stage_STAGE_FINISHED,
+	basilmoor.StageFailed:      bmpeerpb.Stage_STAGE_FAILED,
+	basilmoor.StageUnreachable: bmpeerpb.Stage_STAGE_UNREACHABLE,
 }
 
 // decodeStage takes a stage that a newer node may send as progress.
--- a/internal/schedule/bmscheduler/ledger.go
+++ b/internal/schedule/bmscheduler/ledger.go
@@ -309,7 +309,7 @@
 	o.Request = e.id
 	o.Target = e.target.Name
 	o.Demand = nil
-	if e.state == entryGranted && o.Stage != basilmoor.StageReturned {
+	if e.state == entryGranted && o.Stage != basilmoor.StageReturned && o.Stage != basilmoor.StageUnreachable {
 		e.state = entryDispatched
 		e.dispatched = now - o.Elapsed
 	}
--- a/schedule.go
+++ b/schedule.go
@@ -88,6 +88,9 @@
 const (
 	// StageReturned gives a grant back: nothing was sent to the target.
 	StageReturned Stage = "returned"
+	// StageUnreachable gives a grant back because the target did not accept a
+	// connection: nothing was sent.
+	StageUnreachable Stage = "unreachable"
 	// StageDispatched reports that the request was handed to a connection.
 	StageDispatched Stage = "dispatched"
 	// StageFirstToken reports the first byte of the response.
