Report changes of speed from a factor of 1.8

Cause: at 1.6, long prompts of other requests caused reports, and targets were reduced for a moment without being slow.

--- /dev/null
+++ b/internal/schedule/bmcapacity/choose_test.go
@@ -0,0 +1,103 @@
+package bmcapacity
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"basilmoor.example/basilmoor"
+)
+
+func anyTarget(basilmoor.Target) bool {
+	return true
+}
+
+// Guards the choice between place, cached prefix and waiting.
+func TestChooseWeighsPlacePrefixAndBacklog(t *testing.T) {
+	prefix := []uint64{1, 2, 3, 4, 5}
+	tests := map[string]struct {
+		prepare func(p *Pool)
+		want    string
+	}{
+		"nearest of equals": {
+			prepare: func(*Pool) {},
+			want:    "t1",
+		},
+		"spills over when the near target is busier": {
+			prepare: func(p *Pool) { reserve(p, 0, "x", "t1") },
+			want:    "t0",
+		},
+		"cached prefix in another place": {
+			prepare: func(p *Pool) {
+				reserve(p, 0, "x", "t0", prefix...)
+				see(p, 0, "x", "t0", basilmoor.StageFinished, 1, 1)
+			},
+			want: "t0",
+		},
+		"cached prefix behind long prompts": {
+			prepare: func(p *Pool) {
+				reserve(p, 0, "x", "t0", prefix...)
+				for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+					reserve(p, 0, id, "t0")
+				}
+			},
+			want: "t1",
+		},
+		"full near target": {
+			prepare: func(p *Pool) {
+				for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+					reserve(p, 0, id, "t1")
+				}
+			},
+			want: "t0",
+		},
+		"leaving near target": {
+			prepare: func(p *Pool) {
+				specs := p.Listed()
+				specs[1].Leaving = true
+				p.SetTargets(specs)
+			},
+			want: "t0",
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := NewPool(DefaultConfig())
+			specs := engines(2, 8)
+			specs[0].Place = "far"
+			specs[1].Place = "near"
+			p.SetTargets(specs)
+			test.prepare(p)
+			p.CollectFree()
+			chosen, _, ok := p.Choose(0, basilmoor.Demand{
+				Place:         "near",
+				PrefixDigests: prefix,
+				PromptTokens:  320,
+				OutputTokens:  10,
+			}, anyTarget)
+			require.True(t, ok)
+			require.Equal(t, test.want, chosen.Name)
+		})
+	}
+}
+
+// Guards against capacity that is freed twice, or by a report of another
+// target.
+func TestEndIsIdempotent(t *testing.T) {
+	p := NewPool(DefaultConfig())
+	p.SetTargets(engines(2, 8))
+	reserve(p, 0, "a", "t0")
+	reserve(p, 0, "b", "t0")
+	see(p, 1, "a", "t1", basilmoor.StageReturned, 0, 0)
+	require.Equal(t, 2, p.InFlight())
+	for range 2 {
+		see(p, 2, "a", "t0", basilmoor.StageFinished, 1, 1)
+		p.DropHost(3, "no-such-host")
+		require.Equal(t, 1, p.InFlight())
+		require.Equal(t, 1, p.Stats()[0].InFlight)
+	}
+	p.DropHost(4, "")
+	require.Zero(t, p.InFlight())
+	require.Zero(t, p.targets["t0"].tokens)
+	require.Zero(t, p.targets["t0"].backlog)
+}
--- a/internal/schedule/bmcapacity/sampler.go
+++ b/internal/schedule/bmcapacity/sampler.go
@@ -14,7 +14,7 @@
 
 	// sampleChange is the factor between the shortest interval and the
 	// reported one from which a change is reported at once.
-	sampleChange = 1.6
+	sampleChange = 1.8
 )
 
 // Sample is a point of a stream that is to be reported as StageProgress.
