Keep slots taken when a paused broker starts anew

A broker that resumed after a pause freed the dispatches of its hosts one by one, so that a demand of the next host, still waiting, got a slot whose dispatch was running. It now ends all sessions first.

Also found here: closing a connection that has stopped responding can block for 5 s in gRPC, and is now done apart; after a silent stream the host went to its own policy before the new connection had its chance; the first submission of a demand counted as a retry; a crash digest in a lost heartbeat was sent again only after 10 s.

--- a/internal/fleet/bmmember/exchange.go
+++ b/internal/fleet/bmmember/exchange.go
@@ -223,6 +223,7 @@
 	p.failed = true
 	p.failedAt = now
 	p.introduced = false
+	p.crashes = nil
 }
 
 // Versions returns what peers reported of their configuration since the last
--- a/internal/fleet/bmpeer/pool.go
+++ b/internal/fleet/bmpeer/pool.go
@@ -47,6 +47,8 @@
 	cfg   PoolConfig
 	creds credentials.TransportCredentials
 
+	closing sync.WaitGroup // connections being closed
+
 	mu     sync.Mutex
 	conns  map[string]*peerConn
 	closed bool
@@ -77,6 +79,7 @@
 }
 
 func (p *Pool) close() {
+	defer p.closing.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
@@ -140,7 +143,19 @@
 		delete(p.conns, address)
 	}
 	p.mu.Unlock()
-	_ = conn.cc.Close()
+	p.discard(conn)
+}
+
+// discard closes a connection without waiting: gRPC waits up to 5 s for a
+// connection that has stopped responding to take its last frame.
+func (p *Pool) discard(conn *peerConn) {
+	p.closing.Add(1)
+	go conn.run(&p.closing)
+}
+
+func (c *peerConn) run(closing *sync.WaitGroup) {
+	defer closing.Done()
+	_ = c.cc.Close()
 }
 
 // Forget closes the connection to address. A stream that got no keepalive on
@@ -151,7 +166,7 @@
 	delete(p.conns, address)
 	p.mu.Unlock()
 	if ok {
-		_ = conn.cc.Close()
+		p.discard(conn)
 	}
 }
 
--- a/internal/schedule/bmscheduler/broker.go
+++ b/internal/schedule/bmscheduler/broker.go
@@ -330,8 +330,16 @@
 }
 
 // reset ends all sessions and forgets all hosts. A broker that was paused
-// calls it, because the hosts have gone on with other brokers.
+// calls it, because the hosts have gone on with other brokers. No demand may
+// wait when the slots of the first host become free: it would be granted a slot
+// whose dispatch is still running.
 func (b *broker) reset(now basilmoor.Millis) {
+	for _, host := range sortedKeys(b.hosts) {
+		if h := b.hosts[host]; h.session != nil {
+			h.session.end()
+			b.detach(now, host, h.session)
+		}
+	}
 	for _, host := range sortedKeys(b.hosts) {
 		b.dropHost(now, host, b.hosts[host])
 	}
--- a/internal/schedule/bmscheduler/fake_policy_test.go
+++ b/internal/schedule/bmscheduler/fake_policy_test.go
@@ -170,6 +170,12 @@
 	return out
 }
 
+func (p *fakePolicy) drops() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.dropped)
+}
+
 func (p *fakePolicy) counts() (waiting, running int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/schedule/bmscheduler/ledger.go
+++ b/internal/schedule/bmscheduler/ledger.go
@@ -47,6 +47,7 @@
 	demand     basilmoor.Demand
 	submitted  basilmoor.Millis
 	state      entryState
+	offered    bool                    // whether a broker was sent the demand
 	decided    chan basilmoor.Decision // receives one decision
 	target     basilmoor.Target
 	received   basilmoor.Millis // when the grant arrived
@@ -107,6 +108,7 @@
 	l.used = now
 	if l.up != nil {
 		l.sent = now
+		e.offered = true
 		l.up.submit(e.demand)
 	}
 	return e
@@ -160,9 +162,10 @@
 		l.up.observe(e.resubmission(now))
 		return
 	}
-	if now > e.submitted {
+	if e.offered {
 		l.metrics.Retry(basilmoor.ReasonBrokerLost)
 	}
+	e.offered = true
 	l.up.submit(e.remaining(now))
 }
 
--- a/internal/schedule/bmscheduler/pool_client.go
+++ b/internal/schedule/bmscheduler/pool_client.go
@@ -129,10 +129,11 @@
 	if p.owner != "" && broker.Host != p.owner {
 		p.drop(now)
 	}
+	// The new connection gets its chance before the fallback.
 	if p.owner != "" && now-st.heard >= silenceBound {
 		p.forgetPeer()
 		p.drop(now)
-		p.unreachable = st.heard
+		p.unreachable = max(st.heard, now-fallbackAfter+openBound)
 	}
 	if st.entries == 0 {
 		p.rest(now, st)
