Keep requests from a target that says itself that it leaves

Cause: a leaving target's own answer was passed to the caller as not run and nobody else learned of it.

--- a/internal/node/bmnode/build.go
+++ b/internal/node/bmnode/build.go
@@ -216,15 +216,19 @@
 		Incarnation: n.members.Self().Incarnation,
 		Clock:       n.clock,
 		Catalogs:    n.config,
-		Scheduler:   n.client,
-		Dispatcher:  dispatcher,
-		Claimer:     n.claimer,
-		Crashes:     n.announced,
-		Limiter:     bmlimit.New(n.clock, n.liveHosts),
-		Retries:     bmlimit.NewRetryBudget(retryPercent, retryBurst),
-		Metrics:     n.metrics,
-		Log:         n.log,
-		Isolated:    n.config.Isolated,
+		Scheduler: &excludingScheduler{
+			Scheduler: n.client,
+			marks:     n.marks,
+		},
+		TargetLeaves: n.marks.answer,
+		Dispatcher:   dispatcher,
+		Claimer:      n.claimer,
+		Crashes:      n.announced,
+		Limiter:      bmlimit.New(n.clock, n.liveHosts),
+		Retries:      bmlimit.NewRetryBudget(retryPercent, retryBurst),
+		Metrics:      n.metrics,
+		Log:          n.log,
+		Isolated:     n.config.Isolated,
 	})
 	n.onClose(closeGateway)
 	n.gateway = gateway
--- a/internal/proof/bmprocess/targets_test.go
+++ b/internal/proof/bmprocess/targets_test.go
@@ -131,3 +131,17 @@
 	})
 	f.check(l)
 }
+
+// Guards against hosts that go on sending requests to a target that refuses
+// them because it leaves.
+func TestTargetThatSaysItLeaves(t *testing.T) {
+	f := startFleet(t, 2)
+	l := f.newLoad()
+	f.fault(f.engines[0], `{"leaving":true}`)
+	f.sendSome(l, 40)
+	counts := l.counts()
+	require.LessOrEqual(t, counts[basilmoor.OutcomeNotRun], len(f.nodes), "each host learns from one refusal: %v", counts)
+	require.Equal(t, 40, counts[basilmoor.OutcomeDone]+counts[basilmoor.OutcomeNotRun], "%v", counts)
+	require.Empty(t, f.executionsOf(f.engines[0]))
+	f.check(l)
+}
--- a/internal/request/bmdispatch/call.go
+++ b/internal/request/bmdispatch/call.go
@@ -124,6 +124,7 @@
 		Reason:     basilmoor.ReasonTargetRefused,
 		Status:     res.StatusCode,
 		RetryAfter: res.Header.Get("Retry-After"),
+		Leaving:    res.Header.Get(HeaderLeaving) == "true",
 		Err:        errTargetState,
 	}
 }
--- a/internal/request/bmdispatch/dispatcher.go
+++ b/internal/request/bmdispatch/dispatcher.go
@@ -89,6 +89,9 @@
 	Tokens int
 	Cached int
 
+	// Leaving tells that the target takes no new requests, by its own word.
+	Leaving bool
+
 	// Lost tells that the connection broke, so that the target may have died.
 	Lost bool
 	Err  error
--- a/internal/request/bmdispatch/header.go
+++ b/internal/request/bmdispatch/header.go
@@ -11,6 +11,7 @@
 const (
 	HeaderOutcome   = "Basilmoor-Outcome"
 	HeaderRequestID = "Basilmoor-Request-Id"
+	HeaderLeaving   = "Basilmoor-Leaving"
 	HeaderKey       = "Basilmoor-Request-Key"
 	HeaderWorkspace = "Basilmoor-Workspace"
 	HeaderStreamID  = "Engine-Stream-Id"
--- a/internal/request/bmgateway/gateway.go
+++ b/internal/request/bmgateway/gateway.go
@@ -47,6 +47,10 @@
 	Metrics    *bmmetrics.Registry
 	Log        zerolog.Logger
 
+	// TargetLeaves is told of a target that says itself that it takes no new
+	// requests; nil if nobody is to know.
+	TargetLeaves func(target string)
+
 	// Isolated reports that the host can't know the configuration in effect.
 	Isolated func() bool
 }
--- a/internal/request/bmgateway/serve.go
+++ b/internal/request/bmgateway/serve.go
@@ -196,6 +196,9 @@
 		return problem{}, r, r.Reason
 	}
 	o.end(lastStage(r), r.Tokens, r.Cached)
+	if r.Leaving && g.cfg.TargetLeaves != nil {
+		g.cfg.TargetLeaves(t.Name)
+	}
 	if r.Lost {
 		g.probe(t, c.crashDigest())
 	}
