--- a/internal/request/bmgateway/fakes_test.go
+++ b/internal/request/bmgateway/fakes_test.go
@@ -76,6 +76,7 @@
 	targets []basilmoor.Target
 	demands []basilmoor.Demand
 	stages  []basilmoor.Stage
+	last    basilmoor.Observation
 	err     error
 	invalid int           // this many grants have expired
 	hold    chan struct{} // Acquire waits for it if it is set
@@ -128,6 +129,7 @@
 func (p *fakePermit) Valid() bool              { return p.valid }
 func (p *fakePermit) Observe(o basilmoor.Observation) {
 	p.scheduler.mu.Lock()
+	p.scheduler.last = o
 	defer p.scheduler.mu.Unlock()
 	p.scheduler.stages = append(p.scheduler.stages, o.Stage)
 }
--- a/internal/request/bmgateway/serve.go
+++ b/internal/request/bmgateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -195,6 +196,9 @@
 		g.returnGrant(c, t, o, r.Reason)
 		return problem{}, r, r.Reason
 	}
+	if r.Tokens == 0 {
+		r.Tokens, r.Cached = c.sink.usage()
+	}
 	o.end(lastStage(r), r.Tokens, r.Cached)
 	if r.Leaving && g.cfg.TargetLeaves != nil {
 		g.cfg.TargetLeaves(t.Name)
@@ -209,12 +213,12 @@
 
 // returnGrant gives back a grant of which nothing was handed over.
 func (g *Gateway) returnGrant(c *call, t basilmoor.Target, o *observer, reason basilmoor.Reason) {
-	if reason == basilmoor.ReasonGrantExpired {
+	if reason != basilmoor.ReasonConnectFailed {
 		o.end(basilmoor.StageReturned, 0, 0)
 		return
 	}
 	o.end(basilmoor.StageUnreachable, 0, 0)
-	c.demand.Excluded = append(c.demand.Excluded[:len(c.demand.Excluded):len(c.demand.Excluded)], t.Name)
+	c.demand.Excluded = append(slices.Clone(c.demand.Excluded), t.Name)
 }
 
 // lastStage tells the scheduler how the request left the target. A caller that
