Bound the store writes of claims by a budget per slot

Cause: a window of 5 ms over 64 slots hardly batches, records got writes of their own, and each segment costs a deletion later. Store writes grew with the rate of claims.

A slot appends at most 4 segments at once after it was quiet and one per 180 ms in the long run; repetitions count. A claim waits 2 ms for others if the slot may write, else for its turn. A record waits up to 500 ms for a claim to be written with, then for the slot's turn. Trial runs one slot's owner in a single goroutine on a manual clock for tests and bmmeasure.

The budget is per committer of a slot: parts of a divided fleet, and hosts that do not reach an owner, add their own.

Faults put in to see tests fail: forget keeps the view as known, and trim deletes the last segment (both TestAtMostOneGrant); pacer that counts nothing (TestWriteBudget); a later claim does not move the batch forward (TestShortWaitAtLowRate, TestRecordsWaitForClaims).

--- a/internal/capacity/bmmeasure/all.go
+++ b/internal/capacity/bmmeasure/all.go
@@ -15,7 +15,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return append(list, entry...), nil
+	list = append(list, entry...)
+	claims, err := Claims()
+	if err != nil {
+		return nil, err
+	}
+	return append(list, claims...), nil
 }
 
 // PrintAll measures every series and prints the table.
--- a/internal/request/bmclaim/decide.go
+++ b/internal/request/bmclaim/decide.go
@@ -16,6 +16,8 @@
 	record *recordEntry
 	size   int // of its entry in a segment
 	done   chan result
+
+	arrived basilmoor.Millis // when it was queued
 }
 
 // result is the answer to an operation.
--- a/internal/request/bmclaim/slot.go
+++ b/internal/request/bmclaim/slot.go
@@ -23,12 +23,17 @@
 
 	mu      sync.Mutex
 	queue   []*operation
+	due     basilmoor.Millis // when the queue is to be committed; without meaning while it is empty
 	running bool
-	full    chan struct{} // receives when the queue holds a whole batch
+	earlier chan struct{} // receives when due has moved to an earlier instant
+
+	pace pacer // of the appends
 
 	work  sync.Mutex // held while committing or trimming
 	view  *view
 	known bool // the view was read from the store
+	// used is the last instant at which a batch was committed.
+	used basilmoor.Millis
 	// trusted is an instant at which the view ended where the log ended.
 	trusted basilmoor.Millis
 	// checked is the last instant at which the end of the log was looked for.
@@ -42,8 +47,11 @@
 	return &slot{
 		committer: c,
 		number:    number,
-		full:      make(chan struct{}, 1),
+		earlier:   make(chan struct{}, 1),
 		view:      newView(number),
+		pace: pacer{
+			next: c.cfg.Clock.Now() - writeBurst*writeInterval,
+		},
 	}
 }
 
@@ -51,15 +59,8 @@
 func (s *slot) submit(o *operation) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.queue) >= maxQueued {
-		return errBusy
-	}
-	s.queue = append(s.queue, o)
-	if len(s.queue) >= maxBatchEntries {
-		select {
-		case s.full <- struct{}{}:
-		default:
-		}
+	if err := s.enqueue(o, s.now()); err != nil {
+		return err
 	}
 	if s.running {
 		return nil
@@ -72,6 +73,34 @@
 	return nil
 }
 
+// enqueue queues o, which arrived at an instant, and wakes the goroutine if the
+// next batch is due earlier now. The caller holds mu.
+func (s *slot) enqueue(o *operation, at basilmoor.Millis) error {
+	if len(s.queue) >= maxQueued {
+		return errBusy
+	}
+	due := at + window
+	if o.record != nil {
+		due = at + recordWindow
+	}
+	if len(s.queue) > 0 {
+		due = min(due, s.due)
+	}
+	o.arrived = at
+	s.queue = append(s.queue, o)
+	if len(s.queue) >= maxBatchEntries {
+		due = min(due, at)
+	}
+	if due < s.due || len(s.queue) == 1 {
+		select {
+		case s.earlier <- struct{}{}:
+		default:
+		}
+	}
+	s.due = due
+	return nil
+}
+
 // run commits batches until the queue is empty.
 func (s *slot) run() {
 	defer s.committer.wg.Done()
@@ -87,15 +116,39 @@
 	}
 }
 
-// collect waits until the window has passed or a batch is full.
+// collect waits until the next batch is due.
 func (s *slot) collect() {
-	t := s.committer.cfg.Clock.NewTimer(window)
+	for {
+		d := s.startAt() - s.now()
+		if d <= 0 || !s.pause(d) {
+			return
+		}
+	}
+}
+
+// startAt returns the instant at which the next batch is due and the slot may
+// write. An empty queue is due at once, so that the goroutine ends.
+func (s *slot) startAt() basilmoor.Millis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.queue) == 0 {
+		return s.now()
+	}
+	return max(s.due, s.pace.next)
+}
+
+// pause waits for d or until the next batch is due earlier; false when the
+// committer is closed.
+func (s *slot) pause(d basilmoor.Millis) bool {
+	t := s.committer.cfg.Clock.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C():
-	case <-s.full:
+	case <-s.earlier:
 	case <-s.committer.ctx.Done():
+		return false
 	}
+	return true
 }
 
 // take removes the next batch from the queue. An empty batch ends the
@@ -118,6 +171,8 @@
 		size += o.size
 		batch = append(batch, o)
 	}
+	// What is left did not fit into the batch and has waited long enough.
+	s.due = s.now()
 	s.running = len(batch) > 0
 	return batch
 }
@@ -125,6 +180,7 @@
 // commit settles the operations: from the view where that is possible, else by
 // a segment.
 func (s *slot) commit(ctx context.Context, batch []*operation) {
+	s.used = s.now()
 	looked := false // for segments of other committers, in this commit
 	for range decideTries {
 		if err := s.refresh(ctx); err != nil {
@@ -281,6 +337,7 @@
 		if try > 0 && s.committer.cfg.Clock.Sleep(ctx, appendPause) != nil {
 			break
 		}
+		s.pace.spend(s.now())
 		e, err := store.CompareAndSwap(ctx, segmentKey(s.number, n), 0, value, "")
 		if err == nil {
 			s.view.apply(n, e.Version, seg, s.now())
@@ -322,18 +379,3 @@
 	s.committer.count("claims.late-segments")
 	return errConflict
 }
-
-// trim deletes old segments, the oldest first, and never the last one.
-func (s *slot) trim(ctx context.Context) {
-	s.work.Lock()
-	defer s.work.Unlock()
-	for len(s.view.segments) > 1 && s.now()-s.view.segments[0].seen >= trimAge {
-		first := s.view.segments[0]
-		err := s.committer.cfg.Store.Delete(ctx, segmentKey(s.number, first.sequence), first.version)
-		var missing *basilmoor.NotFoundError
-		if err != nil && !errors.As(err, &missing) {
-			return
-		}
-		s.view.drop()
-	}
-}
