--- a/internal/capacity/bmmeasure/entry.go
+++ b/internal/capacity/bmmeasure/entry.go
@@ -71,10 +71,12 @@
 	clock := bmclock.NewSystem()
 	dispatcher, closeDispatcher := bmdispatch.New(clock, bmdispatch.DefaultSettings())
 	gateway, closeGateway := bmgateway.New(bmgateway.Config{
-		Host:       "entry-1",
-		Clock:      clock,
-		Catalogs:   fixedCatalog{},
-		Scheduler:  instantScheduler{address: listener.Addr().String()},
+		Host:     "entry-1",
+		Clock:    clock,
+		Catalogs: fixedCatalog{},
+		Scheduler: instantScheduler{
+			address: listener.Addr().String(),
+		},
 		Dispatcher: dispatcher,
 		Metrics:    bmmetrics.NewRegistry(),
 		Log:        zerolog.Nop(),
--- a/internal/config/bmcommand/lease_test.go
+++ b/internal/config/bmcommand/lease_test.go
@@ -16,14 +16,23 @@
 		checksFencing bool
 		wait          basilmoor.Millis // of a new holder
 	}{
-		"target checks the fencing number":  {checksFencing: true, wait: 2 * basilmoor.Second}, // a load at 30 a minute
-		"target ignores the fencing number": {wait: testConfig.LeaseTTL + testConfig.LongestCall},
+		"target checks the fencing number": {
+			checksFencing: true,
+			wait:          2 * basilmoor.Second,
+		}, // a load at 30 a minute
+		"target ignores the fencing number": {
+			wait: testConfig.LeaseTTL + testConfig.LongestCall,
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			const elected = 100 * basilmoor.Second
 			r := New(testConfig, 0)
-			d := basilmoor.Target{Name: "a", Models: []string{"m"}, ChecksFencing: tt.checksFencing}
+			d := basilmoor.Target{
+				Name:          "a",
+				Models:        []string{"m"},
+				ChecksFencing: tt.checksFencing,
+			}
 			r.SetDesired(nil, []basilmoor.Target{d})
 			// The lease was granted a second before this host knew.
 			r.Elected(elected, elected-basilmoor.Second, 7)
--- a/internal/config/bmcommand/reconciler_test.go
+++ b/internal/config/bmcommand/reconciler_test.go
@@ -87,7 +87,11 @@
 	w := &world{
 		t:       t,
 		targets: make(map[string]*worldTarget),
-		kinds:   []basilmoor.Kind{{Name: "reviews", Pool: "p", Model: firstModel}},
+		kinds: []basilmoor.Kind{{
+			Name:  "reviews",
+			Pool:  "p",
+			Model: firstModel,
+		}},
 	}
 	for i := range 5 {
 		d := basilmoor.Target{
@@ -101,8 +105,11 @@
 		}
 		x := &worldTarget{
 			desired: d,
-			state:   Report{Models: []string{firstModel}, Role: "prefill"},
-			defect:  sound,
+			state: Report{
+				Models: []string{firstModel},
+				Role:   "prefill",
+			},
+			defect: sound,
 		}
 		if i < 2 {
 			x.defect = rapid.SampledFrom([]defect{sound, loadFails, roleFails, roleHangs}).Draw(t, "defect")
@@ -345,10 +352,25 @@
 // Guards against a drain of the only target of a kind, and against a target
 // that never gets empty and stays out of service.
 func TestDrainLimits(t *testing.T) {
-	kinds := []basilmoor.Kind{{Name: "reviews", Pool: "p", Model: "m"}}
+	kinds := []basilmoor.Kind{{
+		Name:  "reviews",
+		Pool:  "p",
+		Model: "m",
+	}}
 	targets := []basilmoor.Target{
-		{Name: "a", Pool: "p", Models: []string{"m"}, Role: "decode", ChecksFencing: true},
-		{Name: "b", Pool: "p", Models: []string{"m"}, ChecksFencing: true},
+		{
+			Name:          "a",
+			Pool:          "p",
+			Models:        []string{"m"},
+			Role:          "decode",
+			ChecksFencing: true,
+		},
+		{
+			Name:          "b",
+			Pool:          "p",
+			Models:        []string{"m"},
+			ChecksFencing: true,
+		},
 	}
 	for n := 1; n <= 2; n++ {
 		r := New(testConfig, 0)
@@ -358,7 +380,10 @@
 		for now := basilmoor.Millis(0); now < drainLimit+basilmoor.Minute; now += basilmoor.Second {
 			r.Renewed(now, now)
 			for _, d := range targets[:n] {
-				r.Reported(now, d.Name, Report{Models: d.Models, Running: 1})
+				r.Reported(now, d.Name, Report{
+					Models:  d.Models,
+					Running: 1,
+				})
 			}
 			commands, m := r.Tick(now)
 			require.Empty(t, commands)
@@ -368,6 +393,12 @@
 			require.Empty(t, marks)
 			continue
 		}
-		require.Equal(t, []Drain{{Target: "a", On: true}, {Target: "a", On: false}}, marks[:2])
+		require.Equal(t, []Drain{{
+			Target: "a",
+			On:     true,
+		}, {
+			Target: "a",
+			On:     false,
+		}}, marks[:2])
 	}
 }
--- a/internal/config/bmfollower/core_test.go
+++ b/internal/config/bmfollower/core_test.go
@@ -16,7 +16,10 @@
 	s := from
 	for i, n := range notes {
 		next, err := s.Next(bmcatalog.Content{
-			Tiers: []basilmoor.Tier{{Name: n, Rank: i}},
+			Tiers: []basilmoor.Tier{{
+				Name: n,
+				Rank: i,
+			}},
 		}, bmcatalog.Acceptance{
 			NoteID:     n,
 			NoteDigest: bmcatalog.Digest([]byte(n)),
@@ -132,16 +135,31 @@
 // Guards against a host that serves although it can't know what is in effect,
 // and against one that stops serving while it reaches the store or a peer.
 func TestIsolation(t *testing.T) {
-	outage := &basilmoor.UnavailableError{Err: errors.New("down")}
+	outage := &basilmoor.UnavailableError{
+		Err: errors.New("down"),
+	}
 	tests := map[string]struct {
 		fleet    int
 		contact  func(c *Core, now basilmoor.Millis)
 		isolated bool
 	}{
-		"alone in the fleet": {fleet: 1, contact: func(c *Core, now basilmoor.Millis) { c.HeadRead(now, basilmoor.Entry{}, outage) }},
-		"nothing answers":    {fleet: 6, contact: func(c *Core, now basilmoor.Millis) { c.HeadRead(now, basilmoor.Entry{}, outage) }, isolated: true},
-		"peers only":         {fleet: 6, contact: func(c *Core, now basilmoor.Millis) { c.Heard(now, "b", 0, "") }},
-		"store only":         {fleet: 6, contact: func(c *Core, now basilmoor.Millis) { c.HeadRead(now, basilmoor.Entry{}, &basilmoor.NotFoundError{}) }},
+		"alone in the fleet": {
+			fleet:   1,
+			contact: func(c *Core, now basilmoor.Millis) { c.HeadRead(now, basilmoor.Entry{}, outage) },
+		},
+		"nothing answers": {
+			fleet:    6,
+			contact:  func(c *Core, now basilmoor.Millis) { c.HeadRead(now, basilmoor.Entry{}, outage) },
+			isolated: true,
+		},
+		"peers only": {
+			fleet:   6,
+			contact: func(c *Core, now basilmoor.Millis) { c.Heard(now, "b", 0, "") },
+		},
+		"store only": {
+			fleet:   6,
+			contact: func(c *Core, now basilmoor.Millis) { c.HeadRead(now, basilmoor.Entry{}, &basilmoor.NotFoundError{}) },
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -172,7 +190,10 @@
 	c.PartsRead(2, base.HeadValue(), map[string][]byte{part.Digest: part.Value}, nil)
 	require.Equal(t, int64(1), c.Held().Version())
 	require.Nil(t, c.Snapshot())
-	require.Contains(t, c.Heard(3, "b", 2, "n-2"), Effect(FetchPeer{Host: "b", Held: base.Digests()}))
+	require.Contains(t, c.Heard(3, "b", 2, "n-2"), Effect(FetchPeer{
+		Host: "b",
+		Held: base.Digests(),
+	}))
 	require.Nil(t, c.Snapshot())
 	_, err = c.Latest()
 	var uninformed *UninformedError
@@ -203,16 +224,23 @@
 		c := testCore(1, true)
 		fetched(t, c, 0, "b", s)
 		require.Contains(t, c.Tick(0), Effect(ReadHead{}))
-		require.Contains(t, c.HeadRead(1, stored(s), nil), Effect(StartWatch{ID: 1, Revision: 1}))
+		require.Contains(t, c.HeadRead(1, stored(s), nil), Effect(StartWatch{
+			ID:       1,
+			Revision: 1,
+		}))
 		return c, 1
 	}
 	tests := map[string]func(c *Core, now basilmoor.Millis) []Effect{
 		"compacted": func(c *Core, now basilmoor.Millis) []Effect {
-			c.Watched(now, 1, nil, 0, &basilmoor.CompactedError{Revision: 9})
+			c.Watched(now, 1, nil, 0, &basilmoor.CompactedError{
+				Revision: 9,
+			})
 			return c.Tick(now + 1)
 		},
 		"failed": func(c *Core, now basilmoor.Millis) []Effect {
-			c.Watched(now, 1, nil, 0, &basilmoor.UnavailableError{Err: errors.New("down")})
+			c.Watched(now, 1, nil, 0, &basilmoor.UnavailableError{
+				Err: errors.New("down"),
+			})
 			return c.Tick(now + retryInterval*3/2)
 		},
 		"set back": func(c *Core, now basilmoor.Millis) []Effect {
@@ -225,7 +253,10 @@
 			require.Contains(t, event(c, now), Effect(ReadHead{}))
 			entry := stored(s)
 			entry.Revision = 0
-			require.Contains(t, c.HeadRead(now+50*basilmoor.Second, entry, nil), Effect(StartWatch{ID: 2, Revision: 0}))
+			require.Contains(t, c.HeadRead(now+50*basilmoor.Second, entry, nil), Effect(StartWatch{
+				ID:       2,
+				Revision: 0,
+			}))
 		})
 	}
 }
--- a/internal/config/bmfollower/fleet_test.go
+++ b/internal/config/bmfollower/fleet_test.go
@@ -282,13 +282,19 @@
 		err := s.err()
 		events, revision := f.store.Poll(bmcatalog.HeadKey, e.Revision)
 		if err == nil && len(events) == 0 && now-started < watchWait {
-			f.calls = append(f.calls, simCall{at: now + step, run: poll})
+			f.calls = append(f.calls, simCall{
+				at:  now + step,
+				run: poll,
+			})
 			return
 		}
 		h.closeWatch()
 		h.handle(h.core.Watched(now, e.ID, events, revision, err))
 	}
-	f.calls = append(f.calls, simCall{at: started + step, run: poll})
+	f.calls = append(f.calls, simCall{
+		at:  started + step,
+		run: poll,
+	})
 }
 
 func (h *simHost) reaches(o *simHost) bool {
--- a/internal/config/bmnote/apply.go
+++ b/internal/config/bmnote/apply.go
@@ -99,7 +99,10 @@
 			a.absent(s, it)
 			continue
 		}
-		a.given[Item{Section: s, Name: it.name}] = it
+		a.given[Item{
+			Section: s,
+			Name:    it.name,
+		}] = it
 		remove[it.name] = true
 	}
 	after = slices.DeleteFunc(after, func(i T) bool { return remove[name(i)] })
@@ -132,7 +135,10 @@
 			a.add(f.line, it.path+"."+name, RuleType, "%v", err)
 		}
 	}
-	a.given[Item{Section: s, Name: it.name}] = it
+	a.given[Item{
+		Section: s,
+		Name:    it.name,
+	}] = it
 }
 
 // kindServed reports whether a target serves a kind with its expected tokens.
--- a/internal/config/bmnote/fields.go
+++ b/internal/config/bmnote/fields.go
@@ -102,10 +102,22 @@
 
 // scalarTags are the tags that a kind of field accepts.
 var scalarTags = map[reflect.Kind]struct{ tag, word string }{
-	reflect.String: {tag: "!!str", word: "text"},
-	reflect.Int:    {tag: "!!int", word: "a whole number"},
-	reflect.Int64:  {tag: "!!int", word: "a whole number"},
-	reflect.Bool:   {tag: "!!bool", word: "true or false"},
+	reflect.String: {
+		tag:  "!!str",
+		word: "text",
+	},
+	reflect.Int: {
+		tag:  "!!int",
+		word: "a whole number",
+	},
+	reflect.Int64: {
+		tag:  "!!int",
+		word: "a whole number",
+	},
+	reflect.Bool: {
+		tag:  "!!bool",
+		word: "true or false",
+	},
 }
 
 func (p *parser) scalar(n *yaml.Node, path string, want reflect.Type) bool {
--- a/internal/config/bmnote/items.go
+++ b/internal/config/bmnote/items.go
@@ -22,7 +22,10 @@
 
 func eachGiven[T any](a *applier, s Section, items []T, name func(T) string, check func(*itemCheck, T)) {
 	for _, i := range items {
-		if it, ok := a.given[Item{Section: s, Name: name(i)}]; ok {
+		if it, ok := a.given[Item{
+			Section: s,
+			Name:    name(i),
+		}]; ok {
 			check(&itemCheck{
 				faults: &a.faults,
 				item:   it,
--- a/internal/config/bmnote/note_test.go
+++ b/internal/config/bmnote/note_test.go
@@ -49,13 +49,34 @@
 		text string
 		want []string
 	}{
-		"empty":          {text: "", want: []string{"1 note syntax"}},
-		"broken":         {text: "schema: 1\nnote: [", want: []string{"2 note syntax"}},
-		"two documents":  {text: header("---\nschema: 1\n"), want: []string{"3 note syntax"}},
-		"alias":          {text: header("added: &a\n  tiers: []\nchanged: *a\n"), want: []string{"3 note syntax", "5 note syntax"}},
-		"nothing in it":  {text: header(""), want: []string{"1 note empty"}},
-		"other schema":   {text: "schema: 2\nnote: test\nwithdrawn: {pools: [x]}\n", want: []string{"1 schema schema", "3 withdrawn.pools[0] absent"}},
-		"no head fields": {text: "added:\n  tiers: []\n", want: []string{"1 note missing", "1 schema missing"}},
+		"empty": {
+			text: "",
+			want: []string{"1 note syntax"},
+		},
+		"broken": {
+			text: "schema: 1\nnote: [",
+			want: []string{"2 note syntax"},
+		},
+		"two documents": {
+			text: header("---\nschema: 1\n"),
+			want: []string{"3 note syntax"},
+		},
+		"alias": {
+			text: header("added: &a\n  tiers: []\nchanged: *a\n"),
+			want: []string{"3 note syntax", "5 note syntax"},
+		},
+		"nothing in it": {
+			text: header(""),
+			want: []string{"1 note empty"},
+		},
+		"other schema": {
+			text: "schema: 2\nnote: test\nwithdrawn: {pools: [x]}\n",
+			want: []string{"1 schema schema", "3 withdrawn.pools[0] absent"},
+		},
+		"no head fields": {
+			text: "added:\n  tiers: []\n",
+			want: []string{"1 note missing", "1 schema missing"},
+		},
 		"unknown fields": {
 			text: header("remarks: x\nadded:\n  teams: []\n  tiers:\n    - name: gold\n      rank: 9\n      colour: red\n"),
 			want: []string{"3 remarks unknown-field", "5 added.teams unknown-field", "9 added.tiers[0].colour unknown-field"},
--- a/internal/config/bmnote/references.go
+++ b/internal/config/bmnote/references.go
@@ -40,7 +40,10 @@
 	if value == "" || present[value] {
 		return
 	}
-	user := Item{Section: s, Name: name}
+	user := Item{
+		Section: s,
+		Name:    name,
+	}
 	if it, ok := a.given[user]; ok {
 		if it.fields[field].bad {
 			return
@@ -48,7 +51,10 @@
 		a.add(it.fieldLine(field), it.path+"."+field, RuleDangling, "%s %s does not exist", singular[to], value)
 		return
 	}
-	w, ok := a.given[Item{Section: to, Name: value}]
+	w, ok := a.given[Item{
+		Section: to,
+		Name:    value,
+	}]
 	if !ok {
 		a.add(1, "note", RuleDangling, "%s refers to %s %s, which does not exist", user, singular[to], value)
 		return
@@ -98,9 +104,15 @@
 	if other == name {
 		return // reported as a value that is listed twice
 	}
-	it, ok := a.given[Item{Section: s, Name: name}]
+	it, ok := a.given[Item{
+		Section: s,
+		Name:    name,
+	}]
 	if !ok {
-		it, ok = a.given[Item{Section: s, Name: other}]
+		it, ok = a.given[Item{
+			Section: s,
+			Name:    other,
+		}]
 		other = name
 	}
 	if !ok {
@@ -142,13 +154,19 @@
 // targets that the note takes from the kind's pool.
 func (a *applier) unserved(k basilmoor.Kind) {
 	const detail = "kind %s has no target in pool %s that is not leaving and can serve it"
-	if it, ok := a.given[Item{Section: SectionKinds, Name: k.Name}]; ok {
+	if it, ok := a.given[Item{
+		Section: SectionKinds,
+		Name:    k.Name,
+	}]; ok {
 		a.add(it.line, it.path, RuleKindUnserved, detail, k.Name, k.Pool)
 		return
 	}
 	charged := false
 	for _, t := range a.before.Targets {
-		it, ok := a.given[Item{Section: SectionTargets, Name: t.Name}]
+		it, ok := a.given[Item{
+			Section: SectionTargets,
+			Name:    t.Name,
+		}]
 		if !ok || t.Pool != k.Pool {
 			continue
 		}
--- a/internal/fleet/bmmember/driver_test.go
+++ b/internal/fleet/bmmember/driver_test.go
@@ -62,11 +62,27 @@
 		drivers: make(map[string]*bmmember.Driver),
 	}
 	members := []basilmoor.Member{
-		{Host: "host-a", Address: "127.0.0.1:1", Place: "bole", Region: "addis", Incarnation: 1000},
-		{Host: "host-b", Address: "127.0.0.1:2", Place: "merkato", Region: "addis", Incarnation: 1000},
+		{
+			Host:        "host-a",
+			Address:     "127.0.0.1:1",
+			Place:       "bole",
+			Region:      "addis",
+			Incarnation: 1000,
+		},
+		{
+			Host:        "host-b",
+			Address:     "127.0.0.1:2",
+			Place:       "merkato",
+			Region:      "addis",
+			Incarnation: 1000,
+		},
 	}
 	versions := make(chan int64, 100)
-	crashes := []*crashLog{{recent: []basilmoor.Crash{{Digest: 7}}}, {}}
+	crashes := []*crashLog{{
+		recent: []basilmoor.Crash{{
+			Digest: 7,
+		}},
+	}, {}}
 	var drivers []*bmmember.Driver
 	for i, m := range members {
 		d, cleanup := bmmember.NewDriver(bmmember.Config{
--- a/internal/fleet/bmmember/traffic_test.go
+++ b/internal/fleet/bmmember/traffic_test.go
@@ -40,12 +40,36 @@
 }
 
 var fleetSizes = []fleetSize{
-	{hosts: 6, places: 3, regions: 1},
-	{hosts: 9, places: 3, regions: 1},
-	{hosts: 16, places: 3, regions: 1},
-	{hosts: 24, places: 3, regions: 1},
-	{hosts: 96, places: 8, regions: 4},
-	{hosts: 390, places: 24, regions: 11},
+	{
+		hosts:   6,
+		places:  3,
+		regions: 1,
+	},
+	{
+		hosts:   9,
+		places:  3,
+		regions: 1,
+	},
+	{
+		hosts:   16,
+		places:  3,
+		regions: 1,
+	},
+	{
+		hosts:   24,
+		places:  3,
+		regions: 1,
+	},
+	{
+		hosts:   96,
+		places:  8,
+		regions: 4,
+	},
+	{
+		hosts:   390,
+		places:  24,
+		regions: 11,
+	},
 }
 
 // settle is the time after which the members have found each other.
--- a/internal/request/bmclaim/claim_test.go
+++ b/internal/request/bmclaim/claim_test.go
@@ -253,7 +253,10 @@
 func (w *world) stored(key string) claim {
 	v, err := build(0, w.store.list(slotPrefix(0)), newView(0), 0)
 	require.NoError(w.t, err)
-	return v.claims[keyID{"w", key}]
+	return v.claims[keyID{
+		workspace: "w",
+		key:       key,
+	}]
 }
 
 // Guards against two grants of one key, a grant that is not durable, a body
--- a/internal/request/bmclaim/committer_test.go
+++ b/internal/request/bmclaim/committer_test.go
@@ -59,7 +59,10 @@
 	require.ErrorIs(t, err, errConflict)
 	v, err := build(0, store.list(slotPrefix(0)), newView(0), 0)
 	require.NoError(t, err)
-	require.EqualValues(t, "r2", v.claims[keyID{"w", "b1"}].request)
+	require.EqualValues(t, "r2", v.claims[keyID{
+		workspace: "w",
+		key:       "b1",
+	}].request)
 	require.Equal(t, basilmoor.ClaimRunning, commitOne(t, stopped, claimOf(late), &late).State)
 }
 
@@ -137,15 +140,78 @@
 		state  basilmoor.ClaimState
 		answer string
 	}{
-		"running":                {nil, 14 * basilmoor.Minute, false, 0, basilmoor.ClaimRunning, ""},
-		"holder dead, too early": {nil, 9 * basilmoor.Second, true, 0, basilmoor.ClaimRunning, ""},
-		"holder dead":            {nil, 10 * basilmoor.Second, true, 0, basilmoor.ClaimUnknown, ""},
-		"expired":                {nil, 15 * basilmoor.Minute, false, 0, basilmoor.ClaimGranted, ""},
-		"done":                   {&done, basilmoor.Second, true, 0, basilmoor.ClaimDone, "xxx"},
-		"done, large":            {&large, basilmoor.Second, false, 0, basilmoor.ClaimDone, ""},
-		"unknown":                {&unknown, basilmoor.Second, false, 0, basilmoor.ClaimUnknown, ""},
-		"released":               {&released, basilmoor.Second, false, 1, basilmoor.ClaimGranted, ""},
-		"another body":           {&done, basilmoor.Second, false, 1, basilmoor.ClaimMismatch, ""},
+		"running": {
+			record: nil,
+			after:  14 * basilmoor.Minute,
+			dead:   false,
+			body:   0,
+			state:  basilmoor.ClaimRunning,
+			answer: "",
+		},
+		"holder dead, too early": {
+			record: nil,
+			after:  9 * basilmoor.Second,
+			dead:   true,
+			body:   0,
+			state:  basilmoor.ClaimRunning,
+			answer: "",
+		},
+		"holder dead": {
+			record: nil,
+			after:  10 * basilmoor.Second,
+			dead:   true,
+			body:   0,
+			state:  basilmoor.ClaimUnknown,
+			answer: "",
+		},
+		"expired": {
+			record: nil,
+			after:  15 * basilmoor.Minute,
+			dead:   false,
+			body:   0,
+			state:  basilmoor.ClaimGranted,
+			answer: "",
+		},
+		"done": {
+			record: &done,
+			after:  basilmoor.Second,
+			dead:   true,
+			body:   0,
+			state:  basilmoor.ClaimDone,
+			answer: "xxx",
+		},
+		"done, large": {
+			record: &large,
+			after:  basilmoor.Second,
+			dead:   false,
+			body:   0,
+			state:  basilmoor.ClaimDone,
+			answer: "",
+		},
+		"unknown": {
+			record: &unknown,
+			after:  basilmoor.Second,
+			dead:   false,
+			body:   0,
+			state:  basilmoor.ClaimUnknown,
+			answer: "",
+		},
+		"released": {
+			record: &released,
+			after:  basilmoor.Second,
+			dead:   false,
+			body:   1,
+			state:  basilmoor.ClaimGranted,
+			answer: "",
+		},
+		"another body": {
+			record: &done,
+			after:  basilmoor.Second,
+			dead:   false,
+			body:   1,
+			state:  basilmoor.ClaimMismatch,
+			answer: "",
+		},
 	}
 	for name, tt := range tests {
 		for _, takeover := range []bool{false, true} {
@@ -189,7 +255,9 @@
 type claimerFunc func(ctx context.Context) error
 
 func (f claimerFunc) Claim(ctx context.Context, _ basilmoor.ClaimRequest) (basilmoor.Claim, error) {
-	return basilmoor.Claim{State: "remote"}, f(ctx)
+	return basilmoor.Claim{
+		State: "remote",
+	}, f(ctx)
 }
 
 func (f claimerFunc) Record(ctx context.Context, _ basilmoor.ClaimRecord) error { return f(ctx) }
@@ -211,11 +279,31 @@
 		state  basilmoor.ClaimState
 		err    error
 	}{
-		"owner answers":     {func(context.Context) error { return nil }, "remote", nil},
-		"owner refuses":     {func(context.Context) error { return refused }, "remote", refused},
-		"owner unavailable": {func(context.Context) error { return errNoAnswer }, "local", nil},
-		"owner frozen":      {frozen, "local", nil},
-		"no owner":          {nil, "local", nil},
+		"owner answers": {
+			remote: func(context.Context) error { return nil },
+			state:  "remote",
+			err:    nil,
+		},
+		"owner refuses": {
+			remote: func(context.Context) error { return refused },
+			state:  "remote",
+			err:    refused,
+		},
+		"owner unavailable": {
+			remote: func(context.Context) error { return errNoAnswer },
+			state:  "local",
+			err:    nil,
+		},
+		"owner frozen": {
+			remote: frozen,
+			state:  "local",
+			err:    nil,
+		},
+		"no owner": {
+			remote: nil,
+			state:  "local",
+			err:    nil,
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -231,7 +319,9 @@
 type localClaimer struct{}
 
 func (localClaimer) Claim(context.Context, basilmoor.ClaimRequest) (basilmoor.Claim, error) {
-	return basilmoor.Claim{State: "local"}, nil
+	return basilmoor.Claim{
+		State: "local",
+	}, nil
 }
 
 func (localClaimer) Record(context.Context, basilmoor.ClaimRecord) error { return nil }
--- a/internal/request/bmclaim/decide.go
+++ b/internal/request/bmclaim/decide.go
@@ -111,7 +111,10 @@
 			d.decideRecord(v, o, now)
 			continue
 		}
-		id := keyID{o.claim.Workspace, o.claim.Key}
+		id := keyID{
+			workspace: o.claim.Workspace,
+			key:       o.claim.Key,
+		}
 		if first := taken[id]; first != nil {
 			d.wait(o, besides(first, o.claim))
 			continue
@@ -131,7 +134,10 @@
 }
 
 func (d *decision) decideRecord(v *view, o *operation, now basilmoor.Millis) {
-	found, ok := v.find(keyID{o.record.Workspace, o.record.Key}, now)
+	found, ok := v.find(keyID{
+		workspace: o.record.Workspace,
+		key:       o.record.Key,
+	}, now)
 	if !ok || found.request != o.record.Request || found.state == o.record.State || found.state == basilmoor.ClaimDone {
 		// Nothing is left to record. It still waits for the next segment, so
 		// that a late write of the claim is fenced off first.
--- a/internal/request/bmclaim/fakes_test.go
+++ b/internal/request/bmclaim/fakes_test.go
@@ -90,7 +90,9 @@
 	err = s.call(false, func() error {
 		var ok bool
 		if e, ok = s.entries[key]; !ok {
-			return &basilmoor.NotFoundError{Key: key}
+			return &basilmoor.NotFoundError{
+				Key: key,
+			}
 		}
 		return nil
 	})
@@ -140,10 +142,14 @@
 	return s.call(true, func() error {
 		have, ok := s.entries[key]
 		if !ok {
-			return &basilmoor.NotFoundError{Key: key}
+			return &basilmoor.NotFoundError{
+				Key: key,
+			}
 		}
 		if have.Version != version {
-			return &basilmoor.ConflictError{Key: key}
+			return &basilmoor.ConflictError{
+				Key: key,
+			}
 		}
 		delete(s.entries, key)
 		return nil
--- a/internal/request/bmclaim/log.go
+++ b/internal/request/bmclaim/log.go
@@ -94,7 +94,10 @@
 // applyClaim believes the writer of the segment, who knew the whole log before
 // it and found the key free.
 func (v *view) applyClaim(sequence int64, e claimEntry, now basilmoor.Millis) keyID {
-	id := keyID{e.Workspace, e.Key}
+	id := keyID{
+		workspace: e.Workspace,
+		key:       e.Key,
+	}
 	v.claims[id] = claim{
 		digest:   e.BodyDigest,
 		host:     e.Host,
@@ -107,7 +110,10 @@
 }
 
 func (v *view) applyRecord(e recordEntry) {
-	id := keyID{e.Workspace, e.Key}
+	id := keyID{
+		workspace: e.Workspace,
+		key:       e.Key,
+	}
 	c, ok := v.claims[id]
 	if !ok || c.request != e.Request {
 		return
--- a/internal/request/bmclaim/trial.go
+++ b/internal/request/bmclaim/trial.go
@@ -251,7 +251,9 @@
 	s.called(&s.reads)
 	e, ok := s.entries[key]
 	if !ok {
-		return e, &basilmoor.NotFoundError{Key: key}
+		return e, &basilmoor.NotFoundError{
+			Key: key,
+		}
 	}
 	return e, nil
 }
@@ -292,7 +294,9 @@
 func (s *trialStore) Delete(_ context.Context, key string, _ int64) error {
 	s.called(&s.deletes)
 	if _, ok := s.entries[key]; !ok {
-		return &basilmoor.NotFoundError{Key: key}
+		return &basilmoor.NotFoundError{
+			Key: key,
+		}
 	}
 	delete(s.entries, key)
 	return nil
--- a/internal/request/bmcrash/registry_test.go
+++ b/internal/request/bmcrash/registry_test.go
@@ -23,18 +23,156 @@
 		after   basilmoor.Millis
 		suspect bool
 	}{
-		"no death":                       {nil, 0, false},
-		"one death":                      {[]step{{0, "a"}}, 0, false},
-		"one target twice":               {[]step{{0, "a"}, {1, "a"}}, 0, false},
-		"two targets":                    {[]step{{0, "a"}, {1, "b"}}, 0, true},
-		"almost over":                    {[]step{{0, "a"}, {hold, "b"}}, hold - 1, true},
-		"over":                           {[]step{{0, "a"}, {hold, "b"}}, hold, false},
-		"deaths far apart":               {[]step{{0, "a"}, {hold + 1, "b"}}, 0, false},
-		"third death, two near":          {[]step{{0, "a"}, {hold, "b"}, {hold, "c"}}, 1, true},
-		"lifted":                         {[]step{{0, "a"}, {1, "b"}, {1, ""}}, 0, false},
-		"one death after the lift":       {[]step{{0, "a"}, {1, "b"}, {1, ""}, {1, "c"}}, 0, false},
-		"two deaths after the lift":      {[]step{{0, "a"}, {1, "b"}, {1, ""}, {1, "a"}, {1, "b"}}, 0, true},
-		"new deaths of the same targets": {[]step{{0, "a"}, {1, "b"}, {hold, "a"}, {1, "b"}}, hold - 1, true},
+		"no death": {
+			steps:   nil,
+			after:   0,
+			suspect: false,
+		},
+		"one death": {
+			steps: []step{{
+				after:  0,
+				target: "a",
+			}},
+			after:   0,
+			suspect: false,
+		},
+		"one target twice": {
+			steps: []step{{
+				after:  0,
+				target: "a",
+			}, {
+				after:  1,
+				target: "a",
+			}},
+			after:   0,
+			suspect: false,
+		},
+		"two targets": {
+			steps: []step{{
+				after:  0,
+				target: "a",
+			}, {
+				after:  1,
+				target: "b",
+			}},
+			after:   0,
+			suspect: true,
+		},
+		"almost over": {
+			steps: []step{{
+				after:  0,
+				target: "a",
+			}, {
+				after:  hold,
+				target: "b",
+			}},
+			after:   hold - 1,
+			suspect: true,
+		},
+		"over": {
+			steps: []step{{
+				after:  0,
+				target: "a",
+			}, {
+				after:  hold,
+				target: "b",
+			}},
+			after:   hold,
+			suspect: false,
+		},
+		"deaths far apart": {
+			steps: []step{{
+				after:  0,
+				target: "a",
+			}, {
+				after:  hold + 1,
+				target: "b",
+			}},
+			after:   0,
+			suspect: false,
+		},
+		"third death, two near": {
+			steps: []step{{
+				after:  0,
+				target: "a",
+			}, {
+				after:  hold,
+				target: "b",
+			}, {
+				after:  hold,
+				target: "c",
+			}},
+			after:   1,
+			suspect: true,
+		},
+		"lifted": {
+			steps: []step{{
+				after:  0,
+				target: "a",
+			}, {
+				after:  1,
+				target: "b",
+			}, {
+				after:  1,
+				target: "",
+			}},
+			after:   0,
+			suspect: false,
+		},
+		"one death after the lift": {
+			steps: []step{{
+				after:  0,
+				target: "a",
+			}, {
+				after:  1,
+				target: "b",
+			}, {
+				after:  1,
+				target: "",
+			}, {
+				after:  1,
+				target: "c",
+			}},
+			after:   0,
+			suspect: false,
+		},
+		"two deaths after the lift": {
+			steps: []step{{
+				after:  0,
+				target: "a",
+			}, {
+				after:  1,
+				target: "b",
+			}, {
+				after:  1,
+				target: "",
+			}, {
+				after:  1,
+				target: "a",
+			}, {
+				after:  1,
+				target: "b",
+			}},
+			after:   0,
+			suspect: true,
+		},
+		"new deaths of the same targets": {
+			steps: []step{{
+				after:  0,
+				target: "a",
+			}, {
+				after:  1,
+				target: "b",
+			}, {
+				after:  hold,
+				target: "a",
+			}, {
+				after:  1,
+				target: "b",
+			}},
+			after:   hold - 1,
+			suspect: true,
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/request/bmdispatch/exchange_test.go
+++ b/internal/request/bmdispatch/exchange_test.go
@@ -47,7 +47,11 @@
 // Guards against a dispatch with a grant or a claim that expired while the
 // connection was being made.
 func TestExpiredBeforeFirstByte(t *testing.T) {
-	target := newRawTarget(t, func(*rawTarget, string) step { return step{send: okResponse} })
+	target := newRawTarget(t, func(*rawTarget, string) step {
+		return step{
+			send: okResponse,
+		}
+	})
 	d, _ := newTestDispatcher(t)
 	r := chatRequest()
 	r.Valid = func() bool { return false }
--- a/internal/request/bmdispatch/once_test.go
+++ b/internal/request/bmdispatch/once_test.go
@@ -15,26 +15,70 @@
 
 // faults lists the points of an exchange at which a target fails.
 var faults = map[string]step{
-	"closes before reading":         {skipRead: true},
-	"resets before reading":         {skipRead: true, reset: true},
-	"silent before reading":         {skipRead: true, silent: true},
-	"closes after the head":         {onlyHead: true},
-	"resets after the head":         {onlyHead: true, reset: true},
-	"closes after the request":      {},
-	"resets after the request":      {reset: true},
-	"silent after the request":      {silent: true},
-	"closes in the status line":     {send: "HTTP/1.1 20"},
-	"resets in the headers":         {send: "HTTP/1.1 200 OK\r\nContent-Le", reset: true},
-	"silent in the headers":         {send: "HTTP/1.1 200 OK\r\nContent-Le", silent: true},
-	"closes in a sized body":        {send: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"},
-	"silent in a sized body":        {send: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", silent: true},
-	"closes in a chunked body":      {send: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"},
-	"closes a body without framing": {send: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok"},
-	"sends no HTTP":                 {send: "SSH-2.0-x\r\n\r\n"},
-	"states not-run":                {send: "HTTP/1.1 503 X\r\nBasilmoor-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"},
-	"is overloaded":                 {send: "HTTP/1.1 429 X\r\nContent-Length: 0\r\n\r\n"},
-	"fails without a statement":     {send: "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"},
-	"answers":                       {send: okResponse},
+	"closes before reading": {
+		skipRead: true,
+	},
+	"resets before reading": {
+		skipRead: true,
+		reset:    true,
+	},
+	"silent before reading": {
+		skipRead: true,
+		silent:   true,
+	},
+	"closes after the head": {
+		onlyHead: true,
+	},
+	"resets after the head": {
+		onlyHead: true,
+		reset:    true,
+	},
+	"closes after the request": {},
+	"resets after the request": {
+		reset: true,
+	},
+	"silent after the request": {
+		silent: true,
+	},
+	"closes in the status line": {
+		send: "HTTP/1.1 20",
+	},
+	"resets in the headers": {
+		send:  "HTTP/1.1 200 OK\r\nContent-Le",
+		reset: true,
+	},
+	"silent in the headers": {
+		send:   "HTTP/1.1 200 OK\r\nContent-Le",
+		silent: true,
+	},
+	"closes in a sized body": {
+		send: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+	},
+	"silent in a sized body": {
+		send:   "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+		silent: true,
+	},
+	"closes in a chunked body": {
+		send: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+	},
+	"closes a body without framing": {
+		send: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok",
+	},
+	"sends no HTTP": {
+		send: "SSH-2.0-x\r\n\r\n",
+	},
+	"states not-run": {
+		send: "HTTP/1.1 503 X\r\nBasilmoor-Outcome: not-run\r\nContent-Length: 0\r\n\r\n",
+	},
+	"is overloaded": {
+		send: "HTTP/1.1 429 X\r\nContent-Length: 0\r\n\r\n",
+	},
+	"fails without a statement": {
+		send: "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",
+	},
+	"answers": {
+		send: okResponse,
+	},
 }
 
 // Guards against a transport that sends a request again on its own, and
@@ -57,7 +101,10 @@
 func checkOneDispatch(t *testing.T, fault step, method, key string, reused bool) {
 	target := newRawTarget(t, func(target *rawTarget, head string) step {
 		if strings.Contains(head, "X-Probe: warm") {
-			return step{send: okResponse, keepAlive: true}
+			return step{
+				send:      okResponse,
+				keepAlive: true,
+			}
 		}
 		if head == "" && reused && target.count("X-Probe: warm") == 0 {
 			return step{}
--- a/internal/request/bmdispatch/stream_test.go
+++ b/internal/request/bmdispatch/stream_test.go
@@ -26,7 +26,9 @@
 		offset, _ = strconv.Atoi(m[1])
 	}
 	body := strings.Join(events[min(offset, len(events)):], "") + "data: [DONE]\n\n"
-	return step{send: streamHead + body[:min(max(cut, 0), len(body))]}
+	return step{
+		send: streamHead + body[:min(max(cut, 0), len(body))],
+	}
 }
 
 func chatRequest() Request {
@@ -93,18 +95,42 @@
 		resume string
 		gets   int
 	}{
-		"stream is gone":   {basilmoor.EngineTarget, streamHead, "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n", 1},
-		"resume fails":     {basilmoor.EngineTarget, streamHead, "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", 3},
-		"no stream id":     {basilmoor.EngineTarget, strings.Replace(streamHead, "Engine-Stream-Id: s/1\r\n", "", 1), "", 0},
-		"service has none": {basilmoor.ServiceTarget, streamHead, "", 0},
+		"stream is gone": {
+			kind:   basilmoor.EngineTarget,
+			head:   streamHead,
+			resume: "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n",
+			gets:   1,
+		},
+		"resume fails": {
+			kind:   basilmoor.EngineTarget,
+			head:   streamHead,
+			resume: "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n",
+			gets:   3,
+		},
+		"no stream id": {
+			kind:   basilmoor.EngineTarget,
+			head:   strings.Replace(streamHead, "Engine-Stream-Id: s/1\r\n", "", 1),
+			resume: "",
+			gets:   0,
+		},
+		"service has none": {
+			kind:   basilmoor.ServiceTarget,
+			head:   streamHead,
+			resume: "",
+			gets:   0,
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			target := newRawTarget(t, func(_ *rawTarget, head string) step {
 				if strings.HasPrefix(head, "POST") {
-					return step{send: tt.head + "data: 1\n\n"}
+					return step{
+						send: tt.head + "data: 1\n\n",
+					}
+				}
+				return step{
+					send: tt.resume,
 				}
-				return step{send: tt.resume}
 			})
 			s := DefaultSettings()
 			s.ResumeDelay = 0
@@ -125,7 +151,10 @@
 	events := []string{"data: 1\n\n", "data: 2\n\n"}
 	target := newRawTarget(t, func(_ *rawTarget, head string) step {
 		if strings.HasPrefix(head, "POST") {
-			return step{send: streamHead + events[0] + "data:", silent: true}
+			return step{
+				send:   streamHead + events[0] + "data:",
+				silent: true,
+			}
 		}
 		return streamFrom(events, head, 1000)
 	})
@@ -145,7 +174,10 @@
 		if head == "" {
 			return step{}
 		}
-		return step{send: streamHead, feed: next}
+		return step{
+			send: streamHead,
+			feed: next,
+		}
 	})
 	d, clock := newTestDispatcher(t)
 	sink := &memorySink{
@@ -181,9 +213,14 @@
 	target := newRawTarget(t, func(_ *rawTarget, head string) step {
 		if strings.HasPrefix(head, "DELETE") {
 			deleted <- head
-			return step{send: "HTTP/1.1 204 No Content\r\n\r\n"}
+			return step{
+				send: "HTTP/1.1 204 No Content\r\n\r\n",
+			}
+		}
+		return step{
+			send:   streamHead + "data: 1\n\n",
+			silent: head != "",
 		}
-		return step{send: streamHead + "data: 1\n\n", silent: head != ""}
 	})
 	d, _ := newTestDispatcher(t)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/request/bmgateway/claim_test.go
+++ b/internal/request/bmgateway/claim_test.go
@@ -40,7 +40,10 @@
 	c.calls++
 	if c.fail > 0 {
 		c.fail--
-		return basilmoor.Claim{}, &basilmoor.UnavailableError{Operation: "claim", Err: errors.New("down")}
+		return basilmoor.Claim{}, &basilmoor.UnavailableError{
+			Operation: "claim",
+			Err:       errors.New("down"),
+		}
 	}
 	found, ok := c.claims[r.Key]
 	if ok && c.digests[r.Key] != r.BodyDigest {
@@ -50,8 +53,14 @@
 		return found, nil
 	}
 	c.digests[r.Key] = r.BodyDigest
-	c.claims[r.Key] = basilmoor.Claim{State: basilmoor.ClaimRunning, Request: r.Request}
-	return basilmoor.Claim{State: basilmoor.ClaimGranted, Request: r.Request}, nil
+	c.claims[r.Key] = basilmoor.Claim{
+		State:   basilmoor.ClaimRunning,
+		Request: r.Request,
+	}
+	return basilmoor.Claim{
+		State:   basilmoor.ClaimGranted,
+		Request: r.Request,
+	}, nil
 }
 
 func (c *fakeClaimer) Record(_ context.Context, r basilmoor.ClaimRecord) error {
@@ -60,7 +69,11 @@
 	if r.State == basilmoor.ClaimReleased {
 		delete(c.claims, r.Key)
 	} else {
-		c.claims[r.Key] = basilmoor.Claim{State: r.State, Request: r.Request, Answer: r.Answer}
+		c.claims[r.Key] = basilmoor.Claim{
+			State:   r.State,
+			Request: r.Request,
+			Answer:  r.Answer,
+		}
 	}
 	c.recorded <- r
 	return nil
@@ -109,15 +122,87 @@
 		replayed  string
 		record    basilmoor.ClaimState
 	}{
-		{"a", "x", 201, "done", "made", "", basilmoor.ClaimDone},
-		{"a", "x", 201, "done", "made", "true", ""},
-		{"a", "y", 422, "not-run", "key-mismatch", "", ""},
-		{"b", "break", 502, "unknown", "target-failed", "", basilmoor.ClaimUnknown},
-		{"b", "break", 409, "unknown", "holder-lost", "", ""},
-		{"c", "busy", 503, "not-run", "target-refused", "", basilmoor.ClaimReleased},
-		{"c", "x", 201, "done", "made", "", basilmoor.ClaimDone},
-		{"d", "large", 200, "done", "xxx", "", basilmoor.ClaimDone},
-		{"d", "large", 409, "done", "answer-not-recorded", "true", ""},
+		{
+			key:      "a",
+			body:     "x",
+			status:   201,
+			outcome:  "done",
+			text:     "made",
+			replayed: "",
+			record:   basilmoor.ClaimDone,
+		},
+		{
+			key:      "a",
+			body:     "x",
+			status:   201,
+			outcome:  "done",
+			text:     "made",
+			replayed: "true",
+			record:   "",
+		},
+		{
+			key:      "a",
+			body:     "y",
+			status:   422,
+			outcome:  "not-run",
+			text:     "key-mismatch",
+			replayed: "",
+			record:   "",
+		},
+		{
+			key:      "b",
+			body:     "break",
+			status:   502,
+			outcome:  "unknown",
+			text:     "target-failed",
+			replayed: "",
+			record:   basilmoor.ClaimUnknown,
+		},
+		{
+			key:      "b",
+			body:     "break",
+			status:   409,
+			outcome:  "unknown",
+			text:     "holder-lost",
+			replayed: "",
+			record:   "",
+		},
+		{
+			key:      "c",
+			body:     "busy",
+			status:   503,
+			outcome:  "not-run",
+			text:     "target-refused",
+			replayed: "",
+			record:   basilmoor.ClaimReleased,
+		},
+		{
+			key:      "c",
+			body:     "x",
+			status:   201,
+			outcome:  "done",
+			text:     "made",
+			replayed: "",
+			record:   basilmoor.ClaimDone,
+		},
+		{
+			key:      "d",
+			body:     "large",
+			status:   200,
+			outcome:  "done",
+			text:     "xxx",
+			replayed: "",
+			record:   basilmoor.ClaimDone,
+		},
+		{
+			key:      "d",
+			body:     "large",
+			status:   409,
+			outcome:  "done",
+			text:     "answer-not-recorded",
+			replayed: "true",
+			record:   "",
+		},
 	}
 	ran := 0
 	for _, tt := range tests {
--- a/internal/request/bmgateway/problem.go
+++ b/internal/request/bmgateway/problem.go
@@ -47,39 +47,147 @@
 }
 
 var replies = map[basilmoor.Reason]reply{
-	basilmoor.ReasonUnauthorized:      {http.StatusUnauthorized, "The bearer token belongs to no workspace", 0},
-	basilmoor.ReasonUnknownKind:       {http.StatusNotFound, "No kind of requests matches", 0},
-	basilmoor.ReasonMalformed:         {http.StatusBadRequest, "The request is malformed", 0},
-	basilmoor.ReasonTooLarge:          {http.StatusRequestEntityTooLarge, "The request is too large", 0},
-	basilmoor.ReasonMethodNotAllowed:  {http.StatusMethodNotAllowed, "The method is not allowed", 0},
-	basilmoor.ReasonQueueFull:         {http.StatusServiceUnavailable, "The queue is full", 2 * basilmoor.Second},
-	basilmoor.ReasonDisplaced:         {http.StatusServiceUnavailable, "A higher tier took the place in the queue", 2 * basilmoor.Second},
-	basilmoor.ReasonDeadline:          {http.StatusServiceUnavailable, "The deadline can't be met", 2 * basilmoor.Second},
-	basilmoor.ReasonNoTarget:          {http.StatusServiceUnavailable, "No target can serve the request", 5 * basilmoor.Second},
-	basilmoor.ReasonRateLimit:         {http.StatusTooManyRequests, "The workspace's rate limit is reached", basilmoor.Second},
-	basilmoor.ReasonConcurrencyLimit:  {http.StatusTooManyRequests, "The workspace's concurrency limit is reached", basilmoor.Second},
-	basilmoor.ReasonKeyRequired:       {http.StatusBadRequest, "An Idempotency-Key is required", 0},
-	basilmoor.ReasonKeyMismatch:       {http.StatusUnprocessableEntity, "The Idempotency-Key was used with another request", 0},
-	basilmoor.ReasonKeyInProgress:     {http.StatusConflict, "A request with this Idempotency-Key is in progress", 2 * basilmoor.Second},
-	basilmoor.ReasonStoreUnavailable:  {http.StatusServiceUnavailable, "Claims can't be made durable at present", 2 * basilmoor.Second},
-	basilmoor.ReasonCrashSuspect:      {http.StatusUnprocessableEntity, "The request is held back because targets died while running it", 0},
-	basilmoor.ReasonStopping:          {http.StatusServiceUnavailable, "The host is stopping", basilmoor.Second},
-	basilmoor.ReasonIsolated:          {http.StatusServiceUnavailable, "The host has lost contact with the fleet", basilmoor.Second},
-	basilmoor.ReasonNoConfiguration:   {http.StatusServiceUnavailable, "The host has no usable configuration", basilmoor.Second},
-	basilmoor.ReasonTargetRefused:     {http.StatusServiceUnavailable, "The target refused the request", 2 * basilmoor.Second},
-	basilmoor.ReasonTargetUnreachable: {http.StatusServiceUnavailable, "No target could be reached", 2 * basilmoor.Second},
-	basilmoor.ReasonCallerLeft:        {499, "The caller left", 0},
-	basilmoor.ReasonTargetFailed:      {http.StatusBadGateway, "The connection to the target broke", 0},
-	basilmoor.ReasonTargetSilent:      {http.StatusGatewayTimeout, "The target stopped responding", 0},
-	basilmoor.ReasonHolderLost:        {http.StatusConflict, "The outcome of the request with this Idempotency-Key is not known", 0},
-	ReasonNotRecorded:                 {http.StatusConflict, "The request is done; its response was too large to be recorded", 0},
+	basilmoor.ReasonUnauthorized: {
+		status: http.StatusUnauthorized,
+		title:  "The bearer token belongs to no workspace",
+		retry:  0,
+	},
+	basilmoor.ReasonUnknownKind: {
+		status: http.StatusNotFound,
+		title:  "No kind of requests matches",
+		retry:  0,
+	},
+	basilmoor.ReasonMalformed: {
+		status: http.StatusBadRequest,
+		title:  "The request is malformed",
+		retry:  0,
+	},
+	basilmoor.ReasonTooLarge: {
+		status: http.StatusRequestEntityTooLarge,
+		title:  "The request is too large",
+		retry:  0,
+	},
+	basilmoor.ReasonMethodNotAllowed: {
+		status: http.StatusMethodNotAllowed,
+		title:  "The method is not allowed",
+		retry:  0,
+	},
+	basilmoor.ReasonQueueFull: {
+		status: http.StatusServiceUnavailable,
+		title:  "The queue is full",
+		retry:  2 * basilmoor.Second,
+	},
+	basilmoor.ReasonDisplaced: {
+		status: http.StatusServiceUnavailable,
+		title:  "A higher tier took the place in the queue",
+		retry:  2 * basilmoor.Second,
+	},
+	basilmoor.ReasonDeadline: {
+		status: http.StatusServiceUnavailable,
+		title:  "The deadline can't be met",
+		retry:  2 * basilmoor.Second,
+	},
+	basilmoor.ReasonNoTarget: {
+		status: http.StatusServiceUnavailable,
+		title:  "No target can serve the request",
+		retry:  5 * basilmoor.Second,
+	},
+	basilmoor.ReasonRateLimit: {
+		status: http.StatusTooManyRequests,
+		title:  "The workspace's rate limit is reached",
+		retry:  basilmoor.Second,
+	},
+	basilmoor.ReasonConcurrencyLimit: {
+		status: http.StatusTooManyRequests,
+		title:  "The workspace's concurrency limit is reached",
+		retry:  basilmoor.Second,
+	},
+	basilmoor.ReasonKeyRequired: {
+		status: http.StatusBadRequest,
+		title:  "An Idempotency-Key is required",
+		retry:  0,
+	},
+	basilmoor.ReasonKeyMismatch: {
+		status: http.StatusUnprocessableEntity,
+		title:  "The Idempotency-Key was used with another request",
+		retry:  0,
+	},
+	basilmoor.ReasonKeyInProgress: {
+		status: http.StatusConflict,
+		title:  "A request with this Idempotency-Key is in progress",
+		retry:  2 * basilmoor.Second,
+	},
+	basilmoor.ReasonStoreUnavailable: {
+		status: http.StatusServiceUnavailable,
+		title:  "Claims can't be made durable at present",
+		retry:  2 * basilmoor.Second,
+	},
+	basilmoor.ReasonCrashSuspect: {
+		status: http.StatusUnprocessableEntity,
+		title:  "The request is held back because targets died while running it",
+		retry:  0,
+	},
+	basilmoor.ReasonStopping: {
+		status: http.StatusServiceUnavailable,
+		title:  "The host is stopping",
+		retry:  basilmoor.Second,
+	},
+	basilmoor.ReasonIsolated: {
+		status: http.StatusServiceUnavailable,
+		title:  "The host has lost contact with the fleet",
+		retry:  basilmoor.Second,
+	},
+	basilmoor.ReasonNoConfiguration: {
+		status: http.StatusServiceUnavailable,
+		title:  "The host has no usable configuration",
+		retry:  basilmoor.Second,
+	},
+	basilmoor.ReasonTargetRefused: {
+		status: http.StatusServiceUnavailable,
+		title:  "The target refused the request",
+		retry:  2 * basilmoor.Second,
+	},
+	basilmoor.ReasonTargetUnreachable: {
+		status: http.StatusServiceUnavailable,
+		title:  "No target could be reached",
+		retry:  2 * basilmoor.Second,
+	},
+	basilmoor.ReasonCallerLeft: {
+		status: 499,
+		title:  "The caller left",
+		retry:  0,
+	},
+	basilmoor.ReasonTargetFailed: {
+		status: http.StatusBadGateway,
+		title:  "The connection to the target broke",
+		retry:  0,
+	},
+	basilmoor.ReasonTargetSilent: {
+		status: http.StatusGatewayTimeout,
+		title:  "The target stopped responding",
+		retry:  0,
+	},
+	basilmoor.ReasonHolderLost: {
+		status: http.StatusConflict,
+		title:  "The outcome of the request with this Idempotency-Key is not known",
+		retry:  0,
+	},
+	ReasonNotRecorded: {
+		status: http.StatusConflict,
+		title:  "The request is done; its response was too large to be recorded",
+		retry:  0,
+	},
 }
 
 // report returns the problem for a reason and an outcome.
 func report(reason basilmoor.Reason, o basilmoor.Outcome, detail string) problem {
 	r, ok := replies[reason]
 	if !ok {
-		r = reply{http.StatusServiceUnavailable, string(reason), basilmoor.Second}
+		r = reply{
+			status: http.StatusServiceUnavailable,
+			title:  string(reason),
+			retry:  basilmoor.Second,
+		}
 	}
 	return problem{
 		status:     r.status,
--- a/internal/request/bmrequest/request_test.go
+++ b/internal/request/bmrequest/request_test.go
@@ -91,17 +91,61 @@
 		state   State
 		outcome basilmoor.Outcome
 	}{
-		"received":   {func(*Request) {}, Received, basilmoor.OutcomeNotRun},
-		"waiting":    {func(r *Request) { _ = r.Wait() }, Waiting, basilmoor.OutcomeNotRun},
-		"granted":    {func(r *Request) { _ = r.Wait(); _ = r.Grant("t") }, Granted, basilmoor.OutcomeNotRun},
-		"connecting": {func(r *Request) { _ = r.Wait(); _ = r.Grant("t"); _, _ = r.Dispatch() }, Dispatching, basilmoor.OutcomeNotRun},
-		"sent":       {handed, Dispatching, basilmoor.OutcomeUnknown},
-		"streaming":  {func(r *Request) { handed(r); _ = r.Respond() }, Streaming, basilmoor.OutcomeIncomplete},
-		"done":       {func(r *Request) { handed(r); _ = r.Respond(); _ = r.Complete() }, Done, basilmoor.OutcomeDone},
-		"unknown":    {func(r *Request) { handed(r); _ = r.Break("x") }, Unknown, basilmoor.OutcomeUnknown},
-		"incomplete": {func(r *Request) { handed(r); _ = r.Respond(); _ = r.Break("x") }, Incomplete, basilmoor.OutcomeIncomplete},
-		"refused":    {func(r *Request) { _ = r.Wait(); _ = r.Refuse("x") }, NotRun, basilmoor.OutcomeNotRun},
-		"stated":     {func(r *Request) { handed(r); _ = r.TargetRefused() }, NotRun, basilmoor.OutcomeNotRun},
+		"received": {
+			steps:   func(*Request) {},
+			state:   Received,
+			outcome: basilmoor.OutcomeNotRun,
+		},
+		"waiting": {
+			steps:   func(r *Request) { _ = r.Wait() },
+			state:   Waiting,
+			outcome: basilmoor.OutcomeNotRun,
+		},
+		"granted": {
+			steps:   func(r *Request) { _ = r.Wait(); _ = r.Grant("t") },
+			state:   Granted,
+			outcome: basilmoor.OutcomeNotRun,
+		},
+		"connecting": {
+			steps:   func(r *Request) { _ = r.Wait(); _ = r.Grant("t"); _, _ = r.Dispatch() },
+			state:   Dispatching,
+			outcome: basilmoor.OutcomeNotRun,
+		},
+		"sent": {
+			steps:   handed,
+			state:   Dispatching,
+			outcome: basilmoor.OutcomeUnknown,
+		},
+		"streaming": {
+			steps:   func(r *Request) { handed(r); _ = r.Respond() },
+			state:   Streaming,
+			outcome: basilmoor.OutcomeIncomplete,
+		},
+		"done": {
+			steps:   func(r *Request) { handed(r); _ = r.Respond(); _ = r.Complete() },
+			state:   Done,
+			outcome: basilmoor.OutcomeDone,
+		},
+		"unknown": {
+			steps:   func(r *Request) { handed(r); _ = r.Break("x") },
+			state:   Unknown,
+			outcome: basilmoor.OutcomeUnknown,
+		},
+		"incomplete": {
+			steps:   func(r *Request) { handed(r); _ = r.Respond(); _ = r.Break("x") },
+			state:   Incomplete,
+			outcome: basilmoor.OutcomeIncomplete,
+		},
+		"refused": {
+			steps:   func(r *Request) { _ = r.Wait(); _ = r.Refuse("x") },
+			state:   NotRun,
+			outcome: basilmoor.OutcomeNotRun,
+		},
+		"stated": {
+			steps:   func(r *Request) { handed(r); _ = r.TargetRefused() },
+			state:   NotRun,
+			outcome: basilmoor.OutcomeNotRun,
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/schedule/bmbaseline/clairvoyant.go
+++ b/internal/schedule/bmbaseline/clairvoyant.go
@@ -52,7 +52,9 @@
 
 // NewClairvoyant returns the scheduler of a pool.
 func NewClairvoyant(oracle Oracle) *Clairvoyant {
-	return &Clairvoyant{oracle: oracle}
+	return &Clairvoyant{
+		oracle: oracle,
+	}
 }
 
 // SetTargets implements basilmoor.Policy.
--- a/internal/schedule/bmbench/engine.go
+++ b/internal/schedule/bmbench/engine.go
@@ -60,7 +60,9 @@
 	if len(e.waiting) >= e.maxQueue && len(e.running)+len(e.waiting) >= e.batch+e.maxQueue {
 		return false
 	}
-	r.sequence = &sequence{r: r}
+	r.sequence = &sequence{
+		r: r,
+	}
 	e.waiting = append(e.waiting, r.sequence)
 	if !e.stepping {
 		e.step()
--- a/internal/schedule/bmbench/measure.go
+++ b/internal/schedule/bmbench/measure.go
@@ -165,7 +165,9 @@
 
 func (m *measure) cancelMessage(p *poolRun) {
 	m.message(p, &bmpeerpb.ScheduleRequest{
-		Message: &bmpeerpb.ScheduleRequest_Cancel{Cancel: typicalNumber},
+		Message: &bmpeerpb.ScheduleRequest_Cancel{
+			Cancel: typicalNumber,
+		},
 	})
 }
 
--- a/internal/schedule/bmbench/result.go
+++ b/internal/schedule/bmbench/result.go
@@ -69,7 +69,9 @@
 }
 
 func summarize(d *Deployment, scheme Scheme, pools []*poolRun) Result {
-	res := Result{Scheme: scheme.Name}
+	res := Result{
+		Scheme: scheme.Name,
+	}
 	var served, offered [tiersMeasured]float64
 	var crestServed, crestOffered float64
 	var slow []float64
--- a/internal/schedule/bmbroker/broker_test.go
+++ b/internal/schedule/bmbroker/broker_test.go
@@ -108,10 +108,12 @@
 
 // Guards against shedding a higher tier while a lower one waits.
 func TestFullQueueDisplacesLowestTier(t *testing.T) {
-	b := New(Config{Queue: bmqueue.Config{
-		MaxCount: 2,
-		MaxBytes: 1000,
-	}})
+	b := New(Config{
+		Queue: bmqueue.Config{
+			MaxCount: 2,
+			MaxBytes: 1000,
+		},
+	})
 	b.SetTargets(0, []basilmoor.Target{engine("t1", 1)})
 	b.Submit(0, demand("running", 0))
 	b.Submit(1, demand("a", 1))
@@ -123,7 +125,9 @@
 
 // Guards against grants of a new broker that does not know open dispatches.
 func TestWarmUpLearnsOpenDispatches(t *testing.T) {
-	b := New(Config{WarmUp: basilmoor.Second})
+	b := New(Config{
+		WarmUp: basilmoor.Second,
+	})
 	b.SetTargets(0, []basilmoor.Target{engine("t1", 1)})
 	require.Empty(t, b.Submit(0, demand("b", 0).WithAge(500, 5000)))
 	open := observe("a", "t1", basilmoor.StageProgress)
--- a/internal/schedule/bmbroker/property_test.go
+++ b/internal/schedule/bmbroker/property_test.go
@@ -114,7 +114,9 @@
 }
 
 func (w *world) startBroker(rt *rapid.T, warmUp basilmoor.Millis) {
-	w.broker = New(Config{WarmUp: warmUp})
+	w.broker = New(Config{
+		WarmUp: warmUp,
+	})
 	w.known = map[basilmoor.RequestID]*known{}
 	w.decide(rt, w.broker.SetTargets(w.now, slices.Clone(w.targets)))
 }
@@ -242,7 +244,9 @@
 func (w *world) learn(r *held, o basilmoor.Observation) {
 	k := w.known[o.Request]
 	if k == nil {
-		k = &known{demand: r.demand}
+		k = &known{
+			demand: r.demand,
+		}
 		w.known[o.Request] = k
 	}
 	switch o.Stage {
--- a/internal/schedule/bmcapacity/flight.go
+++ b/internal/schedule/bmcapacity/flight.go
@@ -52,7 +52,9 @@
 }
 
 func newHistory() *history {
-	return &history{ended: map[basilmoor.RequestID]endedFlight{}}
+	return &history{
+		ended: map[basilmoor.RequestID]endedFlight{},
+	}
 }
 
 func (h *history) add(now basilmoor.Millis, d basilmoor.Demand, e ending) {
--- a/internal/schedule/bmcapacity/observe.go
+++ b/internal/schedule/bmcapacity/observe.go
@@ -38,7 +38,9 @@
 	}
 	// The end may overtake nothing on an ordered stream, but a repeated
 	// dispatch report after it must not count the request again.
-	d := basilmoor.Demand{Request: o.Request}
+	d := basilmoor.Demand{
+		Request: o.Request,
+	}
 	if o.Demand != nil {
 		d = *o.Demand
 	}
@@ -101,7 +103,9 @@
 func (p *Pool) named(name string) *target {
 	t, ok := p.targets[name]
 	if !ok {
-		t = newTarget(basilmoor.Target{Name: name})
+		t = newTarget(basilmoor.Target{
+			Name: name,
+		})
 		t.listed = false
 		p.targets[name] = t
 	}
--- a/internal/schedule/bmcapacity/pool_test.go
+++ b/internal/schedule/bmcapacity/pool_test.go
@@ -156,5 +156,7 @@
 	require.Zero(t, feed(20, 100, 100, 20, 20))
 	require.Equal(t, 2, feed(80, 80, 80), "three slow intervals")
 	require.Equal(t, 2, feed(20), "one normal interval")
-	require.Zero(t, s.Token(now, "other", Sample{Tokens: 5}))
+	require.Zero(t, s.Token(now, "other", Sample{
+		Tokens: 5,
+	}))
 }
--- a/internal/schedule/bmscheduler/bench_test.go
+++ b/internal/schedule/bmscheduler/bench_test.go
@@ -163,10 +163,22 @@
 // and end.
 func BenchmarkControl(b *testing.B) {
 	sizes := []struct{ hosts, waiting int }{
-		{hosts: 6, waiting: 10},
-		{hosts: 9, waiting: 100},
-		{hosts: 96, waiting: 1000},
-		{hosts: 390, waiting: 10000},
+		{
+			hosts:   6,
+			waiting: 10,
+		},
+		{
+			hosts:   9,
+			waiting: 100,
+		},
+		{
+			hosts:   96,
+			waiting: 1000,
+		},
+		{
+			hosts:   390,
+			waiting: 10000,
+		},
 	}
 	for _, size := range sizes {
 		b.Run(fmt.Sprintf("hosts=%d/waiting=%d", size.hosts, size.waiting), func(b *testing.B) {
--- a/internal/schedule/bmscheduler/broker_test.go
+++ b/internal/schedule/bmscheduler/broker_test.go
@@ -121,9 +121,21 @@
 // against a host that can't serve at all.
 func TestLimitTargets(t *testing.T) {
 	live := []basilmoor.Member{
-		{Host: "host-a", Place: "bole", Region: "addis"},
-		{Host: "host-b", Place: "merkato", Region: "addis"},
-		{Host: "host-c", Place: "kinston", Region: "carolina-east"},
+		{
+			Host:   "host-a",
+			Place:  "bole",
+			Region: "addis",
+		},
+		{
+			Host:   "host-b",
+			Place:  "merkato",
+			Region: "addis",
+		},
+		{
+			Host:   "host-c",
+			Place:  "kinston",
+			Region: "carolina-east",
+		},
 	}
 	target := func(name, place string, slots int) basilmoor.Target {
 		return basilmoor.Target{
--- a/internal/standin/bmstandincmd/flags.go
+++ b/internal/standin/bmstandincmd/flags.go
@@ -100,18 +100,30 @@
 	f.Float64Var(&s.TransferMillis, "transfer-ms", s.TransferMillis, "duration of moving one token of KV cache")
 	f.Float64Var(&s.LoadMillis, "load-ms", s.LoadMillis, "duration of loading a model, adapter or version")
 	f.Float64Var(&s.TimeScale, "time-scale", s.TimeScale, "factor of the durations above")
-	f.Var(listValue{target: &s.Models}, "models", "loaded models; empty serves every model")
-	f.Var(listValue{target: &s.Adapters}, "adapters", "loaded adapters")
+	f.Var(listValue{
+		target: &s.Models,
+	}, "models", "loaded models; empty serves every model")
+	f.Var(listValue{
+		target: &s.Adapters,
+	}, "adapters", "loaded adapters")
 	f.StringVar(&s.Version, "version", s.Version, "loaded version")
 	f.StringVar(&s.Role, "role", s.Role, "role")
 	f.BoolVar(&s.CheckFencing, "check-fencing", s.CheckFencing, "reject commands with an old fencing number")
 	f.BoolVar(&s.CancelOnDisconnect, "cancel-on-disconnect", s.CancelOnDisconnect, "cancel a sequence when its client leaves")
-	f.Var(millisValue{target: &s.LoadLag}, "load-lag-ms", "age of load reports")
-	f.Var(millisValue{target: &s.CacheEventDelay}, "cache-event-delay-ms", "age at which cache events become visible")
+	f.Var(millisValue{
+		target: &s.LoadLag,
+	}, "load-lag-ms", "age of load reports")
+	f.Var(millisValue{
+		target: &s.CacheEventDelay,
+	}, "cache-event-delay-ms", "age at which cache events become visible")
 	f.IntVar(&s.CacheEventHistory, "cache-event-history", s.CacheEventHistory, "cache events kept")
 	f.IntVar(&s.CacheEventDropEvery, "cache-event-drop-every", s.CacheEventDropEvery, "every n-th cache event is lost, 0 for none")
-	f.Var(millisValue{target: &s.KeepAlive}, "keep-alive-ms", "interval of comments on a stream without tokens, 0 for none")
-	f.Var(millisValue{target: &s.Retention}, "retention-ms", "time for which an ended stream can be read")
+	f.Var(millisValue{
+		target: &s.KeepAlive,
+	}, "keep-alive-ms", "interval of comments on a stream without tokens, 0 for none")
+	f.Var(millisValue{
+		target: &s.Retention,
+	}, "retention-ms", "time for which an ended stream can be read")
 	return func(clock basilmoor.Clock, l listeners) (*bmstandin.Server, func(), error) {
 		_, server, cleanup, err := bmstandinengine.Start(l.address, l.control, clock, s)
 		return server, cleanup, err
@@ -125,9 +137,13 @@
 		LoadLag: 2 * basilmoor.Second,
 	}
 	f.StringVar(&s.Name, "name", s.Name, "name on receipts")
-	f.Var(millisValue{target: &s.Latency}, "latency-ms", "duration of a request")
+	f.Var(millisValue{
+		target: &s.Latency,
+	}, "latency-ms", "duration of a request")
 	f.IntVar(&s.Workers, "workers", s.Workers, "requests that run at the same time, 0 for no bound")
-	f.Var(millisValue{target: &s.LoadLag}, "load-lag-ms", "age of load reports")
+	f.Var(millisValue{
+		target: &s.LoadLag,
+	}, "load-lag-ms", "age of load reports")
 	return func(clock basilmoor.Clock, l listeners) (*bmstandin.Server, func(), error) {
 		_, server, cleanup, err := bmstandinservice.Start(l.address, l.control, clock, s)
 		return server, cleanup, err
@@ -136,9 +152,15 @@
 
 func hostsFlags(f *flag.FlagSet) starter {
 	var s bmstandinhosts.Settings
-	f.Var(millisValue{target: &s.Lag}, "lag-ms", "time after which a change becomes visible")
-	f.Var(jsonValue{target: &s.Hosts}, "hosts", "hosts at the start, as the JSON of PUT /v1/hosts")
-	f.Var(jsonValue{target: &s.Targets}, "targets", "targets at the start, as the JSON of PUT /v1/targets")
+	f.Var(millisValue{
+		target: &s.Lag,
+	}, "lag-ms", "time after which a change becomes visible")
+	f.Var(jsonValue{
+		target: &s.Hosts,
+	}, "hosts", "hosts at the start, as the JSON of PUT /v1/hosts")
+	f.Var(jsonValue{
+		target: &s.Targets,
+	}, "targets", "targets at the start, as the JSON of PUT /v1/targets")
 	return func(clock basilmoor.Clock, l listeners) (*bmstandin.Server, func(), error) {
 		_, server, cleanup, err := bmstandinhosts.Start(l.address, l.control, clock, s)
 		return server, cleanup, err
