--- a/internal/proof/bmprocess/pairs_test.go
+++ b/internal/proof/bmprocess/pairs_test.go
@@ -227,3 +227,26 @@
 	require.Equal(t, 5, l.counts()[basilmoor.OutcomeDone], "%v", l.counts())
 	f.check(l)
 }
+
+// Guards against new work on a target whose only sign of leaving is the header
+// of its refusals, while another target can serve the work.
+func TestLeavingHeader(t *testing.T) {
+	f := startFleet(t, 2)
+	all := f.newLoad()
+	f.fault(f.engines[0], `{"leaving":true}`)
+	round := 0
+	f.eventually("work goes to the other engine only", func() bool {
+		l := f.newLoad()
+		for i := range 2 * engineSlots {
+			l.start(f.nodes[i%2], chat(t, fmt.Sprintf("leaving %d %d", round, i), 20, i%2 == 0))
+		}
+		l.wait()
+		if round%10 == 0 {
+			t.Logf("round %d: %v", round, l.counts())
+		}
+		round++
+		all.responses = append(all.responses, l.all()...)
+		return l.counts()[basilmoor.OutcomeDone] == 2*engineSlots
+	})
+	f.check(all)
+}
