--- a/internal/config/bmcatalog/part.go
+++ b/internal/config/bmcatalog/part.go
@@ -11,11 +11,13 @@
 	"basilmoor.example/basilmoor"
 )
 
-// Sizes of parts. With the fields that the tests fill in, 25,000 workspaces
-// give parts of at most 120 KB and a pool of 12,000 targets parts of at most
-// 54 KB, far below the store's bound of 1 MB a value.
+// Sizes of parts. A change of one workspace moves the head, which grows with
+// the number of parts, and one part, which shrinks with it: at 25,000
+// workspaces 128 KB with 32 parts, 54 KB with 128 and 57 KB with 256. A pool of
+// 12,000 targets gives parts of at most 54 KB, far below the store's bound of
+// 1 MB a value.
 const (
-	workspaceParts     = 32
+	workspaceParts     = 128
 	maxTargetsPerPart  = 512
 	basePartName       = "base"
 	workspacePartName  = "workspaces/%02d"
