Give up a connection that goes silent inside a response within its bound

The wait for silence had begun with the bound of the first byte, 60 s, and was not looked at again when the first byte arrived later; by then the engine had forgotten the stream. Ruled out: reused connections for the resumption (it takes fresh ones). It needs a first byte later than 2 s, and 10 parallel runs of the process test did not show it again. Change: no sleep is longer than the bound between bytes. TestBoundShrinksWithTheFirstByte hangs without the change and passes with it. Run: go test -race ./internal/request/bmdispatch, passed.

--- a/internal/request/bmdispatch/exchange.go
+++ b/internal/request/bmdispatch/exchange.go
@@ -166,7 +166,9 @@
 			abandon(err)
 			return
 		}
-		if e.clock.Sleep(ctx, left) != nil {
+		// The bound shrinks when the first byte arrives, so that no sleep may
+		// be longer than the smaller one.
+		if e.clock.Sleep(ctx, min(left, e.settings.BetweenBytes)) != nil {
 			return
 		}
 	}
