--- a/internal/capacity/bmmeasure/control.go
+++ b/internal/capacity/bmmeasure/control.go
@@ -1,10 +1,9 @@
 package bmmeasure
 
 import (
-	"google.golang.org/protobuf/proto"
-
-	"basilmoor.example/basilmoor/internal/fleet/bmpeerpb"
+	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/schedule/bmcapacity"
+	"basilmoor.example/basilmoor/internal/schedule/bmscheduler"
 )
 
 // framing is what gRPC and HTTP/2 add to a message on an open stream: 5 bytes
@@ -45,66 +44,52 @@
 	return []Series{byPrompt, byTargets}
 }
 
-// typicalNumber stands for the number of a request, which takes as many bytes
-// as that of the hundred thousandth request of a host.
-const typicalNumber = 123456
-
 func requestBytes(prefixes int) int {
 	digests := make([]uint64, prefixes)
 	for i := range digests {
 		digests[i] = uint64(i) << 40
 	}
-	messages := []proto.Message{
-		&bmpeerpb.ScheduleRequest{
-			Message: &bmpeerpb.ScheduleRequest_Demand{
-				Demand: &bmpeerpb.Demand{
-					Number:        typicalNumber,
-					Workspace:     "workspace-12345",
-					Weight:        3,
-					Tier:          1,
-					Kind:          "label-reviews",
-					Model:         "label-review",
-					PrefixDigests: digests,
-					PromptTokens:  500,
-					OutputTokens:  500,
-					DeadlineMs:    30000,
-					BodyBytes:     4000,
-				},
-			},
-		},
-		&bmpeerpb.ScheduleResponse{
-			Message: &bmpeerpb.ScheduleResponse_Grant{
-				Grant: &bmpeerpb.Grant{
-					Number: typicalNumber,
-					Target: "engine-kinston-123",
-					TtlMs:  1000,
+	sizes := []int{
+		bmscheduler.DemandBytes(basilmoor.Demand{
+			Workspace:     "workspace-12345",
+			Weight:        3,
+			Tier:          1,
+			Kind:          "label-reviews",
+			Model:         "label-review",
+			PrefixDigests: digests,
+			PromptTokens:  500,
+			OutputTokens:  500,
+			Deadline:      30 * basilmoor.Second,
+			BodyBytes:     4000,
+		}),
+		bmscheduler.DecisionBytes(basilmoor.Decision{
+			Grant: &basilmoor.Grant{
+				Target: basilmoor.Target{
+					Name: "engine-kinston-123",
 				},
+				TTL: basilmoor.Second,
 			},
-		},
-		observation(bmpeerpb.Stage_STAGE_DISPATCHED, 0, 0),
-		observation(bmpeerpb.Stage_STAGE_FIRST_TOKEN, 1, 300),
-		observation(bmpeerpb.Stage_STAGE_FINISHED, 500, 15000),
+		}),
+		observationBytes(basilmoor.StageDispatched, 0, 0),
+		observationBytes(basilmoor.StageFirstToken, 1, 300),
+		observationBytes(basilmoor.StageFinished, 500, 15000),
 	}
 	n := 0
-	for _, m := range messages {
-		n += proto.Size(m) + framing
+	for _, size := range sizes {
+		n += size + framing
 	}
 	return n
 }
 
 func progressBytes() int {
-	return proto.Size(observation(bmpeerpb.Stage_STAGE_PROGRESS, 250, 7750)) + framing
+	return observationBytes(basilmoor.StageProgress, 250, 7750) + framing
 }
 
-func observation(stage bmpeerpb.Stage, tokens, elapsed int) *bmpeerpb.ScheduleRequest {
-	return &bmpeerpb.ScheduleRequest{
-		Message: &bmpeerpb.ScheduleRequest_Observation{
-			Observation: &bmpeerpb.Observation{
-				Number:    typicalNumber,
-				Stage:     stage,
-				Tokens:    int32(tokens),
-				ElapsedMs: int64(elapsed),
-			},
-		},
-	}
+func observationBytes(stage basilmoor.Stage, tokens int, elapsed basilmoor.Millis) int {
+	return bmscheduler.ObservationBytes(basilmoor.Observation{
+		Target:  "engine-kinston-123",
+		Stage:   stage,
+		Tokens:  tokens,
+		Elapsed: elapsed,
+	})
 }
--- a/internal/schedule/bmbench/host.go
+++ b/internal/schedule/bmbench/host.go
@@ -86,7 +86,7 @@
 }
 
 func (p *poolRun) send(r *request, o basilmoor.Observation) {
-	p.measure.observationMessage(p, r, o)
+	p.measure.observationMessage(p, o)
 	p.toPolicy(r, func(in *instance) []basilmoor.Decision {
 		return in.policy.Observe(p.sim.clock(), o)
 	})
--- a/internal/schedule/bmbench/measure.go
+++ b/internal/schedule/bmbench/measure.go
@@ -3,10 +3,8 @@
 import (
 	"slices"
 
-	"google.golang.org/protobuf/proto"
-
 	"basilmoor.example/basilmoor"
-	"basilmoor.example/basilmoor/internal/fleet/bmpeerpb"
+	"basilmoor.example/basilmoor/internal/schedule/bmscheduler"
 )
 
 // frameBytes is what HTTP/2 and gRPC add to each message.
@@ -57,23 +55,13 @@
 	m.idleTargets += elapsed * float64(min(idle, waiting))
 }
 
-// typicalNumber stands for the number of a request, which takes as many bytes
-// as that of the hundred thousandth request of a host.
-const typicalNumber = 123456
-
 func (m *measure) grant(p *poolRun, r *request, g basilmoor.Grant) {
 	if p.higherWaits(r, g.Target) {
 		m.inversions++
 	}
-	m.message(p, &bmpeerpb.ScheduleResponse{
-		Message: &bmpeerpb.ScheduleResponse_Grant{
-			Grant: &bmpeerpb.Grant{
-				Number: typicalNumber,
-				Target: g.Target.Name,
-				TtlMs:  int64(g.TTL),
-			},
-		},
-	})
+	m.message(p, bmscheduler.DecisionBytes(basilmoor.Decision{
+		Grant: &g,
+	}))
 }
 
 // higherWaits tells whether a demand of a higher tier waits in any policy of
@@ -117,65 +105,28 @@
 			}
 		}
 	}
-	m.message(p, &bmpeerpb.ScheduleResponse{
-		Message: &bmpeerpb.ScheduleResponse_Refusal{
-			Refusal: &bmpeerpb.Refusal{
-				Number:       typicalNumber,
-				Reason:       string(refusal.Reason),
-				RetryAfterMs: int64(refusal.RetryAfter),
-			},
-		},
-	})
+	m.message(p, bmscheduler.DecisionBytes(basilmoor.Decision{
+		Refusal: &refusal,
+	}))
 }
 
 func (m *measure) demandMessage(p *poolRun, d basilmoor.Demand) {
-	m.message(p, &bmpeerpb.ScheduleRequest{
-		Message: &bmpeerpb.ScheduleRequest_Demand{
-			Demand: &bmpeerpb.Demand{
-				Number:        typicalNumber,
-				Workspace:     d.Workspace,
-				Weight:        int32(d.Weight),
-				Tier:          int32(d.Tier),
-				Kind:          d.Kind,
-				Model:         d.Model,
-				PrefixDigests: d.PrefixDigests,
-				PromptTokens:  int32(d.PromptTokens),
-				OutputTokens:  int32(d.OutputTokens),
-				AgeMs:         int64(d.Age),
-				DeadlineMs:    int64(d.Deadline),
-				BodyBytes:     int64(d.BodyBytes),
-				Excluded:      d.Excluded,
-			},
-		},
-	})
+	m.message(p, bmscheduler.DemandBytes(d))
 }
 
-func (m *measure) observationMessage(p *poolRun, _ *request, o basilmoor.Observation) {
-	m.message(p, &bmpeerpb.ScheduleRequest{
-		Message: &bmpeerpb.ScheduleRequest_Observation{
-			Observation: &bmpeerpb.Observation{
-				Number:    typicalNumber,
-				Stage:     bmpeerpb.Stage_STAGE_PROGRESS, // all stages have one size
-				Tokens:    int32(o.Tokens),
-				ElapsedMs: int64(o.Elapsed),
-			},
-		},
-	})
+func (m *measure) observationMessage(p *poolRun, o basilmoor.Observation) {
+	m.message(p, bmscheduler.ObservationBytes(o))
 }
 
 func (m *measure) cancelMessage(p *poolRun) {
-	m.message(p, &bmpeerpb.ScheduleRequest{
-		Message: &bmpeerpb.ScheduleRequest_Cancel{
-			Cancel: typicalNumber,
-		},
-	})
+	m.message(p, bmscheduler.CancelBytes())
 }
 
 // message counts a control message. Policies on the entry hosts send none.
-func (m *measure) message(p *poolRun, message proto.Message) {
+func (m *measure) message(p *poolRun, bytes int) {
 	if !p.scheme.Central || p.sim.now < p.d.measured || p.sim.now >= p.d.length {
 		return
 	}
 	m.messages++
-	m.bytes += proto.Size(message) + frameBytes
+	m.bytes += bytes + frameBytes
 }
