Let a crash of a stand-in end before it is revived

A crash closes the connections first and drops its requests after; a test that saw the closed connection could revive the engine in between, and the crash then dropped the requests of the revived one. Change: a lock is held through both. TestNoReviveInsideACrash fails without it.

--- a/internal/standin/bmstandin/process.go
+++ b/internal/standin/bmstandin/process.go
@@ -23,6 +23,10 @@
 	died chan struct{}
 	done chan struct{}
 
+	// transition is held while the process dies or starts, so that a revived
+	// one doesn't lose what the crash before it still drops.
+	transition sync.Mutex
+
 	mu     sync.Mutex
 	server *Server // nil if the handler is served otherwise
 	faults faultState
@@ -124,6 +128,8 @@
 
 // Crash ends the process. It has no effect on a dead one.
 func (p *Process) Crash() {
+	p.transition.Lock()
+	defer p.transition.Unlock()
 	p.mu.Lock()
 	if p.faults.crashed {
 		p.mu.Unlock()
@@ -145,6 +151,8 @@
 // Revive starts a dead process afresh. The error tells that it could not
 // listen on its address again.
 func (p *Process) Revive() error {
+	p.transition.Lock()
+	defer p.transition.Unlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.faults.crashed {
