Make one piece of code of four time limits on the clock

bmcall, bmfollower, bmclaim and bmgateway each had a context that ends after a time on basilmoor.Clock. bmclock.WithTimeout, the one of bmcall with its cause, serves all four; its timer is stopped with the call. The tests of the platform clients name the cause where it is now and assert the same.

--- a/internal/config/bmfollower/follower.go
+++ b/internal/config/bmfollower/follower.go
@@ -10,6 +10,7 @@
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/config/bmcatalog"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
 )
 
 // tickInterval is the resolution of the core's intervals.
@@ -204,7 +205,7 @@
 }
 
 func (f *Follower) get(ctx context.Context, key string) (basilmoor.Entry, error) {
-	ctx, cancel := f.bounded(ctx, callTimeout)
+	ctx, cancel := bmclock.WithTimeout(ctx, f.opts.Clock, callTimeout)
 	defer cancel()
 	return f.opts.Store.Get(ctx, key)
 }
@@ -230,39 +231,13 @@
 	if len(e.Held) == 0 {
 		limit = transferTimeout
 	}
-	ctx, cancel := f.bounded(ctx, limit)
+	ctx, cancel := bmclock.WithTimeout(ctx, f.opts.Clock, limit)
 	defer cancel()
 	return p.Fetch(ctx, e.Held)
 }
 
 func (f *Follower) watch(ctx context.Context, revision int64) ([]basilmoor.Event, int64, error) {
-	ctx, cancel := f.bounded(ctx, watchWait+callTimeout)
+	ctx, cancel := bmclock.WithTimeout(ctx, f.opts.Clock, watchWait+callTimeout)
 	defer cancel()
 	return f.opts.Store.Watch(ctx, bmcatalog.HeadKey, revision, watchWait)
 }
-
-// bounded returns a context that ends after d on the follower's clock, because
-// a connection may stop answering without closing.
-func (f *Follower) bounded(ctx context.Context, d basilmoor.Millis) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	b := &bound{
-		clock:  f.opts.Clock,
-		limit:  d,
-		cancel: cancel,
-	}
-	go b.run(ctx)
-	return ctx, cancel
-}
-
-// bound ends a call that takes too long.
-type bound struct {
-	clock  basilmoor.Clock
-	limit  basilmoor.Millis
-	cancel context.CancelFunc
-}
-
-func (b *bound) run(ctx context.Context) {
-	if b.clock.Sleep(ctx, b.limit) == nil {
-		b.cancel()
-	}
-}
--- a/internal/node/bmnode/claims.go
+++ b/internal/node/bmnode/claims.go
@@ -24,12 +24,8 @@
 }
 
 func (n *Node) isLive(host string) bool {
-	for _, m := range n.members.Live() {
-		if m.Host == host {
-			return true
-		}
-	}
-	return host == n.settings.Host
+	_, live := n.liveMember(host)
+	return live || host == n.settings.Host
 }
 
 // claimOwner returns the committer that sees the claims of all hosts for a
--- a/internal/node/bmnode/configuration.go
+++ b/internal/node/bmnode/configuration.go
@@ -52,23 +52,29 @@
 	return 2*len(n.members.Live()) > n.fleetSize()
 }
 
-func (n *Node) configPeer(host string) (basilmoor.ConfigPeer, bool) {
+// liveMember returns the live member of a name.
+func (n *Node) liveMember(host string) (basilmoor.Member, bool) {
 	for _, m := range n.members.Live() {
 		if m.Host == host {
-			return n.pool.ConfigPeer(m.Address), true
+			return m, true
 		}
 	}
-	return nil, false
+	return basilmoor.Member{}, false
+}
+
+func (n *Node) configPeer(host string) (basilmoor.ConfigPeer, bool) {
+	m, ok := n.liveMember(host)
+	if !ok {
+		return nil, false
+	}
+	return n.pool.ConfigPeer(m.Address), true
 }
 
 // heard passes the sender of a heartbeat on to the follower, which counts
 // every one as a contact.
 func (n *Node) heard(host string) {
-	for _, m := range n.members.Live() {
-		if m.Host == host {
-			n.config.Heard(m.Host, m.ConfigVersion, m.ConfigNote)
-			return
-		}
+	if m, ok := n.liveMember(host); ok {
+		n.config.Heard(m.Host, m.ConfigVersion, m.ConfigNote)
 	}
 }
 
--- a/internal/platform/bmcall/bmcall.go
+++ b/internal/platform/bmcall/bmcall.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
 )
 
 const (
@@ -30,9 +31,6 @@
 	idleTimeout = 30 * basilmoor.Second
 )
 
-// ErrTimeout tells that a call exceeded its time limit.
-var ErrTimeout = errors.New("time limit exceeded")
-
 // Client makes calls to one service. It is safe for concurrent use.
 type Client struct {
 	base string
@@ -93,14 +91,14 @@
 }
 
 // Do sends the call and reads the whole response. The error tells why ctx
-// ended if it has, for example ErrTimeout.
+// ended if it has, for example bmclock.ErrTimeout.
 func (c *Client) Do(ctx context.Context, k Call) (Answer, error) {
 	a, err := c.send(ctx, k)
 	if err == nil {
 		return a, nil
 	}
 	cause := context.Cause(ctx)
-	if errors.Is(cause, ErrTimeout) {
+	if errors.Is(cause, bmclock.ErrTimeout) {
 		// The connections that are idle now may have stopped responding
 		// together with this one. The next call makes a new one.
 		c.http.CloseIdleConnections()
@@ -151,31 +149,3 @@
 	}
 	return r, nil
 }
-
-// WithTimeout returns a context that ends with the cause ErrTimeout after d
-// milliseconds of clock. The caller must call the returned function.
-func WithTimeout(ctx context.Context, clock basilmoor.Clock, d basilmoor.Millis) (context.Context, func()) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	t := &timeout{
-		timer:  clock.NewTimer(d),
-		cancel: cancel,
-	}
-	go t.run(ctx)
-	return ctx, func() {
-		t.timer.Stop()
-		cancel(context.Canceled)
-	}
-}
-
-type timeout struct {
-	timer  basilmoor.Timer
-	cancel context.CancelCauseFunc
-}
-
-func (t *timeout) run(ctx context.Context) {
-	select {
-	case <-t.timer.C():
-		t.cancel(ErrTimeout)
-	case <-ctx.Done():
-	}
-}
--- a/internal/platform/bmcall/bmcall_test.go
+++ b/internal/platform/bmcall/bmcall_test.go
@@ -56,14 +56,14 @@
 	require.NoError(t, <-idle)
 
 	clock := bmclock.NewManual(0)
-	ctx, cancel := WithTimeout(context.Background(), clock, basilmoor.Second)
+	ctx, cancel := bmclock.WithTimeout(context.Background(), clock, basilmoor.Second)
 	defer cancel()
 	clock.Advance(basilmoor.Second)
 	_, err = c.Do(ctx, Call{
 		Method: http.MethodGet,
 		Path:   "/silent",
 	})
-	require.ErrorIs(t, err, ErrTimeout)
+	require.ErrorIs(t, err, bmclock.ErrTimeout)
 	close(release)
 	<-closed
 	<-closed
--- a/internal/platform/bmhostlist/client.go
+++ b/internal/platform/bmhostlist/client.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
 	"basilmoor.example/basilmoor/internal/platform/bmcall"
 )
 
@@ -105,7 +106,7 @@
 }
 
 func (c *Client) get(ctx context.Context, path string, v any) error {
-	ctx, cancel := bmcall.WithTimeout(ctx, c.clock, c.settings.Timeout)
+	ctx, cancel := bmclock.WithTimeout(ctx, c.clock, c.settings.Timeout)
 	defer cancel()
 	a, err := c.calls.Do(ctx, bmcall.Call{
 		Method:   http.MethodGet,
--- a/internal/platform/bmstore/client.go
+++ b/internal/platform/bmstore/client.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/platform/bmcall"
 )
@@ -69,7 +70,7 @@
 
 // do makes a call and returns its response if it succeeded.
 func (c *Client) do(ctx context.Context, k call) (bmcall.Answer, error) {
-	ctx, cancel := bmcall.WithTimeout(ctx, c.clock, c.settings.Timeout+k.extra)
+	ctx, cancel := bmclock.WithTimeout(ctx, c.clock, c.settings.Timeout+k.extra)
 	defer cancel()
 	if err := c.admit(ctx, k); err != nil {
 		return bmcall.Answer{}, c.unavailable(k, err)
--- a/internal/platform/bmstore/client_test.go
+++ b/internal/platform/bmstore/client_test.go
@@ -12,7 +12,6 @@
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/core/bmclock"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
-	"basilmoor.example/basilmoor/internal/platform/bmcall"
 	"basilmoor.example/basilmoor/internal/standin/bmstandinstore"
 )
 
@@ -144,7 +143,7 @@
 	err := <-failed
 	var unavailable *basilmoor.UnavailableError
 	require.ErrorAs(t, err, &unavailable)
-	require.ErrorIs(t, err, bmcall.ErrTimeout)
+	require.ErrorIs(t, err, bmclock.ErrTimeout)
 	require.Equal(t, int64(1), metrics.Snapshot()["store.unavailable.config"])
 }
 
--- a/internal/platform/bmstore/faults_test.go
+++ b/internal/platform/bmstore/faults_test.go
@@ -8,7 +8,6 @@
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/core/bmclock"
-	"basilmoor.example/basilmoor/internal/platform/bmcall"
 	"basilmoor.example/basilmoor/internal/standin/bmstandinstore"
 )
 
@@ -109,7 +108,7 @@
 	}()
 	clock.WaitTimers(1)
 	clock.Advance(DefaultTimeout)
-	require.ErrorIs(t, <-failed, bmcall.ErrTimeout)
+	require.ErrorIs(t, <-failed, bmclock.ErrTimeout)
 	e, err := c.Get(ctx, "a")
 	require.NoError(t, err)
 	require.Equal(t, before, e.Version)
--- a/internal/request/bmclaim/router.go
+++ b/internal/request/bmclaim/router.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
 )
 
 // OwnerFunc returns the owner of a slot; false if it is this host or if there
@@ -42,7 +43,7 @@
 	if !ok {
 		return r.local.Claim(ctx, c)
 	}
-	bounded, cancel := r.bound(ctx)
+	bounded, cancel := bmclock.WithTimeout(ctx, r.clock, ownerBound)
 	defer cancel()
 	found, err := owner.Claim(bounded, c)
 	if unanswered(ctx, bounded, err) {
@@ -57,7 +58,7 @@
 	if !ok {
 		return r.local.Record(ctx, c)
 	}
-	bounded, cancel := r.bound(ctx)
+	bounded, cancel := bmclock.WithTimeout(ctx, r.clock, ownerBound)
 	defer cancel()
 	err := owner.Record(bounded, c)
 	if unanswered(ctx, bounded, err) {
@@ -75,26 +76,3 @@
 	var u *basilmoor.UnavailableError
 	return errors.As(err, &u) || bounded.Err() != nil
 }
-
-// bound returns a context that ends after ownerBound.
-func (r *Router) bound(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	b := &ownerTimer{
-		clock:  r.clock,
-		cancel: cancel,
-	}
-	go b.run(ctx)
-	return ctx, cancel
-}
-
-// ownerTimer cancels a call to an owner that does not answer.
-type ownerTimer struct {
-	clock  basilmoor.Clock
-	cancel context.CancelFunc
-}
-
-func (t *ownerTimer) run(ctx context.Context) {
-	if t.clock.Sleep(ctx, ownerBound) == nil {
-		t.cancel()
-	}
-}
--- a/internal/request/bmgateway/claim.go
+++ b/internal/request/bmgateway/claim.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
 	"basilmoor.example/basilmoor/internal/request/bmdispatch"
 )
 
@@ -64,7 +65,7 @@
 
 // claimOnce bounds one call, because the store may be slow for a long time.
 func (g *Gateway) claimOnce(ctx context.Context, c *call) (basilmoor.Claim, error) {
-	ctx, cancel := withBound(ctx, g.cfg.Clock, claimBound)
+	ctx, cancel := bmclock.WithTimeout(ctx, g.cfg.Clock, claimBound)
 	defer cancel()
 	return g.cfg.Claimer.Claim(ctx, c.claimRequest(g.cfg.Host))
 }
@@ -124,27 +125,3 @@
 	w.WriteHeader(p.answer.Status)
 	_, _ = w.Write(p.answer.Body)
 }
-
-// bound cancels a context when a time on the clock has passed.
-type bound struct {
-	clock  basilmoor.Clock
-	after  basilmoor.Millis
-	cancel context.CancelFunc
-}
-
-func withBound(ctx context.Context, clock basilmoor.Clock, after basilmoor.Millis) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	b := &bound{
-		clock:  clock,
-		after:  after,
-		cancel: cancel,
-	}
-	go b.run(ctx)
-	return ctx, cancel
-}
-
-func (b *bound) run(ctx context.Context) {
-	if b.clock.Sleep(ctx, b.after) == nil {
-		b.cancel()
-	}
-}
--- a/internal/request/bmgateway/recorder.go
+++ b/internal/request/bmgateway/recorder.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
 )
 
 const (
@@ -68,7 +69,7 @@
 }
 
 func (r *recorder) once(c basilmoor.ClaimRecord) error {
-	ctx, cancel := withBound(r.ctx, r.cfg.Clock, claimBound)
+	ctx, cancel := bmclock.WithTimeout(r.ctx, r.cfg.Clock, claimBound)
 	defer cancel()
 	return r.cfg.Claimer.Record(ctx, c)
 }
