Run an entry host on the users' platform: path, adapter, view, local scheduling

Cause: basilmoor has only met its own stand-ins. The platform has its own settings, store, desired state, replicas and headers.

Change: platform/ decodes them; bmview watches the store with one watch over all keys; bmentry admits, schedules and relays; bmexchange keeps its own connections, so that no request is resent; bmgrant orders waiting requests of one host, with its share of the slots. The clock counts suspended time.

--- a/internal/core/bmclock/system.go
+++ b/internal/core/bmclock/system.go
@@ -5,13 +5,16 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"basilmoor.example/basilmoor"
 )
 
-// System is the operating system's monotonic clock. Its origin is the start of
-// the process.
+// System is the operating system's clock since boot. It goes on while the host
+// is suspended, unlike the clock behind time.Since, so that the age of a proof
+// counts that time. Its origin is the start of the process.
 type System struct {
-	origin time.Time
+	origin time.Duration
 }
 
 var _ basilmoor.Clock = (*System)(nil)
@@ -19,13 +22,21 @@
 // NewSystem returns a clock whose origin is now.
 func NewSystem() *System {
 	return &System{
-		origin: time.Now(),
+		origin: sinceBoot(),
+	}
+}
+
+func sinceBoot() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("clock since boot: " + err.Error()) // Linux has it since 2.6.39
 	}
+	return time.Duration(ts.Nano())
 }
 
 // Now returns the milliseconds since the clock was made.
 func (c *System) Now() basilmoor.Millis {
-	return basilmoor.FromDuration(time.Since(c.origin))
+	return basilmoor.FromDuration(sinceBoot() - c.origin)
 }
 
 // NewTimer returns a timer that fires after d.
@@ -64,3 +75,11 @@
 		return nil
 	}
 }
+
+// NoDeadline removes the deadline of a connection.
+var NoDeadline time.Time
+
+// WallAfter returns the deadline of a connection that ends d from now.
+func WallAfter(d basilmoor.Millis) time.Time {
+	return time.Now().Add(d.Duration())
+}
--- a/internal/operator/bmcli/main.go
+++ b/internal/operator/bmcli/main.go
@@ -53,6 +53,11 @@
 			synopsis: "run the process of one entry host",
 			run:      runNode,
 		},
+		{
+			name:     "entry",
+			synopsis: "run the process of one entry host on the users' platform",
+			run:      runEntry,
+		},
 		{
 			name:     "apply",
 			synopsis: "put a release note into effect",
--- /dev/null
+++ b/internal/request/bmentry/run.go
@@ -0,0 +1,244 @@
+package bmentry
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/config/bmrouting"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/request/bmexchange"
+)
+
+const (
+	// maxUnsent bounds the targets that are tried without reaching one.
+	maxUnsent = 4
+
+	// minSendTime is the least time left with which a request is sent.
+	minSendTime basilmoor.Millis = 10
+)
+
+// run obtains grants and sends the request until one response was relayed or
+// nothing more may be tried.
+func (c *call) run(ctx context.Context) error {
+	for unsent := 0; ; {
+		permit, err := c.handler.cfg.Scheduler.Acquire(ctx, c.demand())
+		if err != nil {
+			return c.notGranted(ctx, err)
+		}
+		err = c.send(ctx, permit)
+		if err == nil {
+			return nil
+		}
+		var unreached *bmexchange.UnsentError
+		if errors.As(err, &unreached) && unsent < maxUnsent {
+			unsent++
+			c.exclude(unreached.Target)
+			c.handler.cfg.Metrics.Retry(basilmoor.ReasonConnectFailed)
+			continue
+		}
+		if err := c.again(ctx, err); err != nil {
+			return err
+		}
+	}
+}
+
+// notGranted is the answer to a request that got no grant.
+func (c *call) notGranted(ctx context.Context, err error) error {
+	if c.r.Context().Err() != nil {
+		return &callerLeftError{
+			Err: err,
+		}
+	}
+	if c.runs > 0 {
+		return unknown(http.StatusBadGateway, basilmoor.ReasonTargetFailed, "the first target failed and no other took the request")
+	}
+	if ctx.Err() != nil {
+		return notRun(basilmoor.ReasonDeadline, 0, "time limit passed before a grant")
+	}
+	return refusalAnswer(err)
+}
+
+// again decides what becomes of a request whose send failed: nil means that it
+// is sent once more.
+func (c *call) again(ctx context.Context, err error) error {
+	var relayed *relayedError
+	if errors.As(err, &relayed) {
+		return relayed.Err
+	}
+	if c.r.Context().Err() != nil {
+		return &callerLeftError{
+			Err: err,
+		}
+	}
+	var unreached *bmexchange.UnsentError
+	if errors.As(err, &unreached) {
+		if c.runs > 0 {
+			return unknown(http.StatusBadGateway, basilmoor.ReasonTargetUnreachable, err.Error())
+		}
+		return notRun(basilmoor.ReasonTargetUnreachable, shortRetry, err.Error())
+	}
+	var refused *bmexchange.RefusedError
+	if errors.As(err, &refused) {
+		c.exclude(refused.Target)
+		if c.mayRetry(ctx) {
+			c.handler.cfg.Metrics.Retry(basilmoor.ReasonTargetRefused)
+			return nil
+		}
+		if c.runs > 0 {
+			return unknown(http.StatusBadGateway, basilmoor.ReasonTargetRefused, err.Error())
+		}
+		return notRun(basilmoor.ReasonTargetRefused, shortRetry, err.Error())
+	}
+	c.runs++
+	c.exclude(c.target)
+	if c.route.Repetition != bmrouting.RunOnce && c.runs < c.route.MaxAttempts && c.mayRetry(ctx) {
+		c.handler.cfg.Metrics.Retry(basilmoor.ReasonTargetFailed)
+		return nil
+	}
+	var failed *failedError
+	if errors.As(err, &failed) {
+		return failed.relay()
+	}
+	if errors.Is(context.Cause(ctx), bmclock.ErrTimeout) {
+		return unknown(http.StatusGatewayTimeout, basilmoor.ReasonTargetSilent, err.Error())
+	}
+	return unknown(http.StatusBadGateway, reasonOf(err), err.Error())
+}
+
+// mayRetry reports whether the request may reach one more target, and counts
+// that against the budget.
+func (c *call) mayRetry(ctx context.Context) bool {
+	if ctx.Err() != nil || c.left() < minSendTime {
+		return false
+	}
+	if !c.handler.cfg.Retries.Retry(c.pool.Name) {
+		c.handler.cfg.Metrics.Add("retries.over-budget", 1)
+		return false
+	}
+	return true
+}
+
+func (c *call) exclude(target string) {
+	if !slices.Contains(c.excluded, target) {
+		c.excluded = append(slices.Clone(c.excluded), target)
+	}
+}
+
+func (c *call) left() basilmoor.Millis {
+	return c.limit - c.handler.cfg.Clock.Now()
+}
+
+// demand describes the request to the scheduler.
+func (c *call) demand() basilmoor.Demand {
+	now := c.handler.cfg.Clock.Now()
+	c.demands++
+	d := basilmoor.Demand{
+		Request:      basilmoor.RequestID(c.attempt.ID + "/" + strconv.Itoa(c.demands)),
+		Weight:       1,
+		Tier:         c.route.Rank,
+		Kind:         c.route.Name,
+		Pool:         c.pool.Name,
+		Model:        c.attempt.Model,
+		PromptTokens: c.attempt.PromptTokens,
+		OutputTokens: c.outputTokens(),
+		Age:          now - c.arrived,
+		Deadline:     c.limit - now,
+		Excluded:     c.excluded,
+		BodyBytes:    len(c.body),
+	}
+	if c.route.Objective > 0 {
+		d.Objective = c.arrived + c.route.Objective - now
+	}
+	if c.workspace != nil {
+		d.Workspace = c.workspace.Name
+	}
+	return d
+}
+
+// outputTokens is the caller's estimate within its bound. The bound alone is
+// far above what most responses reach.
+func (c *call) outputTokens() int {
+	if c.attempt.ExpectedTokens > 0 {
+		return min(c.attempt.ExpectedTokens, max(c.attempt.OutputTokens, 1))
+	}
+	return c.attempt.OutputTokens
+}
+
+// send hands the request to the granted target and relays the response.
+func (c *call) send(ctx context.Context, permit basilmoor.Permit) error {
+	if !permit.Valid() {
+		permit.Observe(basilmoor.Observation{
+			Stage: basilmoor.StageReturned,
+		})
+		return &bmexchange.UnsentError{
+			Target: permit.Target().Name,
+			Err:    errors.New("the grant has lapsed"),
+		}
+	}
+	target := permit.Target()
+	c.target = target.Name
+	if c.sends == 0 {
+		c.handler.cfg.Retries.Request(c.pool.Name)
+	}
+	c.sends++
+	permit.Observe(basilmoor.Observation{
+		Stage: basilmoor.StageDispatched,
+	})
+	sent := c.handler.cfg.Clock.Now()
+	resp, err := c.handler.cfg.Exchange.Send(ctx, c.request(target, c.attempt.LastEvent))
+	if err != nil {
+		var unreached *bmexchange.UnsentError
+		if errors.As(err, &unreached) {
+			c.sends--
+		}
+		c.observeFailure(permit, err)
+		return err
+	}
+	defer resp.Close()
+	if c.route.Streaming && resp.Status == http.StatusOK {
+		return c.relayStream(ctx, permit, resp, sent)
+	}
+	return c.relayPlain(permit, resp, sent)
+}
+
+// request is what a target gets.
+func (c *call) request(target basilmoor.Target, lastEvent string) bmexchange.Request {
+	o := Onward{
+		Remaining: max(c.left(), 1),
+		Target:    target.Name,
+		LastEvent: lastEvent,
+	}
+	if c.workspace != nil {
+		o.Workspace = c.workspace.Name
+	}
+	return bmexchange.Request{
+		Target:  target,
+		Attempt: c.attempt.ID,
+		Method:  c.r.Method,
+		URI:     c.r.RequestURI,
+		Host:    c.r.Host,
+		Header:  c.handler.cfg.Protocol.Onward(c.r.Header, o),
+		Body:    c.body,
+	}
+}
+
+// observeFailure tells the scheduler why a send failed. The end of the caller
+// says nothing about the target.
+func (c *call) observeFailure(permit basilmoor.Permit, err error) {
+	stage := basilmoor.StageFailed
+	var unreached *bmexchange.UnsentError
+	switch {
+	case errors.As(err, &unreached):
+		stage = basilmoor.StageUnreachable
+	case c.r.Context().Err() != nil:
+		stage = basilmoor.StageFinished
+	}
+	permit.Observe(basilmoor.Observation{
+		Stage: stage,
+	})
+}
--- a/internal/schedule/bmscheduler/bench_test.go
+++ b/internal/schedule/bmscheduler/bench_test.go
@@ -39,7 +39,7 @@
 }
 
 func (p *fifoPolicy) Observe(_ basilmoor.Millis, o basilmoor.Observation) []basilmoor.Decision {
-	if Terminal(o.Stage) {
+	if o.Stage.Terminal() {
 		p.free++
 	}
 	return p.grant()
--- a/internal/schedule/bmscheduler/broker.go
+++ b/internal/schedule/bmscheduler/broker.go
@@ -271,7 +271,7 @@
 	h.mentioned[o.Request] = true
 	g.dispatched = true
 	o.Target = g.target
-	if Terminal(o.Stage) {
+	if o.Stage.Terminal() {
 		b.forget(h, o.Request)
 	}
 	b.route(now, b.policy.Observe(now, o))
@@ -450,15 +450,6 @@
 	return d.Refusal.Request
 }
 
-// Terminal reports whether a stage is the last one of a grant.
-func Terminal(s basilmoor.Stage) bool {
-	switch s {
-	case basilmoor.StageReturned, basilmoor.StageUnreachable, basilmoor.StageFinished, basilmoor.StageFailed:
-		return true
-	}
-	return false
-}
-
 func sortedKeys[K ~string, V any](m map[K]V) []K {
 	keys := make([]K, 0, len(m))
 	for k := range m {
--- a/internal/schedule/bmscheduler/fake_policy_test.go
+++ b/internal/schedule/bmscheduler/fake_policy_test.go
@@ -86,7 +86,7 @@
 	}
 	r.dispatched = true
 	p.running[o.Request] = r
-	if Terminal(o.Stage) {
+	if o.Stage.Terminal() {
 		delete(p.running, o.Request)
 	}
 	return p.grant(now)
--- a/internal/schedule/bmscheduler/ledger.go
+++ b/internal/schedule/bmscheduler/ledger.go
@@ -321,7 +321,7 @@
 		l.sample(now, e, o)
 		return
 	}
-	if Terminal(o.Stage) {
+	if o.Stage.Terminal() {
 		e.state = entryDone
 		delete(l.entries, e.id)
 		l.endSample(e)
--- a/internal/schedule/bmscheduler/model_test.go
+++ b/internal/schedule/bmscheduler/model_test.go
@@ -222,7 +222,7 @@
 		e.ends = m.now + basilmoor.Millis(m.rng.IntN(2000))
 	default:
 	}
-	if e.grants == 0 || Terminal(e.state) {
+	if e.grants == 0 || e.state.Terminal() {
 		return
 	}
 	if e.state == "" && m.rng.IntN(3) == 0 {
@@ -260,7 +260,7 @@
 	n := 0
 	for _, h := range m.hosts {
 		for _, e := range h.entries {
-			if e.grants > 0 && !Terminal(e.state) {
+			if e.grants > 0 && !e.state.Terminal() {
 				n++
 			}
 		}
--- a/schedule.go
+++ b/schedule.go
@@ -33,6 +33,10 @@
 	// be dispatched any more.
 	Deadline Millis
 
+	// Objective is the time from submission within which the first byte of
+	// the response has its full benefit; 0 if there is none.
+	Objective Millis
+
 	// BodyBytes is the size of the held body, counted against the bound of
 	// the queue.
 	BodyBytes int
@@ -103,6 +107,15 @@
 	StageFailed Stage = "failed"
 )
 
+// Terminal reports whether s is the last stage of a granted request.
+func (s Stage) Terminal() bool {
+	switch s {
+	case StageReturned, StageUnreachable, StageFinished, StageFailed:
+		return true
+	}
+	return false
+}
+
 // Observation is what an entry host saw of a granted request.
 type Observation struct {
 	Request RequestID
