--- a/internal/node/bmentrynode/listener.go
+++ b/internal/node/bmentrynode/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -12,6 +13,7 @@
 type listener struct {
 	server *http.Server
 	net    net.Listener
+	closed atomic.Bool
 }
 
 func newListener(address string, server *http.Server) (*listener, error) {
@@ -35,7 +37,13 @@
 		<-done
 		return ctx.Err()
 	case err := <-done:
-		return err
+		if !l.closed.Load() {
+			return err
+		}
+		// The listener was closed for the stop; connections go on.
+		<-ctx.Done()
+		_ = l.server.Close()
+		return ctx.Err()
 	}
 }
 
@@ -43,6 +51,8 @@
 	done <- l.server.Serve(l.net)
 }
 
+// close stops accepting connections.
 func (l *listener) close() {
+	l.closed.Store(true)
 	_ = l.net.Close()
 }
--- a/internal/node/bmentrynode/serve.go
+++ b/internal/node/bmentrynode/serve.go
@@ -56,20 +56,27 @@
 
 // drain announces the stop and waits until the requests in progress have
 // ended, at most until shortly before the kill. Kept connections are served
-// until then: each answer announces the end of its connection.
+// until the balancer has had time to turn away, each answer announcing the end
+// of its connection; then the idle ones are closed.
 func (n *Node) drain(ctx context.Context) {
 	began := n.clock.Now()
 	n.log.Info().Int("requests", n.handler.Active()).Msg("stopping")
 	close(n.stopping)
 	n.handler.Close()
 	n.registrar.leave()
+	closed := false
 	for {
 		waited := n.clock.Now() - began
 		if waited >= n.settings.StopGrace-stopMargin {
 			n.log.Warn().Int("requests", n.handler.Active()).Msg("requests cut by the end of the grace")
 			return
 		}
-		if waited >= leaveAfter && n.handler.Active() == 0 {
+		if waited >= leaveAfter && !closed {
+			closed = true
+			n.callers.close()
+			n.callers.server.SetKeepAlivesEnabled(false)
+		}
+		if closed && n.handler.Active() == 0 {
 			return
 		}
 		if n.clock.Sleep(ctx, drainPoll) != nil {
--- a/internal/request/bmentry/relay.go
+++ b/internal/request/bmentry/relay.go
@@ -207,15 +207,16 @@
 	return nil
 }
 
-// note counts events and remembers the id of the last one.
+// note counts whole events and remembers the id of the last one.
 func (s *stream) note(events []byte) {
 	s.events += bytes.Count(events, eventEnd)
-	i := bytes.LastIndex(events, []byte("id:"))
-	if i < 0 {
-		return
+	for len(events) > 0 {
+		var line []byte
+		line, events, _ = bytes.Cut(events, []byte("\n"))
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			s.last = string(bytes.TrimSpace(id))
+		}
 	}
-	line, _, _ := bytes.Cut(events[i+len("id:"):], []byte("\n"))
-	s.last = string(bytes.TrimSpace(line))
 }
 
 // end relays what follows the last event and ends the stream.
--- a/internal/request/bmentry/run.go
+++ b/internal/request/bmentry/run.go
@@ -41,7 +41,8 @@
 			c.handler.cfg.Metrics.Retry(basilmoor.ReasonConnectFailed)
 			continue
 		}
-		if err := c.again(ctx, err); err != nil {
+		again, err := c.settle(ctx, err)
+		if !again {
 			return err
 		}
 	}
@@ -63,51 +64,54 @@
 	return refusalAnswer(err)
 }
 
-// again decides what becomes of a request whose send failed: nil means that it
-// is sent once more.
-func (c *call) again(ctx context.Context, err error) error {
+// settle decides what becomes of a request whose send failed: it is sent once
+// more, or has ended with the returned error, nil after a relayed response.
+func (c *call) settle(ctx context.Context, err error) (again bool, end error) {
 	var relayed *relayedError
 	if errors.As(err, &relayed) {
-		return relayed.Err
+		return false, relayed.Err
 	}
 	if c.r.Context().Err() != nil {
-		return &callerLeftError{
+		return false, &callerLeftError{
 			Err: err,
 		}
 	}
 	var unreached *bmexchange.UnsentError
 	if errors.As(err, &unreached) {
-		if c.runs > 0 {
-			return unknown(http.StatusBadGateway, basilmoor.ReasonTargetUnreachable, err.Error())
-		}
-		return notRun(basilmoor.ReasonTargetUnreachable, shortRetry, err.Error())
+		return false, c.notSent(basilmoor.ReasonTargetUnreachable, err)
 	}
 	var refused *bmexchange.RefusedError
 	if errors.As(err, &refused) {
 		c.exclude(refused.Target)
 		if c.mayRetry(ctx) {
 			c.handler.cfg.Metrics.Retry(basilmoor.ReasonTargetRefused)
-			return nil
-		}
-		if c.runs > 0 {
-			return unknown(http.StatusBadGateway, basilmoor.ReasonTargetRefused, err.Error())
+			return true, nil
 		}
-		return notRun(basilmoor.ReasonTargetRefused, shortRetry, err.Error())
+		return false, c.notSent(basilmoor.ReasonTargetRefused, err)
 	}
 	c.runs++
 	c.exclude(c.target)
 	if c.route.Repetition != bmrouting.RunOnce && c.runs < c.route.MaxAttempts && c.mayRetry(ctx) {
 		c.handler.cfg.Metrics.Retry(basilmoor.ReasonTargetFailed)
-		return nil
+		return true, nil
 	}
 	var failed *failedError
 	if errors.As(err, &failed) {
-		return failed.relay()
+		return false, failed.relay()
 	}
 	if errors.Is(context.Cause(ctx), bmclock.ErrTimeout) {
-		return unknown(http.StatusGatewayTimeout, basilmoor.ReasonTargetSilent, err.Error())
+		return false, unknown(http.StatusGatewayTimeout, basilmoor.ReasonTargetSilent, err.Error())
+	}
+	return false, unknown(http.StatusBadGateway, reasonOf(err), err.Error())
+}
+
+// notSent is the answer to a request whose last send reached no target that
+// ran it. An earlier one may have.
+func (c *call) notSent(reason basilmoor.Reason, err error) error {
+	if c.runs > 0 {
+		return unknown(http.StatusBadGateway, reason, err.Error())
 	}
-	return unknown(http.StatusBadGateway, reasonOf(err), err.Error())
+	return notRun(reason, shortRetry, err.Error())
 }
 
 // mayRetry reports whether the request may reach one more target, and counts
