--- a/internal/request/bmentry/relay.go
+++ b/internal/request/bmentry/relay.go
@@ -126,10 +126,13 @@
 	}
 	err := s.relay(permit, resp, sent)
 	for err != nil && s.resumable(ctx, err) {
+		c.handler.cfg.Metrics.Retry(basilmoor.ReasonTargetFailed)
 		err = s.resume(ctx)
 	}
 	if err != nil && s.started {
-		return relayed(err)
+		return &relayedError{
+			Err: err,
+		}
 	}
 	return err
 }
@@ -141,6 +144,7 @@
 	started bool   // the head was relayed
 	last    string // id of the last event that was relayed
 	events  int
+	unsent  int    // continuations that reached no target
 	buffer  []byte // part of an event
 }
 
@@ -240,35 +244,39 @@
 	return nil
 }
 
-// resumable reports whether another target may go on with the stream.
+// resumable reports whether another target may go on with the stream after a
+// failure.
 func (s *stream) resumable(ctx context.Context, err error) bool {
 	c := s.call
-	var broken *bmexchange.BrokenError
-	if !s.started || !errors.As(err, &broken) || ctx.Err() != nil {
+	if !s.started || c.route.Repetition != bmrouting.Resume || ctx.Err() != nil {
 		return false
 	}
-	c.runs++
 	c.exclude(c.target)
-	return c.route.Repetition == bmrouting.Resume && c.runs < c.route.MaxAttempts && c.mayRetry(ctx)
+	var unreached *bmexchange.UnsentError
+	if errors.As(err, &unreached) {
+		s.unsent++
+		return s.unsent <= maxUnsent
+	}
+	var broken *bmexchange.BrokenError
+	if errors.As(err, &broken) {
+		c.runs++
+	}
+	var refused *bmexchange.RefusedError
+	if broken == nil && !errors.As(err, &refused) {
+		return false
+	}
+	return c.runs < c.route.MaxAttempts && c.mayRetry(ctx)
 }
 
 // resume goes on after the last event at another target.
 func (s *stream) resume(ctx context.Context) error {
 	c := s.call
-	c.handler.cfg.Metrics.Retry(basilmoor.ReasonTargetFailed)
 	permit, err := c.handler.cfg.Scheduler.Acquire(ctx, c.demand())
 	if err != nil {
 		return err
 	}
-	c.target = permit.Target().Name
-	c.sends++
-	permit.Observe(basilmoor.Observation{
-		Stage: basilmoor.StageDispatched,
-	})
-	sent := c.handler.cfg.Clock.Now()
-	resp, err := c.handler.cfg.Exchange.Send(ctx, c.request(permit.Target(), s.last))
+	resp, sent, err := c.dispatch(ctx, permit, s.last)
 	if err != nil {
-		c.observeFailure(permit, err)
 		return err
 	}
 	defer resp.Close()
--- a/internal/request/bmentry/run.go
+++ b/internal/request/bmentry/run.go
@@ -34,6 +34,10 @@
 		if err == nil {
 			return nil
 		}
+		var relayed *relayedError
+		if errors.As(err, &relayed) {
+			return relayed.Err
+		}
 		var unreached *bmexchange.UnsentError
 		if errors.As(err, &unreached) && unsent < maxUnsent {
 			unsent++
@@ -67,10 +71,6 @@
 // settle decides what becomes of a request whose send failed: it is sent once
 // more, or has ended with the returned error, nil after a relayed response.
 func (c *call) settle(ctx context.Context, err error) (again bool, end error) {
-	var relayed *relayedError
-	if errors.As(err, &relayed) {
-		return false, relayed.Err
-	}
 	if c.r.Context().Err() != nil {
 		return false, &callerLeftError{
 			Err: err,
@@ -175,39 +175,48 @@
 
 // send hands the request to the granted target and relays the response.
 func (c *call) send(ctx context.Context, permit basilmoor.Permit) error {
+	resp, sent, err := c.dispatch(ctx, permit, c.attempt.LastEvent)
+	if err != nil {
+		return err
+	}
+	defer resp.Close()
+	if c.route.Streaming && resp.Status == http.StatusOK {
+		return c.relayStream(ctx, permit, resp, sent)
+	}
+	return c.relayPlain(permit, resp, sent)
+}
+
+// dispatch hands the request to the granted target, for a stream after the
+// event lastEvent, and returns the response with the instant of the send.
+func (c *call) dispatch(ctx context.Context, permit basilmoor.Permit, lastEvent string) (*bmexchange.Response, basilmoor.Millis, error) {
+	target := permit.Target()
+	c.target = target.Name
 	if !permit.Valid() {
 		permit.Observe(basilmoor.Observation{
 			Stage: basilmoor.StageReturned,
 		})
-		return &bmexchange.UnsentError{
-			Target: permit.Target().Name,
+		return nil, 0, &bmexchange.UnsentError{
+			Target: target.Name,
 			Err:    errors.New("the grant has lapsed"),
 		}
 	}
-	target := permit.Target()
-	c.target = target.Name
 	if c.sends == 0 {
 		c.handler.cfg.Retries.Request(c.pool.Name)
 	}
-	c.sends++
 	permit.Observe(basilmoor.Observation{
 		Stage: basilmoor.StageDispatched,
 	})
 	sent := c.handler.cfg.Clock.Now()
-	resp, err := c.handler.cfg.Exchange.Send(ctx, c.request(target, c.attempt.LastEvent))
+	resp, err := c.handler.cfg.Exchange.Send(ctx, c.request(target, lastEvent))
+	var unreached *bmexchange.UnsentError
+	if !errors.As(err, &unreached) {
+		c.sends++
+	}
 	if err != nil {
-		var unreached *bmexchange.UnsentError
-		if errors.As(err, &unreached) {
-			c.sends--
-		}
 		c.observeFailure(permit, err)
-		return err
-	}
-	defer resp.Close()
-	if c.route.Streaming && resp.Status == http.StatusOK {
-		return c.relayStream(ctx, permit, resp, sent)
+		return nil, 0, err
 	}
-	return c.relayPlain(permit, resp, sent)
+	return resp, sent, nil
 }
 
 // request is what a target gets.
