Grant slots from one broker, which keeps the allowances

Requests waited in vain until their callers left.

Change: bmgrant over gRPC, one session a host; a host without a broker serves with its own share at once. Demands carry the callers' patience.

--- a/internal/config/bmrouting/types.go
+++ b/internal/config/bmrouting/types.go
@@ -33,6 +33,9 @@
 	// Objective is the time within which the response, or the first event of
 	// a stream, has its full benefit; 0 if the route has none.
 	Objective basilmoor.Millis
+	// Patience is the time after which callers of a stream leave if they have
+	// got no event; 0 if they wait until their time limit.
+	Patience basilmoor.Millis
 
 	// MaxAttempts bounds the targets that one request is sent to, at least 1.
 	MaxAttempts int
@@ -56,6 +59,8 @@
 	// bound.
 	TokensPerSecond float64
 	Burst           float64
+	// PerRequest means that the bound counts requests instead of tokens.
+	PerRequest bool
 	// DefaultTokens is charged for a request that declares no tokens.
 	DefaultTokens int
 }
--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -59,7 +59,9 @@
 	metrics  *bmmetrics.Registry
 
 	keeper    *bmview.Keeper
+	broker    *bmgrant.Broker
 	scheduler *bmgrant.Client
+	peers     *peerServer
 	exchange  *bmexchange.Client
 	retries   *bmentry.RetryBudget
 	handler   *bmentry.Handler
@@ -94,7 +96,8 @@
 		Incarnation: uint64(time.Now().UnixMilli()),
 	}
 	n.keeper = bmview.NewKeeper(n.clock, parts.Feed, log, n.metrics, n.viewChanged)
-	n.scheduler = bmgrant.NewClient(n.clock, self, n.metrics)
+	n.broker = bmgrant.NewBroker(n.clock, n.metrics, log)
+	n.scheduler = bmgrant.NewClient(n.clock, self, n.broker, !s.LocalScheduling, n.metrics, log)
 	exchange, closeExchange := bmexchange.New(n.clock, parts.Contract, n.metrics)
 	n.exchange = exchange
 	n.onClose(closeExchange)
@@ -144,6 +147,10 @@
 		return errors.Wrap(err, "metrics")
 	}
 	n.onClose(n.metric.close)
+	if n.peers, err = newPeerServer(n.settings.port(portPeers), n.broker); err != nil {
+		return errors.Wrap(err, "other hosts")
+	}
+	n.onClose(n.peers.close)
 	return nil
 }
 
@@ -161,6 +168,7 @@
 func (n *Node) viewChanged(v *bmview.View) {
 	hosts := max(len(v.Hosts()), 1)
 	n.retries.SetSlack(n.settings.RetrySlack / float64(hosts+retrySpare))
+	n.broker.SetView(v)
 	n.scheduler.SetView(v)
 	known := map[string]bool{}
 	for _, t := range v.AllTargets() {
@@ -179,7 +187,7 @@
 		EventHook: n.logEvent,
 		Timeout:   time.Second,
 	})
-	for _, s := range []suture.Service{n.keeper, n.scheduler, n.registrar, n.callers, n.ready, n.metric} {
+	for _, s := range []suture.Service{n.keeper, n.broker, n.scheduler, n.registrar, n.peers, n.callers, n.ready, n.metric} {
 		supervisor.Add(s)
 	}
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
--- a/internal/node/bmentrynode/settings.go
+++ b/internal/node/bmentrynode/settings.go
@@ -39,6 +39,10 @@
 	RetryRatio  float64
 	RetryWindow basilmoor.Millis
 	RetrySlack  float64
+
+	// LocalScheduling makes the host serve its requests with its own share
+	// of the slots, without a broker.
+	LocalScheduling bool
 }
 
 // InvalidSettingsError lists the faults of settings.
--- a/internal/operator/bmcli/entry.go
+++ b/internal/operator/bmcli/entry.go
@@ -21,6 +21,7 @@
 	path, _ := env.Lookup(bmplatform.SettingsVariable)
 	flags.StringVar(&path, "settings", path, "settings file of the platform; the default is $"+bmplatform.SettingsVariable)
 	level := flags.String("log-level", "info", "least level of log lines: debug, info, warn, error")
+	local := flags.Bool("local-scheduling", false, "serve with this host's share of the slots, without a broker")
 	if err := flags.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return ExitOK
@@ -37,6 +38,7 @@
 		fmt.Fprintf(env.Stderr, "basilmoor: %v\n", err)
 		return ExitUsage
 	}
+	settings.LocalScheduling = *local
 	log := zerolog.New(env.Stdout).Level(logLevel).With().Timestamp().Str("host", settings.Host).Logger()
 	clock := bmclock.NewSystem()
 	store, closeStore, err := bmplatform.NewStore(clock, settings.StoreAddress)
--- a/internal/request/bmentry/run.go
+++ b/internal/request/bmentry/run.go
@@ -156,7 +156,13 @@
 		BodyBytes:    len(c.body),
 	}
 	if c.route.Objective > 0 {
-		d.Objective = c.arrived + c.route.Objective - now
+		d.Objective = left(c.arrived+c.route.Objective, now)
+	}
+	if c.route.Patience > 0 {
+		d.Patience = left(c.arrived+c.route.Patience, now)
+	}
+	if c.demands == 1 && c.workspace != nil && c.workspace.Allowance.Bounded() {
+		d.Charge = c.charge()
 	}
 	if c.workspace != nil {
 		d.Workspace = c.workspace.Name
@@ -164,6 +170,27 @@
 	return d
 }
 
+// left is the time until an instant, negative if it has passed. It is never 0,
+// which stands for no bound.
+func left(until, now basilmoor.Millis) basilmoor.Millis {
+	if until == now {
+		return -1
+	}
+	return until - now
+}
+
+// charge is what the request takes from its workspace's allowance.
+func (c *call) charge() int {
+	a := c.workspace.Allowance
+	switch {
+	case a.PerRequest:
+		return 1
+	case c.attempt.DeclaresTokens:
+		return c.attempt.PromptTokens + c.attempt.OutputTokens
+	}
+	return a.DefaultTokens
+}
+
 // outputTokens is the caller's estimate within its bound. The bound alone is
 // far above what most responses reach.
 func (c *call) outputTokens() int {
--- /dev/null
+++ b/internal/schedule/bmgrant/broker.go
@@ -0,0 +1,325 @@
+package bmgrant
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmmetrics"
+	"basilmoor.example/basilmoor/internal/fleet/bmview"
+	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
+)
+
+const (
+	// keepalivePeriod is the longest time between two batches of a session.
+	keepalivePeriod basilmoor.Millis = 100
+
+	// silenceBound is the time without a batch after which a session is
+	// given up. Requests have objectives from 100 ms on.
+	silenceBound basilmoor.Millis = 350
+
+	// warmUp is how long a new broker collects what hosts have in progress
+	// before it grants, unless all hosts have reported.
+	warmUp basilmoor.Millis = 150
+)
+
+// Broker grants slots to the hosts that have a session with it. Every host has
+// one; it holds state only while hosts choose it. It is safe for concurrent
+// use.
+type Broker struct {
+	clock   basilmoor.Clock
+	metrics *bmmetrics.Registry
+	log     zerolog.Logger
+
+	mu         sync.Mutex
+	view       *bmview.View
+	pools      map[string]*Pool
+	sessions   map[string]*session // by host
+	allowances *allowances
+	holdOff    basilmoor.Millis
+}
+
+// session is the broker's side of a session with one host. Its fields are
+// guarded by the broker's mutex.
+type session struct {
+	host       string
+	dataCentre string
+	heard      basilmoor.Millis
+	sent       basilmoor.Millis
+	pending    *bmgrantpb.BrokerBatch
+	wake       chan struct{} // receives when pending is to be sent
+	ended      chan struct{} // closed at the end
+	exhausted  int           // workspaces without allowance that were told last
+}
+
+// NewBroker returns a broker without sessions.
+func NewBroker(clock basilmoor.Clock, metrics *bmmetrics.Registry, log zerolog.Logger) *Broker {
+	b := &Broker{
+		clock:   clock,
+		metrics: metrics,
+		log:     log,
+		view:    &bmview.View{},
+	}
+	b.reset()
+	return b
+}
+
+func (b *Broker) reset() {
+	b.pools = map[string]*Pool{}
+	b.sessions = map[string]*session{}
+	b.allowances = newAllowances()
+}
+
+// SetView takes over the targets, hosts and allowances of a view.
+func (b *Broker) SetView(v *bmview.View) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.view = v
+	if len(b.sessions) > 0 {
+		b.applyView(b.clock.Now())
+	}
+}
+
+func (b *Broker) applyView(now basilmoor.Millis) {
+	if b.view.Table == nil {
+		return
+	}
+	b.setShare(now)
+	b.allowances.set(now, b.view.Table.Workspaces())
+	for _, spec := range b.view.Table.Pools() {
+		p, ok := b.pools[spec.Name]
+		if !ok {
+			p = NewPool(b.holdOff)
+			b.pools[spec.Name] = p
+		}
+		b.deliver(p.SetTargets(now, b.view.Targets(spec.Name)))
+	}
+}
+
+// setShare spends the part of the allowances that belongs to the hosts with a
+// session. The others spend their own part.
+func (b *Broker) setShare(now basilmoor.Millis) {
+	n := len(b.view.Hosts())
+	b.allowances.setShare(now, min(float64(len(b.sessions))/float64(max(n, 1)), 1))
+}
+
+// Serve does what depends on time until ctx ends.
+func (b *Broker) Serve(ctx context.Context) error {
+	for {
+		if err := b.clock.Sleep(ctx, tickPeriod); err != nil {
+			return err
+		}
+		b.tick()
+	}
+}
+
+func (b *Broker) tick() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	for _, s := range b.sessions {
+		if now-s.heard >= silenceBound {
+			b.log.Warn().Str("peer", s.host).Int64("silent-ms", int64(now-s.heard)).Msg("session with a host lost")
+			b.end(now, s)
+		}
+	}
+	for _, p := range b.pools {
+		if p.Waiting() > 0 {
+			b.deliver(p.Tick(now))
+		}
+	}
+	exhausted := b.allowances.exhausted(now)
+	for _, s := range b.sessions {
+		if now-s.sent >= keepalivePeriod || len(exhausted) != s.exhausted {
+			b.tellExhausted(s, exhausted)
+			s.signal()
+		}
+	}
+}
+
+func (b *Broker) tellExhausted(s *session, list []exhaustion) {
+	s.exhausted = len(list)
+	s.pending.Exhausted = nil
+	for _, e := range list {
+		s.pending.Exhausted = append(s.pending.Exhausted, &bmgrantpb.Exhausted{
+			Workspace:    e.workspace,
+			RetryAfterMs: int32(e.wait),
+		})
+	}
+}
+
+// attach begins a session with a host; an earlier one of the host ends.
+func (b *Broker) attach(hello *bmgrantpb.Hello) *session {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	if len(b.sessions) == 0 {
+		b.reset()
+		b.holdOff = now + warmUp
+	}
+	if old, ok := b.sessions[hello.GetHost()]; ok {
+		b.end(now, old)
+	}
+	s := &session{
+		host:       hello.GetHost(),
+		dataCentre: hello.GetDataCentre(),
+		heard:      now,
+		pending:    &bmgrantpb.BrokerBatch{},
+		wake:       make(chan struct{}, 1),
+		ended:      make(chan struct{}),
+	}
+	b.sessions[s.host] = s
+	b.applyView(now)
+	s.signal()
+	b.log.Info().Str("peer", s.host).Int("sessions", len(b.sessions)).Msg("session with a host")
+	return s
+}
+
+// detach ends a session.
+func (b *Broker) detach(s *session) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.end(b.clock.Now(), s)
+}
+
+func (b *Broker) end(now basilmoor.Millis, s *session) {
+	if b.sessions[s.host] != s {
+		return
+	}
+	delete(b.sessions, s.host)
+	close(s.ended)
+	b.setShare(now)
+	for _, p := range b.pools {
+		b.deliver(p.DropHost(now, s.host))
+	}
+}
+
+// handle takes a batch of a host.
+func (b *Broker) handle(s *session, batch *bmgrantpb.HostBatch) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.sessions[s.host] != s {
+		return
+	}
+	now := b.clock.Now()
+	s.heard = now
+	for _, o := range batch.GetObservations() {
+		b.observe(now, s, decodeObservation(s.host, s.dataCentre, o))
+	}
+	for _, c := range batch.GetCancels() {
+		if p, ok := b.pools[c.GetPool()]; ok {
+			b.deliver(p.Cancel(now, requestID(s.host, c.GetNumber())))
+		}
+	}
+	for _, spent := range batch.GetSpendings() {
+		b.allowances.spend(now, spent.GetWorkspace(), int(spent.GetTokens()))
+	}
+	for _, d := range batch.GetDemands() {
+		b.submit(now, decodeDemand(s.host, s.dataCentre, d))
+	}
+	b.endWarmUp(now, batch)
+}
+
+// endWarmUp lets the pools grant once every host has told what it has in
+// progress, with its first batch.
+func (b *Broker) endWarmUp(now basilmoor.Millis, batch *bmgrantpb.HostBatch) {
+	if batch.GetHello() == nil || now >= b.holdOff || len(b.sessions) < len(b.view.Hosts()) {
+		return
+	}
+	b.holdOff = now
+	for _, p := range b.pools {
+		p.EndHoldOff()
+		b.deliver(p.Tick(now))
+	}
+}
+
+func (b *Broker) observe(now basilmoor.Millis, s *session, o basilmoor.Observation) {
+	for _, p := range b.pools {
+		if p.Holds(o.Request) {
+			b.deliver(p.Observe(now, o))
+			return
+		}
+	}
+	if o.Demand == nil {
+		return
+	}
+	if p, ok := b.pools[o.Demand.Pool]; ok {
+		b.deliver(p.Observe(now, o))
+	}
+}
+
+func (b *Broker) submit(now basilmoor.Millis, d basilmoor.Demand) {
+	p, ok := b.pools[d.Pool]
+	if !ok {
+		b.refuse(d.Request, basilmoor.ReasonNoTarget, minRetryAfter)
+		return
+	}
+	if wait, ok := b.allowances.take(now, d.Workspace, d.Charge); !ok {
+		b.refuse(d.Request, basilmoor.ReasonRateLimit, wait)
+		return
+	}
+	b.deliver(p.Submit(now, d))
+}
+
+// deliver passes decisions to the sessions of their hosts.
+func (b *Broker) deliver(decisions []basilmoor.Decision) {
+	for _, d := range decisions {
+		if d.Refusal != nil {
+			b.refund(*d.Refusal)
+			b.refuse(d.Refusal.Request, d.Refusal.Reason, d.Refusal.RetryAfter)
+			continue
+		}
+		host, number := splitID(d.Grant.Request)
+		s, ok := b.sessions[host]
+		if !ok {
+			continue
+		}
+		s.pending.Grants = append(s.pending.Grants, &bmgrantpb.Grant{
+			Number: number,
+			Target: d.Grant.Target.Name,
+		})
+		s.signal()
+	}
+}
+
+// refund gives back what a demand was charged that got no grant.
+func (b *Broker) refund(r basilmoor.Refusal) {
+	b.allowances.spend(b.clock.Now(), r.Workspace, -r.Charge)
+}
+
+func (b *Broker) refuse(id basilmoor.RequestID, reason basilmoor.Reason, retryAfter basilmoor.Millis) {
+	host, number := splitID(id)
+	s, ok := b.sessions[host]
+	if !ok {
+		return
+	}
+	s.pending.Refusals = append(s.pending.Refusals, &bmgrantpb.Refusal{
+		Number:       number,
+		Reason:       string(reason),
+		RetryAfterMs: int32(retryAfter),
+	})
+	s.signal()
+}
+
+// signal wakes the sender.
+func (s *session) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// take removes what is to be sent.
+func (b *Broker) take(s *session) *bmgrantpb.BrokerBatch {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	batch := s.pending
+	// The list of exhausted workspaces replaces the one before.
+	s.pending = &bmgrantpb.BrokerBatch{
+		Exhausted: batch.Exhausted,
+	}
+	s.sent = b.clock.Now()
+	return batch
+}
--- a/internal/schedule/bmgrant/client.go
+++ b/internal/schedule/bmgrant/client.go
@@ -5,118 +5,231 @@
 	"slices"
 	"sync"
 
+	"github.com/rs/zerolog"
+
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmview"
+	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
 )
 
 // tickPeriod is the time between two looks at what depends on time only.
 const tickPeriod basilmoor.Millis = 20
 
-// Client acquires grants for the requests that this host holds. It is safe for
-// concurrent use.
+// Client acquires grants for the requests that this host holds: from the
+// broker for pools of engines, from its own count for plain services and while
+// it has no broker. It is safe for concurrent use.
 type Client struct {
 	clock   basilmoor.Clock
 	self    basilmoor.Member
 	metrics *bmmetrics.Registry
+	log     zerolog.Logger
+	broker  *Broker // of this host
+	dial    Dial    // nil: never use a broker
 
 	mu      sync.Mutex
+	view    *bmview.View
+	targets map[string]basilmoor.Target
 	next    uint64
 	entries map[basilmoor.RequestID]*entry
-	own     map[string]*Pool // pools that this host serves itself
+
+	own        map[string]*Pool // pools that this host serves itself
+	allowances *allowances      // while there is no broker
+
+	up        *uplink // nil without a broker
+	opening   bool
+	suspects  map[string]basilmoor.Millis // hosts that are not chosen until then
+	exhausted []exhaustion                // workspaces, as the broker told last
 }
 
 var _ basilmoor.Scheduler = (*Client)(nil)
 
 // entry is one Acquire.
 type entry struct {
-	demand   basilmoor.Demand
-	decided  chan basilmoor.Decision // receives one decision
-	target   basilmoor.Target
-	received basilmoor.Millis // when the grant arrived; 0 before
-	closed   bool
+	number    uint64
+	demand    basilmoor.Demand
+	submitted basilmoor.Millis
+	decided   chan basilmoor.Decision // receives one decision
+	target    basilmoor.Target
+	received  basilmoor.Millis // when the grant arrived; 0 before
+	first     basilmoor.Millis // time to first token; 0 before it
+	closed    bool
+}
+
+// remaining returns the demand with the time that is left.
+func (e *entry) remaining(now basilmoor.Millis) basilmoor.Demand {
+	waited := now - e.submitted
+	d := e.demand.WithAge(e.demand.Age+waited, e.demand.Deadline-waited)
+	d.Objective = after(d.Objective, waited)
+	d.Patience = after(d.Patience, waited)
+	return d
 }
 
-// NewClient returns a client of the host self.
-func NewClient(clock basilmoor.Clock, self basilmoor.Member, metrics *bmmetrics.Registry) *Client {
-	return &Client{
-		clock:   clock,
-		self:    self,
-		metrics: metrics,
-		entries: map[basilmoor.RequestID]*entry{},
-		own:     map[string]*Pool{},
+// after shortens a bound of which 0 stands for none.
+func after(bound, waited basilmoor.Millis) basilmoor.Millis {
+	switch bound {
+	case 0:
+		return 0
+	case waited:
+		return -1
 	}
+	return bound - waited
 }
 
-// SetView takes over the targets and hosts of a view.
+// open describes a grant to a broker that does not know it.
+func (e *entry) open(d basilmoor.Demand) basilmoor.Observation {
+	o := basilmoor.Observation{
+		Request: e.demand.Request,
+		Target:  e.target.Name,
+		Stage:   basilmoor.StageDispatched,
+		Demand:  &d,
+	}
+	if e.first > 0 {
+		o.Stage = basilmoor.StageFirstToken
+		o.Elapsed = e.first
+	}
+	return o
+}
+
+// NewClient returns a client of the host self. With connect false it never
+// uses a broker.
+func NewClient(clock basilmoor.Clock, self basilmoor.Member, broker *Broker, connect bool, metrics *bmmetrics.Registry, log zerolog.Logger) *Client {
+	c := &Client{
+		clock:      clock,
+		self:       self,
+		metrics:    metrics,
+		log:        log,
+		broker:     broker,
+		view:       &bmview.View{},
+		targets:    map[string]basilmoor.Target{},
+		entries:    map[basilmoor.RequestID]*entry{},
+		own:        map[string]*Pool{},
+		allowances: newAllowances(),
+		suspects:   map[string]basilmoor.Millis{},
+	}
+	if connect {
+		c.dial = dialStream
+	}
+	return c
+}
+
+// SetView takes over the targets, hosts and allowances of a view.
 func (c *Client) SetView(v *bmview.View) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.clock.Now()
-	if v.Table == nil {
+	c.view = v
+	c.targets = make(map[string]basilmoor.Target, len(c.targets))
+	for _, t := range v.AllTargets() {
+		c.targets[t.Name] = t
+	}
+	c.applyView(c.clock.Now())
+}
+
+func (c *Client) applyView(now basilmoor.Millis) {
+	if c.view.Table == nil {
 		return
 	}
-	for _, pool := range v.Table.Pools() {
+	c.allowances.setShare(now, 1/float64(max(len(c.view.Hosts()), 1)))
+	c.allowances.set(now, c.view.Table.Workspaces())
+	for _, pool := range c.view.Table.Pools() {
 		p, ok := c.own[pool.Name]
 		if !ok {
 			p = NewPool(0)
 			c.own[pool.Name] = p
 		}
-		targets := v.Targets(pool.Name)
+		targets := c.view.Targets(pool.Name)
 		if pool.Engine != nil {
-			targets = share(targets, c.self.Host, v.Hosts())
+			targets = share(targets, c.self.Host, c.view.Hosts())
 		}
 		c.deliver(p.SetTargets(now, targets))
 	}
 }
 
-// share returns the part of each target's slots that a host uses when every
-// host serves its own requests. The parts of all hosts add up to the slots.
-func share(targets []basilmoor.Target, self string, hosts []basilmoor.Member) []basilmoor.Target {
-	n := len(hosts)
-	index := slices.IndexFunc(hosts, func(m basilmoor.Member) bool { return m.Host == self })
-	if index < 0 {
-		// This host isn't registered yet: it takes the part of one more.
-		index = n
-		n++
+// resetOwn makes the own pools of engines anew from what this host has in
+// progress and waiting.
+func (c *Client) resetOwn(now basilmoor.Millis) {
+	for name := range c.own {
+		if c.engines(name) {
+			delete(c.own, name)
+		}
 	}
-	shared := make([]basilmoor.Target, 0, len(targets))
-	for i, t := range targets {
-		// The rotation spreads what does not divide evenly.
-		k := (index + i) % n
-		t.Slots = t.Slots*(k+1)/n - t.Slots*k/n
-		if t.Slots > 0 {
-			shared = append(shared, t)
+	c.applyView(now)
+	for _, e := range c.sorted() {
+		p, ok := c.own[e.demand.Pool]
+		if !ok || !c.engines(e.demand.Pool) {
+			continue
+		}
+		d := e.remaining(now)
+		if e.received > 0 {
+			c.deliver(p.Observe(now, e.open(d)))
+			continue
 		}
+		c.deliver(p.Submit(now, d))
 	}
-	return shared
+}
+
+// sorted returns the entries in the order of their numbers.
+func (c *Client) sorted() []*entry {
+	all := make([]*entry, 0, len(c.entries))
+	for _, e := range c.entries {
+		all = append(all, e)
+	}
+	slices.SortFunc(all, func(a, b *entry) int { return int(a.number) - int(b.number) })
+	return all
+}
+
+// engines reports whether a pool is one of model engines.
+func (c *Client) engines(pool string) bool {
+	if c.view.Table == nil {
+		return false
+	}
+	p, ok := c.view.Table.Pool(pool)
+	return ok && p.Engine != nil
+}
+
+// brokered reports whether the broker decides on the demands of a pool. Hosts
+// choose the targets of plain services by themselves: their load is far below
+// their slots and their objectives are short.
+func (c *Client) brokered(pool string) bool {
+	return c.up != nil && c.engines(pool)
 }
 
 // Serve does what depends on time until ctx ends.
 func (c *Client) Serve(ctx context.Context) error {
+	defer c.leave()
 	for {
 		if err := c.clock.Sleep(ctx, tickPeriod); err != nil {
 			return err
 		}
-		c.tick()
+		c.tick(ctx)
 	}
 }
 
-func (c *Client) tick() {
+func (c *Client) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.release()
+}
+
+func (c *Client) tick(ctx context.Context) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
+	if c.dial != nil {
+		c.manage(ctx, now)
+	}
 	for _, p := range c.own {
 		if p.Waiting() > 0 {
 			c.deliver(p.Tick(now))
 		}
 	}
+	if c.up != nil && (now-c.up.sent >= keepalivePeriod || len(c.up.pending.GetObservations()) > 0 || len(c.up.pending.GetSpendings()) > 0) {
+		c.up.signal()
+	}
 }
 
 // Acquire waits until the request may be dispatched.
 func (c *Client) Acquire(ctx context.Context, d basilmoor.Demand) (basilmoor.Permit, error) {
-	d.Host = c.self.Host
-	d.Place = c.self.Place
 	e := c.submit(d)
 	select {
 	case decision := <-e.decided:
@@ -130,23 +243,74 @@
 func (c *Client) submit(d basilmoor.Demand) *entry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.clock.Now()
+	d.Host = c.self.Host
+	d.Place = c.self.Place
 	e := &entry{
-		demand:  d,
-		decided: make(chan basilmoor.Decision, 1),
+		demand:    d,
+		submitted: now,
+		decided:   make(chan basilmoor.Decision, 1),
+	}
+	c.enter(e)
+	c.offer(now, e)
+	return e
+}
+
+// enter gives an entry a number of its own.
+func (c *Client) enter(e *entry) {
+	c.next++
+	e.number = c.next
+	e.demand.Request = requestID(c.self.Host, e.number)
+	c.entries[e.demand.Request] = e
+}
+
+// offer hands the demand of an entry to whoever decides on it.
+func (c *Client) offer(now basilmoor.Millis, e *entry) {
+	d := e.remaining(now)
+	if c.brokered(d.Pool) {
+		c.up.pending.Demands = append(c.up.pending.Demands, encodeDemand(e.number, d))
+		c.up.signal()
+		return
 	}
 	p, ok := c.own[d.Pool]
 	if !ok {
-		e.decided <- basilmoor.Decision{
-			Refusal: &basilmoor.Refusal{
-				Request: d.Request,
-				Reason:  basilmoor.ReasonNoTarget,
-			},
+		c.refuse(basilmoor.Refusal{
+			Request:    d.Request,
+			Reason:     basilmoor.ReasonNoTarget,
+			RetryAfter: minRetryAfter,
+		})
+		return
+	}
+	if wait, ok := c.charge(now, d); !ok {
+		c.refuse(basilmoor.Refusal{
+			Request:    d.Request,
+			Reason:     basilmoor.ReasonRateLimit,
+			RetryAfter: wait,
+		})
+		return
+	}
+	c.deliver(p.Submit(now, d))
+}
+
+// charge takes a demand that no broker decides on from its workspace's
+// allowance.
+func (c *Client) charge(now basilmoor.Millis, d basilmoor.Demand) (basilmoor.Millis, bool) {
+	if c.up == nil {
+		return c.allowances.take(now, d.Workspace, d.Charge)
+	}
+	if d.Charge == 0 {
+		return 0, true
+	}
+	for _, e := range c.exhausted {
+		if e.workspace == d.Workspace {
+			return e.wait, false
 		}
-		return e
 	}
-	c.entries[d.Request] = e
-	c.deliver(p.Submit(c.clock.Now(), d))
-	return e
+	c.up.pending.Spendings = append(c.up.pending.Spendings, &bmgrantpb.Spending{
+		Workspace: d.Workspace,
+		Tokens:    int64(d.Charge),
+	})
+	return 0, true
 }
 
 func (c *Client) settle(e *entry, decision basilmoor.Decision) (basilmoor.Permit, error) {
@@ -161,10 +325,25 @@
 	}, nil
 }
 
+// abandon ends an Acquire whose caller left.
 func (c *Client) abandon(e *entry) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if e.received > 0 {
+		c.end(e, basilmoor.Observation{
+			Stage: basilmoor.StageReturned,
+		})
+		return
+	}
 	c.close(e)
+	if c.brokered(e.demand.Pool) {
+		c.up.pending.Cancels = append(c.up.pending.Cancels, &bmgrantpb.Cancel{
+			Number: e.number,
+			Pool:   e.demand.Pool,
+		})
+		c.up.signal()
+		return
+	}
 	if p, ok := c.own[e.demand.Pool]; ok {
 		c.deliver(p.Cancel(c.clock.Now(), e.demand.Request))
 	}
@@ -175,30 +354,90 @@
 	delete(c.entries, e.demand.Request)
 }
 
-// deliver passes decisions to their holders.
+// deliver passes decisions of the own pools to their holders.
 func (c *Client) deliver(decisions []basilmoor.Decision) {
 	for _, d := range decisions {
 		if d.Refusal != nil {
-			c.refuse(d)
+			c.refuse(*d.Refusal)
 			continue
 		}
 		e, ok := c.entries[d.Grant.Request]
-		if !ok || e.received != 0 {
-			continue
+		if ok && e.received == 0 {
+			c.grant(e, d.Grant.Target)
 		}
-		e.target = d.Grant.Target
-		e.received = c.clock.Now()
-		e.decided <- d
 	}
 }
 
-func (c *Client) refuse(d basilmoor.Decision) {
-	e, ok := c.entries[d.Refusal.Request]
+func (c *Client) grant(e *entry, t basilmoor.Target) {
+	e.target = t
+	e.received = max(c.clock.Now(), 1)
+	e.decided <- basilmoor.Decision{
+		Grant: &basilmoor.Grant{
+			Request: e.demand.Request,
+			Target:  t,
+			TTL:     grantTTL,
+		},
+	}
+}
+
+func (c *Client) refuse(r basilmoor.Refusal) {
+	e, ok := c.entries[r.Request]
 	if !ok || e.received != 0 {
 		return
 	}
 	c.close(e)
-	e.decided <- d
+	e.decided <- basilmoor.Decision{
+		Refusal: &r,
+	}
+}
+
+// end reports the last stage of a granted request.
+func (c *Client) end(e *entry, o basilmoor.Observation) {
+	if e.closed {
+		return
+	}
+	c.close(e)
+	c.report(e, o)
+}
+
+// report tells whoever decides on the pool what became of a grant.
+func (c *Client) report(e *entry, o basilmoor.Observation) {
+	o.Request = e.demand.Request
+	if o.Target == "" {
+		o.Target = e.target.Name
+	}
+	if !c.brokered(e.demand.Pool) {
+		if p, ok := c.own[e.demand.Pool]; ok {
+			c.deliver(p.Observe(c.clock.Now(), o))
+		}
+		return
+	}
+	c.up.pending.Observations = append(c.up.pending.Observations, encodeObservation(e.number, o))
+	if o.Stage.Terminal() {
+		c.up.signal()
+	}
+}
+
+// share returns the part of each target's slots that a host uses when every
+// host serves its own requests. The parts of all hosts add up to the slots.
+func share(targets []basilmoor.Target, self string, hosts []basilmoor.Member) []basilmoor.Target {
+	n := len(hosts)
+	index := slices.IndexFunc(hosts, func(m basilmoor.Member) bool { return m.Host == self })
+	if index < 0 {
+		// This host isn't registered yet: it takes the part of one more.
+		index = n
+		n++
+	}
+	shared := make([]basilmoor.Target, 0, len(targets))
+	for i, t := range targets {
+		// The rotation spreads what does not divide evenly.
+		k := (index + i) % n
+		t.Slots = t.Slots*(k+1)/n - t.Slots*k/n
+		if t.Slots > 0 {
+			shared = append(shared, t)
+		}
+	}
+	return shared
 }
 
 // permit is the right to send one request to one target.
@@ -225,12 +464,12 @@
 	if p.entry.closed {
 		return
 	}
-	o.Request = p.entry.demand.Request
-	o.Target = p.entry.target.Name
 	if o.Stage.Terminal() {
-		c.close(p.entry)
+		c.end(p.entry, o)
+		return
 	}
-	if pool, ok := c.own[p.entry.demand.Pool]; ok {
-		c.deliver(pool.Observe(c.clock.Now(), o))
+	if o.Stage == basilmoor.StageFirstToken {
+		p.entry.first = max(o.Elapsed, 1)
 	}
+	c.report(p.entry, o)
 }
--- a/internal/schedule/bmgrant/pool.go
+++ b/internal/schedule/bmgrant/pool.go
@@ -93,6 +93,9 @@
 		onTime:  now + d.Objective - p.firstToken(d),
 		expires: now + d.Deadline - p.duration(d),
 	}
+	if d.Patience != 0 {
+		i.expires = min(i.expires, now+d.Patience-p.firstToken(d))
+	}
 	if d.Objective == 0 {
 		i.onTime = i.expires
 	}
@@ -186,6 +189,17 @@
 	return p.step(now)
 }
 
+// EndHoldOff lets the pool grant from now on.
+func (p *Pool) EndHoldOff() {
+	p.holdOff = 0
+}
+
+// Holds reports whether a request has a grant.
+func (p *Pool) Holds(id basilmoor.RequestID) bool {
+	_, held := p.flights[id]
+	return held
+}
+
 // Waiting returns the number of waiting demands.
 func (p *Pool) Waiting() int {
 	return len(p.waiting)
@@ -376,6 +390,8 @@
 			Request:    d.Request,
 			Reason:     reason,
 			RetryAfter: p.retryAfter(),
+			Workspace:  d.Workspace,
+			Charge:     d.Charge,
 		},
 	})
 }
--- /dev/null
+++ b/internal/schedule/bmgrant/server.go
@@ -0,0 +1,79 @@
+package bmgrant
+
+import (
+	"sync"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+
+	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
+)
+
+// Server serves the sessions of other hosts with a broker over gRPC.
+type Server struct {
+	bmgrantpb.UnimplementedBrokerServer
+	broker *Broker
+}
+
+var _ bmgrantpb.BrokerServer = (*Server)(nil)
+
+// NewServer returns a server of a broker's sessions.
+func NewServer(b *Broker) *Server {
+	return &Server{
+		broker: b,
+	}
+}
+
+// serverStream is the broker's end of a session's stream.
+type serverStream = grpc.BidiStreamingServer[bmgrantpb.HostBatch, bmgrantpb.BrokerBatch]
+
+// Session implements bmgrantpb.BrokerServer.
+func (v *Server) Session(stream serverStream) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	if first.GetHello().GetHost() == "" {
+		return errors.New("the first batch names no host")
+	}
+	s := v.broker.attach(first.GetHello())
+	sender := &sessionSender{
+		broker:  v.broker,
+		session: s,
+		stream:  stream,
+	}
+	sender.wg.Add(1)
+	go sender.run()
+	defer sender.wg.Wait()
+	defer v.broker.detach(s)
+	v.broker.handle(s, first)
+	for {
+		batch, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		v.broker.handle(s, batch)
+	}
+}
+
+// sessionSender sends what is pending for a host.
+type sessionSender struct {
+	broker  *Broker
+	session *session
+	stream  serverStream
+	wg      sync.WaitGroup
+}
+
+func (s *sessionSender) run() {
+	defer s.wg.Done()
+	for {
+		select {
+		case <-s.session.ended:
+			return
+		case <-s.session.wake:
+		}
+		if s.stream.Send(s.broker.take(s.session)) != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/schedule/bmgrant/uplink.go
@@ -0,0 +1,248 @@
+package bmgrant
+
+import (
+	"context"
+	"slices"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/fleet/bmmember"
+	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
+)
+
+const (
+	// brokerKey is what the broker's host is chosen for.
+	brokerKey = "broker"
+
+	// suspectBroker is how long a host whose session was lost is not chosen.
+	suspectBroker = 2 * basilmoor.Second
+)
+
+// uplink is the host's side of a session with a broker. Its fields are guarded
+// by the client's mutex.
+type uplink struct {
+	host    string
+	link    link
+	heard   basilmoor.Millis
+	sent    basilmoor.Millis
+	pending *bmgrantpb.HostBatch
+	wake    chan struct{} // receives when pending is to be sent
+	ended   chan struct{} // closed at the end
+}
+
+func (u *uplink) signal() {
+	select {
+	case u.wake <- struct{}{}:
+	default:
+	}
+}
+
+// manage keeps the session with the broker that this host prefers.
+func (c *Client) manage(ctx context.Context, now basilmoor.Millis) {
+	if c.up != nil && now-c.up.heard >= silenceBound {
+		c.log.Warn().Str("broker", c.up.host).Int64("silent-ms", int64(now-c.up.heard)).Msg("broker lost")
+		c.metrics.Add("grants.broker-lost", 1)
+		c.suspects[c.up.host] = now + suspectBroker
+		c.drop(now)
+	}
+	preferred, ok := c.preferred(now)
+	if !ok || c.opening || c.up != nil && c.up.host == preferred.Host {
+		return
+	}
+	c.opening = true
+	go c.run(ctx, preferred)
+}
+
+// preferred is the registered host that all hosts choose as the broker, as
+// long as this host does not suspect it.
+func (c *Client) preferred(now basilmoor.Millis) (basilmoor.Member, bool) {
+	candidates := slices.DeleteFunc(slices.Clone(c.view.Hosts()), func(m basilmoor.Member) bool {
+		return now < c.suspects[m.Host]
+	})
+	return bmmember.Owner(brokerKey, candidates)
+}
+
+// run opens a session and moves to it.
+func (c *Client) run(ctx context.Context, to basilmoor.Member) {
+	hello := &bmgrantpb.Hello{
+		Host:        c.self.Host,
+		DataCentre:  c.self.Place,
+		Incarnation: c.self.Incarnation,
+	}
+	if to.Host == c.self.Host {
+		c.opened(newLocalLink(c.broker, hello), nil, to)
+		return
+	}
+	l, err := c.dial(ctx, to)
+	c.opened(l, err, to)
+}
+
+func (c *Client) opened(l link, err error, to basilmoor.Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	c.opening = false
+	if err != nil {
+		c.suspects[to.Host] = now + suspectBroker
+		c.log.Warn().Err(err).Str("broker", to.Host).Msg("broker not reached")
+		return
+	}
+	c.release()
+	c.up = &uplink{
+		host:  to.Host,
+		link:  l,
+		heard: now,
+		sent:  now,
+		pending: &bmgrantpb.HostBatch{
+			Hello: &bmgrantpb.Hello{
+				Host:        c.self.Host,
+				DataCentre:  c.self.Place,
+				Incarnation: c.self.Incarnation,
+			},
+		},
+		wake:  make(chan struct{}, 1),
+		ended: make(chan struct{}),
+	}
+	c.log.Info().Str("broker", to.Host).Int("waiting", len(c.entries)).Msg("broker chosen")
+	c.resubmit(now)
+	c.up.signal()
+	go c.up.run(c)
+	go c.up.loop(c)
+}
+
+// release ends the session without serving the waiting demands.
+func (c *Client) release() {
+	if c.up == nil {
+		return
+	}
+	close(c.up.ended)
+	go c.up.runClose()
+	c.up = nil
+}
+
+// runClose closes the link, which may take the broker's mutex.
+func (u *uplink) runClose() {
+	u.link.close()
+}
+
+// drop ends the session. This host serves its waiting demands itself.
+func (c *Client) drop(now basilmoor.Millis) {
+	c.release()
+	c.resetOwn(now)
+}
+
+// resubmit tells a new broker what waits and what is in progress.
+func (c *Client) resubmit(now basilmoor.Millis) {
+	for _, e := range c.sorted() {
+		if !c.brokered(e.demand.Pool) {
+			continue
+		}
+		d := e.remaining(now)
+		if e.received == 0 {
+			c.up.pending.Demands = append(c.up.pending.Demands, encodeDemand(e.number, d))
+			continue
+		}
+		c.up.pending.Observations = append(c.up.pending.Observations, encodeObservation(e.number, e.open(d)))
+	}
+}
+
+// run sends what is pending.
+func (u *uplink) run(c *Client) {
+	for {
+		select {
+		case <-u.ended:
+			return
+		case <-u.wake:
+		}
+		if err := u.link.send(c.take(u)); err != nil {
+			c.lost(u, err)
+			return
+		}
+	}
+}
+
+// loop receives the broker's batches.
+func (u *uplink) loop(c *Client) {
+	for {
+		batch, err := u.link.recv()
+		if err != nil {
+			c.lost(u, err)
+			return
+		}
+		c.receive(u, batch)
+	}
+}
+
+// take removes what is to be sent.
+func (c *Client) take(u *uplink) *bmgrantpb.HostBatch {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	batch := u.pending
+	u.pending = &bmgrantpb.HostBatch{}
+	u.sent = c.clock.Now()
+	return batch
+}
+
+// lost ends a session whose link broke.
+func (c *Client) lost(u *uplink, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.up != u {
+		return
+	}
+	now := c.clock.Now()
+	c.log.Warn().Err(err).Str("broker", u.host).Msg("session with the broker broke")
+	c.metrics.Add("grants.broker-lost", 1)
+	c.suspects[u.host] = now + suspectBroker
+	c.drop(now)
+}
+
+// receive takes a batch of the broker.
+func (c *Client) receive(u *uplink, batch *bmgrantpb.BrokerBatch) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.up != u {
+		return
+	}
+	now := c.clock.Now()
+	u.heard = now
+	c.exhausted = c.exhausted[:0]
+	for _, e := range batch.GetExhausted() {
+		c.exhausted = append(c.exhausted, exhaustion{
+			workspace: e.GetWorkspace(),
+			wait:      basilmoor.Millis(e.GetRetryAfterMs()),
+		})
+	}
+	for _, r := range batch.GetRefusals() {
+		c.refuse(basilmoor.Refusal{
+			Request:    requestID(c.self.Host, r.GetNumber()),
+			Reason:     basilmoor.Reason(r.GetReason()),
+			RetryAfter: basilmoor.Millis(r.GetRetryAfterMs()),
+		})
+	}
+	for _, g := range batch.GetGrants() {
+		c.granted(now, g)
+	}
+}
+
+// granted takes a grant of the broker. One of a target that this host does not
+// know is given back, and the demand made again without it.
+func (c *Client) granted(now basilmoor.Millis, g *bmgrantpb.Grant) {
+	e, waits := c.entries[requestID(c.self.Host, g.GetNumber())]
+	if !waits || e.received != 0 {
+		return
+	}
+	t, known := c.targets[g.GetTarget()]
+	if known && !t.Leaving {
+		c.grant(e, t)
+		return
+	}
+	c.metrics.Retry(basilmoor.ReasonNoTarget)
+	delete(c.entries, e.demand.Request)
+	c.report(e, basilmoor.Observation{
+		Stage:  basilmoor.StageReturned,
+		Target: g.GetTarget(),
+	})
+	e.demand.Excluded = append(slices.Clone(e.demand.Excluded), g.GetTarget())
+	c.enter(e)
+	c.offer(now, e)
+}
--- a/schedule.go
+++ b/schedule.go
@@ -34,9 +34,18 @@
 	Deadline Millis
 
 	// Objective is the time from submission within which the first byte of
-	// the response has its full benefit; 0 if there is none.
+	// the response has its full benefit; negative if it has passed, 0 if
+	// there is none.
 	Objective Millis
 
+	// Patience is the time from submission after which the caller leaves if
+	// nothing of the response has come; 0 if it waits until Deadline.
+	Patience Millis
+
+	// Charge is the number of tokens that a grant takes from the workspace's
+	// allowance; 0 for a request that was granted before.
+	Charge int
+
 	// BodyBytes is the size of the held body, counted against the bound of
 	// the queue.
 	BodyBytes int
@@ -77,6 +86,11 @@
 
 	// RetryAfter is a hint for the caller, 0 for none.
 	RetryAfter Millis
+
+	// Workspace and Charge are those of the demand, whose charge is given
+	// back.
+	Workspace string
+	Charge    int
 }
 
 // Decision is the answer to a demand: exactly one of Grant and Refusal is set.
