--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -96,7 +96,7 @@
 		Incarnation: uint64(time.Now().UnixMilli()),
 	}
 	n.keeper = bmview.NewKeeper(n.clock, parts.Feed, log, n.metrics, n.viewChanged)
-	n.broker = bmgrant.NewBroker(n.clock, n.metrics, log)
+	n.broker = bmgrant.NewBroker(n.clock, s.Tolerance, n.metrics, log)
 	n.scheduler = bmgrant.NewClient(n.clock, self, n.broker, !s.LocalScheduling, n.metrics, log)
 	exchange, closeExchange := bmexchange.New(n.clock, parts.Contract, n.metrics)
 	n.exchange = exchange
--- a/internal/node/bmentrynode/settings.go
+++ b/internal/node/bmentrynode/settings.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/schedule/bmgrant"
 )
 
 // Settings are what a process learns at its start.
@@ -40,6 +41,9 @@
 	RetryWindow basilmoor.Millis
 	RetrySlack  float64
 
+	// Tolerance is what workspaces may spend over their allowances.
+	Tolerance bmgrant.Tolerance
+
 	// LocalScheduling makes the host serve its requests with its own share
 	// of the slots, without a broker.
 	LocalScheduling bool
--- a/internal/schedule/bmgrant/allowance.go
+++ b/internal/schedule/bmgrant/allowance.go
@@ -13,13 +13,30 @@
 // allow the burst once more with each change of the broker.
 const initialShare = 0.25
 
+// Tolerance is what the agreement with the workspaces allows over their
+// allowances, so that no host has to refuse a request that is within one:
+// Excess is a share of rate and burst, Slack a number of tokens.
+type Tolerance struct {
+	Excess float64
+	Slack  float64
+}
+
+// The parts of the tolerance that are spent. The rest covers one large request
+// that overdraws a bucket, and the time until a change of the broker or of a
+// limit is known everywhere.
+const (
+	excessUsed = 0.7
+	slackUsed  = 0.5
+)
+
 // allowances are the token buckets of the workspaces. They are not safe for
 // concurrent use.
 type allowances struct {
 	// share is the part of each allowance that this holder may spend; the
 	// parts of all holders add up to at most 1.
-	share   float64
-	buckets map[string]*bucket
+	share     float64
+	tolerance Tolerance
+	buckets   map[string]*bucket
 }
 
 type bucket struct {
@@ -28,13 +45,24 @@
 	at    basilmoor.Millis // of level
 }
 
-func newAllowances() *allowances {
+func newAllowances(t Tolerance) *allowances {
 	return &allowances{
-		share:   1,
-		buckets: map[string]*bucket{},
+		share:     1,
+		tolerance: t,
+		buckets:   map[string]*bucket{},
 	}
 }
 
+// rate is the tokens a second that flow into a bucket.
+func (a *allowances) rate(b *bucket) float64 {
+	return b.limit.TokensPerSecond * (1 + excessUsed*a.tolerance.Excess) * a.share
+}
+
+// burst is the most that a bucket holds.
+func (a *allowances) burst(b *bucket) float64 {
+	return (b.limit.Burst*(1+excessUsed*a.tolerance.Excess) + slackUsed*a.tolerance.Slack) * a.share
+}
+
 // set replaces the limits.
 func (a *allowances) set(now basilmoor.Millis, workspaces []bmrouting.Workspace) {
 	known := map[string]bool{}
@@ -45,16 +73,17 @@
 		known[w.Name] = true
 		b, ok := a.buckets[w.Name]
 		if !ok {
-			a.buckets[w.Name] = &bucket{
+			b = &bucket{
 				limit: w.Allowance,
-				level: initialShare * w.Allowance.Burst * a.share,
 				at:    now,
 			}
+			b.level = initialShare * a.burst(b)
+			a.buckets[w.Name] = b
 			continue
 		}
 		a.fill(now, b)
 		b.limit = w.Allowance
-		b.level = min(b.level, b.limit.Burst*a.share)
+		b.level = min(b.level, a.burst(b))
 	}
 	for name := range a.buckets {
 		if !known[name] {
@@ -70,14 +99,16 @@
 	}
 	for _, b := range a.buckets {
 		a.fill(now, b)
-		b.level = min(b.level, b.limit.Burst*share)
 	}
 	a.share = share
+	for _, b := range a.buckets {
+		b.level = min(b.level, a.burst(b))
+	}
 }
 
 func (a *allowances) fill(now basilmoor.Millis, b *bucket) {
-	b.level += b.limit.TokensPerSecond * a.share * float64(now-b.at) / float64(basilmoor.Second)
-	b.level = min(b.level, b.limit.Burst*a.share)
+	b.level += a.rate(b) * float64(now-b.at) / float64(basilmoor.Second)
+	b.level = min(b.level, a.burst(b))
 	b.at = now
 }
 
@@ -107,7 +138,7 @@
 }
 
 func (a *allowances) wait(b *bucket) basilmoor.Millis {
-	rate := b.limit.TokensPerSecond * a.share
+	rate := a.rate(b)
 	if rate <= 0 {
 		return maxRetryAfter
 	}
--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -33,6 +33,8 @@
 	metrics *bmmetrics.Registry
 	log     zerolog.Logger
 
+	tolerance Tolerance
+
 	mu         sync.Mutex
 	view       *bmview.View
 	pools      map[string]*Pool
@@ -55,12 +57,13 @@
 }
 
 // NewBroker returns a broker without sessions.
-func NewBroker(clock basilmoor.Clock, metrics *bmmetrics.Registry, log zerolog.Logger) *Broker {
+func NewBroker(clock basilmoor.Clock, tolerance Tolerance, metrics *bmmetrics.Registry, log zerolog.Logger) *Broker {
 	b := &Broker{
-		clock:   clock,
-		metrics: metrics,
-		log:     log,
-		view:    &bmview.View{},
+		clock:     clock,
+		metrics:   metrics,
+		log:       log,
+		tolerance: tolerance,
+		view:      &bmview.View{},
 	}
 	b.reset()
 	return b
@@ -69,7 +72,7 @@
 func (b *Broker) reset() {
 	b.pools = map[string]*Pool{}
 	b.sessions = map[string]*session{}
-	b.allowances = newAllowances()
+	b.allowances = newAllowances(b.tolerance)
 }
 
 // SetView takes over the targets, hosts and allowances of a view.
--- a/internal/schedule/bmgrant/client.go
+++ b/internal/schedule/bmgrant/client.go
@@ -104,7 +104,7 @@
 		targets:    map[string]basilmoor.Target{},
 		entries:    map[basilmoor.RequestID]*entry{},
 		own:        map[string]*Pool{},
-		allowances: newAllowances(),
+		allowances: newAllowances(broker.tolerance),
 		suspects:   map[string]basilmoor.Millis{},
 	}
 	if connect {
