Let hosts follow the broker's view of the store; reload settings at SIGHUP

Change: the broker relays steps of the state with a proof of their age, which a host counts from the instant of its own stamp that the broker returns. Only the broker's host watches. Log lines are buffered, bounded and dropped before they block.

--- a/internal/fleet/bmview/keeper.go
+++ b/internal/fleet/bmview/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -12,10 +13,23 @@
 )
 
 const (
-	// watchWait is how long a watch waits for changes. Each watch that ends
-	// renews the proof of the view's age, so that the age stays under twice
-	// this time while the store answers.
-	watchWait = 1500 * basilmoor.Millis(1)
+	// aloneWait is how long the watch of a host waits that follows the store
+	// for itself, and sharedWait that of one whose view others follow. A
+	// watch that ends renews the proof of the view's age, which counts from
+	// its start: the age stays under twice this time while the store answers.
+	aloneWait  basilmoor.Millis = 1500
+	sharedWait basilmoor.Millis = 500
+
+	// relayedAge is the age of a relayed proof from which a host asks the
+	// store itself.
+	relayedAge = 2 * basilmoor.Second
+
+	// relayPoll is the time between two looks at the age of a relayed proof.
+	relayPoll basilmoor.Millis = 100
+
+	// gatherPause is the time after a change before the next watch, so that
+	// changes in quick succession share a call.
+	gatherPause basilmoor.Millis = 50
 
 	// retryPause is the time between calls to a store that fails.
 	retryPause basilmoor.Millis = 200
@@ -31,42 +45,54 @@
 
 // Feed reads the platform's state.
 type Feed interface {
-	// Snapshot reads everything. The revision is where Watch goes on.
-	Snapshot(ctx context.Context) (Changes, int64, error)
+	// Snapshot reads all entries. The revision is where Watch goes on.
+	Snapshot(ctx context.Context) ([]basilmoor.Event, int64, error)
 
 	// Watch waits up to wait for changes after a revision. The error is a
 	// *basilmoor.CompactedError if that history is gone.
-	Watch(ctx context.Context, revision int64, wait basilmoor.Millis) (Changes, int64, error)
+	Watch(ctx context.Context, revision int64, wait basilmoor.Millis) ([]basilmoor.Event, int64, error)
+
+	// Decode returns what entries mean.
+	Decode(events []basilmoor.Event) Changes
 }
 
-// Keeper keeps the view of one host. It is safe for concurrent use.
+// Keeper keeps the view of one host, from the store or relayed by another
+// host. It is safe for concurrent use.
 type Keeper struct {
 	clock   basilmoor.Clock
 	feed    Feed
 	log     zerolog.Logger
 	metrics *bmmetrics.Registry
-	onView  func(*View)
+
+	onView   func(*View)
+	onUpdate func(Update)
 
 	view      atomic.Pointer[View]
 	confirmed atomic.Int64 // instant in ms at which the confirming call was sent
 	known     atomic.Bool  // whether a call has confirmed the view
+	relayed   atomic.Bool  // whether another host relays its view
+	shared    atomic.Bool  // whether others follow this view
+	history   *history
 
+	mu          sync.Mutex // guards what follows, and orders the callbacks
 	state       *state
 	revision    int64
 	returnUntil basilmoor.Millis // entries may be missing until then
 	outage      bool
 }
 
-// NewKeeper returns a keeper with an empty view. onView is called with each
-// new view, from the goroutine of Serve.
-func NewKeeper(clock basilmoor.Clock, feed Feed, log zerolog.Logger, metrics *bmmetrics.Registry, onView func(*View)) *Keeper {
+// NewKeeper returns a keeper with an empty view. onView is called with each new
+// view and onUpdate with each step of the state, one at a time.
+func NewKeeper(clock basilmoor.Clock, feed Feed, log zerolog.Logger, metrics *bmmetrics.Registry, onView func(*View), onUpdate func(Update)) *Keeper {
 	k := &Keeper{
-		clock:   clock,
-		feed:    feed,
-		log:     log,
-		metrics: metrics,
-		onView:  onView,
-		state:   newState(),
+		clock:    clock,
+		feed:     feed,
+		log:      log,
+		metrics:  metrics,
+		onView:   onView,
+		onUpdate: onUpdate,
+		history:  newHistory(),
+		state:    newState(),
 	}
 	k.view.Store(k.state.view())
 	return k
@@ -86,67 +112,153 @@
 	return k.clock.Now() - basilmoor.Millis(k.confirmed.Load()), true
 }
 
+// Since returns the steps of the state after a revision.
+func (k *Keeper) Since(revision int64) []Update {
+	return k.history.since(revision)
+}
+
+// Revision returns the revision of the state, 0 before the first one.
+func (k *Keeper) Revision() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.revision
+}
+
+// SetRelayed tells whether another host relays its view.
+func (k *Keeper) SetRelayed(relayed bool) {
+	k.relayed.Store(relayed)
+}
+
+// SetShared tells whether other hosts follow this view.
+func (k *Keeper) SetShared(shared bool) {
+	k.shared.Store(shared)
+}
+
+// Relay takes steps of the state from another host, and the proof that they
+// were complete at an instant of this host's clock. It returns false if a step
+// is missing.
+func (k *Keeper) Relay(updates []Update) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(updates) > 0 {
+		k.noteReturn()
+	}
+	for _, u := range updates {
+		if u.To <= k.revision {
+			continue
+		}
+		if u.From > k.revision {
+			return false
+		}
+		k.apply(u)
+	}
+	return true
+}
+
+// Confirm takes a relayed proof that the view was complete at an instant.
+func (k *Keeper) Confirm(at basilmoor.Millis) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.revision > 0 && (!k.known.Load() || int64(at) > k.confirmed.Load()) {
+		k.confirm(at)
+	}
+	k.publish(false)
+}
+
 // Serve follows the platform's state until ctx ends.
 func (k *Keeper) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if err := k.step(ctx); err != nil && ctx.Err() == nil {
+		pause := basilmoor.Millis(0)
+		if k.followsRelay() {
+			pause = relayPoll
+		} else if changed, err := k.step(ctx); err != nil && ctx.Err() == nil {
 			k.fail(err)
-			if err := k.clock.Sleep(ctx, retryPause); err != nil {
-				return err
-			}
+			pause = retryPause
+		} else if changed {
+			pause = gatherPause
+		}
+		if pause == 0 {
+			continue
+		}
+		if err := k.clock.Sleep(ctx, pause); err != nil {
+			return err
 		}
 	}
 	return ctx.Err()
 }
 
+// followsRelay reports whether another host's proof makes calls to the store
+// needless.
+func (k *Keeper) followsRelay() bool {
+	age, known := k.Age()
+	return k.relayed.Load() && known && age < relayedAge
+}
+
 // step makes one call and applies what it brought.
-func (k *Keeper) step(ctx context.Context) error {
-	if k.revision == 0 {
-		return k.readAll(ctx)
-	}
+func (k *Keeper) step(ctx context.Context) (changed bool, err error) {
+	from := k.Revision()
 	sent := k.clock.Now()
-	changes, revision, err := k.feed.Watch(ctx, k.revision, k.wait(sent))
+	k.metrics.Add("view.calls", 1)
+	u := Update{
+		From: from,
+	}
+	if from == 0 {
+		u.Events, u.To, err = k.feed.Snapshot(ctx)
+	} else {
+		u.Events, u.To, err = k.feed.Watch(ctx, from, k.wait(sent))
+	}
 	var compacted *basilmoor.CompactedError
 	if errors.As(err, &compacted) {
-		k.log.Warn().Int64("revision", k.revision).Msg("history of the store is gone, reading all")
+		k.log.Warn().Int64("revision", from).Msg("history of the store is gone, reading all")
 		k.metrics.Add("view.compacted", 1)
-		k.revision = 0
-		return nil
+		sent = k.clock.Now()
+		u.From = 0
+		u.Events, u.To, err = k.feed.Snapshot(ctx)
 	}
 	if err != nil {
-		return err
+		return false, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.noteReturn()
+	if u.To > k.revision || u.From == 0 && u.To == k.revision {
+		k.apply(u)
 	}
 	k.confirm(sent)
-	k.state.apply(changes, k.keepUntil())
-	k.revision = max(k.revision, revision)
-	k.publish(len(changes.Targets) > 0 || len(changes.Hosts) > 0 || changes.Table != nil)
-	return nil
+	k.publish(false)
+	return len(u.Events) > 0, nil
 }
 
 // wait shortens a watch while targets are kept that may be gone.
 func (k *Keeper) wait(now basilmoor.Millis) basilmoor.Millis {
-	wait := watchWait
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	wait := aloneWait
+	if k.shared.Load() {
+		wait = sharedWait
+	}
 	for _, until := range k.state.missing {
 		wait = min(wait, max(until-now, 1))
 	}
 	return wait
 }
 
-func (k *Keeper) readAll(ctx context.Context) error {
-	sent := k.clock.Now()
-	changes, revision, err := k.feed.Snapshot(ctx)
-	if err != nil {
-		return err
+// apply takes a step that follows the present revision or replaces it.
+func (k *Keeper) apply(u Update) {
+	changes := k.feed.Decode(u.Events)
+	if u.From == 0 {
+		k.state.replace(changes, k.keepUntil())
+	} else {
+		k.state.apply(changes, k.keepUntil())
 	}
-	k.confirm(sent)
-	k.state.replace(changes, k.keepUntil())
-	k.revision = revision
-	k.publish(true)
-	return nil
+	k.revision = u.To
+	k.history.add(u)
+	k.publish(len(changes.Targets) > 0 || len(changes.Hosts) > 0 || changes.Table != nil || u.From == 0)
+	k.onUpdate(u)
 }
 
-// confirm notes that a call sent at an instant was answered.
-func (k *Keeper) confirm(sent basilmoor.Millis) {
+// noteReturn notes that the store answers after a time without an answer.
+func (k *Keeper) noteReturn() {
 	age, known := k.Age()
 	if k.outage {
 		k.outage = false
@@ -155,7 +267,12 @@
 	if known && age >= outageAfter {
 		k.returnUntil = k.clock.Now() + returnGrace
 	}
-	k.confirmed.Store(int64(sent))
+}
+
+// confirm notes that the view was complete at an instant. It is called after
+// the changes up to then were published, because others rely on the order.
+func (k *Keeper) confirm(at basilmoor.Millis) {
+	k.confirmed.Store(int64(at))
 	k.known.Store(true)
 }
 
@@ -178,12 +295,14 @@
 	v := k.state.view()
 	k.view.Store(v)
 	if v.Table != nil && (old.Table == nil || old.Table.Version() != v.Table.Version()) {
-		k.log.Info().Int64("version", v.Table.Version()).Int64("revision", k.revision).Msg("desired state in effect")
+		k.log.Info().Int64("version", v.Table.Version()).Int64("revision", k.revision).Bool("relayed", k.relayed.Load()).Msg("desired state in effect")
 	}
 	k.onView(v)
 }
 
 func (k *Keeper) fail(err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	k.metrics.Add("view.failed-calls", 1)
 	if k.outage {
 		return
--- a/internal/node/bmentrynode/listener.go
+++ b/internal/node/bmentrynode/listener.go
@@ -34,7 +34,9 @@
 	select {
 	case <-ctx.Done():
 		_ = l.server.Close()
-		<-done
+		if err := <-done; !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
 		return ctx.Err()
 	case err := <-done:
 		if !l.closed.Load() {
--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,6 +44,7 @@
 // Parts are what the platform brings.
 type Parts struct {
 	Clock    basilmoor.Clock
+	Metrics  *bmmetrics.Registry
 	Store    basilmoor.Store
 	Feed     bmview.Feed
 	Protocol bmentry.Protocol
@@ -53,7 +55,7 @@
 
 // Node is the process of an entry host.
 type Node struct {
-	settings Settings
+	settings atomic.Pointer[Settings]
 	clock    basilmoor.Clock
 	log      zerolog.Logger
 	metrics  *bmmetrics.Registry
@@ -79,12 +81,12 @@
 // releases them; Serve must have returned before.
 func New(s Settings, parts Parts, log zerolog.Logger) (*Node, func(), error) {
 	n := &Node{
-		settings: s,
 		clock:    parts.Clock,
 		log:      log,
-		metrics:  bmmetrics.NewRegistry(),
+		metrics:  parts.Metrics,
 		stopping: make(chan struct{}),
 	}
+	n.settings.Store(&s)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	debug.SetGCPercent(collectPercent)
 	self := basilmoor.Member{
@@ -94,9 +96,10 @@
 		Region:  s.Region,
 		// Only the starts of one host are compared.
 		Incarnation: uint64(time.Now().UnixMilli()),
+		Capacity:    s.capacity(),
 	}
-	n.keeper = bmview.NewKeeper(n.clock, parts.Feed, log, n.metrics, n.viewChanged)
-	n.broker = bmgrant.NewBroker(n.clock, s.Tolerance, n.metrics, log)
+	n.keeper = bmview.NewKeeper(n.clock, parts.Feed, log, n.metrics, n.viewChanged, n.relay)
+	n.broker = bmgrant.NewBroker(n.clock, n.keeper, s.Tolerance, n.metrics, log)
 	n.scheduler = bmgrant.NewClient(n.clock, self, n.broker, !s.LocalScheduling, n.metrics, log)
 	exchange, closeExchange := bmexchange.New(n.clock, parts.Contract, n.metrics)
 	n.exchange = exchange
@@ -111,17 +114,17 @@
 		Retries:     n.retries,
 		Metrics:     n.metrics,
 		Log:         log,
-		MaxProofAge: s.Revocation - proofMargin,
+		MaxProofAge: func() basilmoor.Millis { return n.settings.Load().maxProofAge() },
 	})
 	n.registrar = newRegistrar(n.clock, parts.Store, s.MinLease, func() (string, []byte, error) { return parts.Registration(self) }, log)
-	if err := n.listen(); err != nil {
+	if err := n.listen(s); err != nil {
 		n.close()
 		return nil, nil, err
 	}
 	return n, n.close, nil
 }
 
-func (n *Node) listen() error {
+func (n *Node) listen(s Settings) error {
 	callers := &http.Server{
 		Handler:           n.handler,
 		ReadHeaderTimeout: headerTimeout.Duration(),
@@ -129,25 +132,25 @@
 		MaxHeaderBytes:    headerBytes,
 	}
 	var err error
-	if n.callers, err = newListener(n.settings.CallersAddress, callers); err != nil {
+	if n.callers, err = newListener(s.CallersAddress, callers); err != nil {
 		return errors.Wrap(err, "callers")
 	}
 	n.onClose(n.callers.close)
-	if n.ready, err = newListener(n.settings.ReadyAddress, &http.Server{
+	if n.ready, err = newListener(s.ReadyAddress, &http.Server{
 		Handler:           http.HandlerFunc(n.serveReady),
 		ReadHeaderTimeout: headerTimeout.Duration(),
 	}); err != nil {
 		return errors.Wrap(err, "readiness")
 	}
 	n.onClose(n.ready.close)
-	if n.metric, err = newListener(n.settings.port(portMetrics), &http.Server{
+	if n.metric, err = newListener(s.port(portMetrics), &http.Server{
 		Handler:           http.HandlerFunc(n.serveMetrics),
 		ReadHeaderTimeout: headerTimeout.Duration(),
 	}); err != nil {
 		return errors.Wrap(err, "metrics")
 	}
 	n.onClose(n.metric.close)
-	if n.peers, err = newPeerServer(n.settings.port(portPeers), n.broker); err != nil {
+	if n.peers, err = newPeerServer(s.port(portPeers), n.broker); err != nil {
 		return errors.Wrap(err, "other hosts")
 	}
 	n.onClose(n.peers.close)
@@ -164,10 +167,32 @@
 	}
 }
 
+// Reload takes over the bounds of new settings. Addresses, the name of the host
+// and the limits of the process stay as they were at the start.
+func (n *Node) Reload(s Settings) {
+	next := *n.settings.Load()
+	next.Revocation = s.Revocation
+	next.StopGrace = s.StopGrace
+	next.RetrySlack = s.RetrySlack
+	n.settings.Store(&next)
+	n.viewChanged(n.keeper.View())
+	n.log.Info().
+		Int64("revocation-ms", int64(next.Revocation)).
+		Int64("stop-grace-ms", int64(next.StopGrace)).
+		Float64("retry-slack", next.RetrySlack).
+		Msg("settings reloaded")
+}
+
+// relay passes a step of the platform's state on to the hosts that follow this
+// one.
+func (n *Node) relay(u bmview.Update) {
+	n.broker.Relay(u)
+}
+
 // viewChanged passes a new view on to the parts that keep a copy.
 func (n *Node) viewChanged(v *bmview.View) {
 	hosts := max(len(v.Hosts()), 1)
-	n.retries.SetSlack(n.settings.RetrySlack / float64(hosts+retrySpare))
+	n.retries.SetSlack(n.settings.Load().RetrySlack / float64(hosts+retrySpare))
 	n.broker.SetView(v)
 	n.scheduler.SetView(v)
 	known := map[string]bool{}
@@ -193,7 +218,7 @@
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
 	done := supervisor.ServeBackground(ctx)
-	n.log.Info().Str("data-centre", n.settings.DataCentre).Str("callers", n.settings.CallersAddress).Msg("started")
+	n.log.Info().Str("data-centre", n.settings.Load().DataCentre).Str("callers", n.settings.Load().CallersAddress).Msg("started")
 	select {
 	case err := <-done:
 		return errors.Wrap(err, "services ended")
@@ -201,7 +226,9 @@
 	}
 	n.drain(ctx)
 	cancel()
-	<-done
+	if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
+		return errors.Wrap(err, "services ended")
+	}
 	n.log.Info().Msg("stopped")
 	return nil
 }
--- a/internal/node/bmentrynode/peers.go
+++ b/internal/node/bmentrynode/peers.go
@@ -37,7 +37,9 @@
 	select {
 	case <-ctx.Done():
 		p.grpc.Stop()
-		<-done
+		if err := <-done; err != nil {
+			return errors.Wrap(err, "serve other hosts")
+		}
 		return ctx.Err()
 	case err := <-done:
 		return err
--- a/internal/node/bmentrynode/serve.go
+++ b/internal/node/bmentrynode/serve.go
@@ -30,7 +30,7 @@
 	default:
 	}
 	age, known := n.keeper.Age()
-	return known && n.keeper.View().Table != nil && age < n.settings.Revocation-proofMargin
+	return known && n.keeper.View().Table != nil && age < n.settings.Load().maxProofAge()
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -67,7 +67,7 @@
 	closed := false
 	for {
 		waited := n.clock.Now() - began
-		if waited >= n.settings.StopGrace-stopMargin {
+		if waited >= n.settings.Load().StopGrace-stopMargin {
 			n.log.Warn().Int("requests", n.handler.Active()).Msg("requests cut by the end of the grace")
 			return
 		}
--- a/internal/node/bmentrynode/settings.go
+++ b/internal/node/bmentrynode/settings.go
@@ -24,7 +24,8 @@
 
 	MemoryBytes int64   // bound of the process
 	MaxFiles    int     // bound of open files and sockets
-	CPUFraction float64 // share of a core
+	CPUFraction float64 // cores, mostly less than 1
+	LinkMbps    float64 // bandwidth of the host's link
 
 	MinLease     basilmoor.Millis // shortest lease that the store grants
 	AddressReuse basilmoor.Millis // before another target gets an address
@@ -98,6 +99,25 @@
 	return nil
 }
 
+// maxProofAge is the age of the view's proof from which keyed requests are
+// refused.
+func (s Settings) maxProofAge() basilmoor.Millis {
+	return s.Revocation - proofMargin
+}
+
+// mbpsPerCore is the bandwidth that a core's worth of duties needs.
+const mbpsPerCore = 250
+
+// capacity compares this host with others as a bearer of duties, in
+// thousandths of a core.
+func (s Settings) capacity() int {
+	cores := s.CPUFraction
+	if s.LinkMbps > 0 {
+		cores = min(cores, s.LinkMbps/mbpsPerCore)
+	}
+	return int(1000 * cores)
+}
+
 // Ports of the range between hosts, as offsets from its first.
 const (
 	portPeers = iota
--- a/internal/operator/bmcli/entry.go
+++ b/internal/operator/bmcli/entry.go
@@ -4,11 +4,16 @@
 	"context"
 	"flag"
 	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/core/bmlog"
+	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/node/bmentrynode"
 	bmplatform "basilmoor.example/basilmoor/platform"
 )
@@ -39,8 +44,12 @@
 		return ExitUsage
 	}
 	settings.LocalScheduling = *local
-	log := zerolog.New(env.Stdout).Level(logLevel).With().Timestamp().Str("host", settings.Host).Logger()
 	clock := bmclock.NewSystem()
+	metrics := bmmetrics.NewRegistry()
+	lines, closeLog := bmlog.New(clock, env.Stdout, metrics)
+	defer closeLog()
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
+	log := zerolog.New(lines).Level(logLevel).With().Timestamp().Str("host", settings.Host).Logger()
 	store, closeStore, err := bmplatform.NewStore(clock, settings.StoreAddress)
 	if err != nil {
 		log.Error().Err(err).Msg("not started")
@@ -49,6 +58,7 @@
 	defer closeStore()
 	n, cleanup, err := bmentrynode.New(settings, bmentrynode.Parts{
 		Clock:        clock,
+		Metrics:      metrics,
 		Store:        store,
 		Feed:         bmplatform.NewFeed(store, log),
 		Protocol:     bmplatform.Headers{},
@@ -60,6 +70,8 @@
 		return ExitFailure
 	}
 	defer cleanup()
+	reload := newReloader(n, path, log)
+	defer reload.close()
 	s := newSignals(ctx)
 	defer s.close()
 	if err := n.Serve(s.stop); err != nil {
@@ -68,3 +80,39 @@
 	}
 	return ExitOK
 }
+
+// reloader reads the settings file anew at each SIGHUP.
+type reloader struct {
+	node *bmentrynode.Node
+	path string
+	log  zerolog.Logger
+	ch   chan os.Signal
+}
+
+func newReloader(n *bmentrynode.Node, path string, log zerolog.Logger) *reloader {
+	r := &reloader{
+		node: n,
+		path: path,
+		log:  log,
+		ch:   make(chan os.Signal, 1),
+	}
+	signal.Notify(r.ch, syscall.SIGHUP)
+	go r.run()
+	return r
+}
+
+func (r *reloader) run() {
+	for range r.ch {
+		settings, err := bmplatform.ReadSettings(r.path)
+		if err != nil {
+			r.log.Error().Err(err).Msg("settings not reloaded")
+			continue
+		}
+		r.node.Reload(settings)
+	}
+}
+
+func (r *reloader) close() {
+	signal.Stop(r.ch)
+	close(r.ch)
+}
--- a/internal/request/bmentry/handler.go
+++ b/internal/request/bmentry/handler.go
@@ -38,9 +38,9 @@
 	Metrics   *bmmetrics.Registry
 	Log       zerolog.Logger
 
-	// MaxProofAge is the age of the view's proof from which keyed requests
+	// MaxProofAge returns the age of the view's proof from which keyed requests
 	// are refused, because their key may have been taken away.
-	MaxProofAge basilmoor.Millis
+	MaxProofAge func() basilmoor.Millis
 }
 
 // Handler serves callers. It is safe for concurrent use.
@@ -176,7 +176,7 @@
 		return err
 	}
 	age, known := cfg.Views.Age()
-	stale := !known || age >= cfg.MaxProofAge
+	stale := !known || age >= cfg.MaxProofAge()
 	route, ok := table.Route(c.r.Host, c.r.URL.Path)
 	if !ok {
 		if stale {
--- a/internal/request/bmentry/relay.go
+++ b/internal/request/bmentry/relay.go
@@ -171,7 +171,7 @@
 				}
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return s.end(permit, resp, sent, s.events-first)
 		}
 		if err != nil {
--- a/internal/request/bmexchange/client.go
+++ b/internal/request/bmexchange/client.go
@@ -151,7 +151,7 @@
 		Method: req.Method,
 	}
 	for {
-		resp, err := http.ReadResponse(r.conn.reader, method)
+		resp, err := http.ReadResponse(r.conn.reader, method) //nolint:bodyclose // Close closes the connection
 		if err != nil {
 			return err
 		}
--- a/internal/request/bmexchange/response.go
+++ b/internal/request/bmexchange/response.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 
+	"github.com/pkg/errors"
+
 	"basilmoor.example/basilmoor"
 )
 
@@ -34,7 +36,7 @@
 // body that breaks off is a *BrokenError.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		r.complete = true
 		return n, io.EOF
 	}
--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -33,6 +33,7 @@
 	metrics *bmmetrics.Registry
 	log     zerolog.Logger
 
+	views     Views
 	tolerance Tolerance
 
 	mu         sync.Mutex
@@ -54,14 +55,28 @@
 	wake       chan struct{} // receives when pending is to be sent
 	ended      chan struct{} // closed at the end
 	exhausted  int           // workspaces without allowance that were told last
+	local      bool          // the host is this one
+}
+
+// Views is the view that hosts share: the broker's host relays its own, the
+// others follow it.
+type Views interface {
+	Age() (basilmoor.Millis, bool)
+	Revision() int64
+	Since(revision int64) []bmview.Update
+	Relay(updates []bmview.Update) bool
+	Confirm(at basilmoor.Millis)
+	SetRelayed(relayed bool)
+	SetShared(shared bool)
 }
 
 // NewBroker returns a broker without sessions.
-func NewBroker(clock basilmoor.Clock, tolerance Tolerance, metrics *bmmetrics.Registry, log zerolog.Logger) *Broker {
+func NewBroker(clock basilmoor.Clock, views Views, tolerance Tolerance, metrics *bmmetrics.Registry, log zerolog.Logger) *Broker {
 	b := &Broker{
 		clock:     clock,
 		metrics:   metrics,
 		log:       log,
+		views:     views,
 		tolerance: tolerance,
 		view:      &bmview.View{},
 	}
@@ -108,6 +123,23 @@
 	b.allowances.setShare(now, min(float64(len(b.sessions))/float64(max(n, 1)), 1))
 }
 
+// Relay passes a step of the platform's state on to the hosts.
+func (b *Broker) Relay(u bmview.Update) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var encoded *bmgrantpb.Update
+	for _, s := range b.sessions {
+		if s.local {
+			continue
+		}
+		if encoded == nil {
+			encoded = encodeUpdate(u)
+		}
+		s.pending.Updates = append(s.pending.Updates, encoded)
+		s.signal()
+	}
+}
+
 // Serve does what depends on time until ctx ends.
 func (b *Broker) Serve(ctx context.Context) error {
 	for {
@@ -154,7 +186,7 @@
 }
 
 // attach begins a session with a host; an earlier one of the host ends.
-func (b *Broker) attach(hello *bmgrantpb.Hello) *session {
+func (b *Broker) attach(hello *bmgrantpb.Hello, local bool) *session {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
@@ -172,14 +204,30 @@
 		pending:    &bmgrantpb.BrokerBatch{},
 		wake:       make(chan struct{}, 1),
 		ended:      make(chan struct{}),
+		local:      local,
 	}
 	b.sessions[s.host] = s
+	if !local {
+		for _, u := range b.views.Since(hello.GetRevision()) {
+			s.pending.Updates = append(s.pending.Updates, encodeUpdate(u))
+		}
+	}
+	b.shareView()
 	b.applyView(now)
 	s.signal()
 	b.log.Info().Str("peer", s.host).Int("sessions", len(b.sessions)).Msg("session with a host")
 	return s
 }
 
+// shareView tells whether other hosts follow this host's view.
+func (b *Broker) shareView() {
+	shared := false
+	for _, s := range b.sessions {
+		shared = shared || !s.local
+	}
+	b.views.SetShared(shared)
+}
+
 // detach ends a session.
 func (b *Broker) detach(s *session) {
 	b.mu.Lock()
@@ -193,6 +241,7 @@
 	}
 	delete(b.sessions, s.host)
 	close(s.ended)
+	b.shareView()
 	b.setShare(now)
 	for _, p := range b.pools {
 		b.deliver(p.DropHost(now, s.host))
@@ -208,8 +257,14 @@
 	}
 	now := b.clock.Now()
 	s.heard = now
+	if age, known := b.views.Age(); known && !s.local {
+		s.pending.Proof = &bmgrantpb.Proof{
+			Echo:  batch.GetStamp(),
+			AgeMs: int64(age),
+		}
+	}
 	for _, o := range batch.GetObservations() {
-		b.observe(now, s, decodeObservation(s.host, s.dataCentre, o))
+		b.observe(now, decodeObservation(s.host, s.dataCentre, o))
 	}
 	for _, c := range batch.GetCancels() {
 		if p, ok := b.pools[c.GetPool()]; ok {
@@ -238,7 +293,7 @@
 	}
 }
 
-func (b *Broker) observe(now basilmoor.Millis, s *session, o basilmoor.Observation) {
+func (b *Broker) observe(now basilmoor.Millis, o basilmoor.Observation) {
 	for _, p := range b.pools {
 		if p.Holds(o.Request) {
 			b.deliver(p.Observe(now, o))
--- a/internal/schedule/bmgrant/codec.go
+++ b/internal/schedule/bmgrant/codec.go
@@ -1,10 +1,16 @@
 package bmgrant
 
 import (
+	"bytes"
+	"compress/flate"
+	"io"
 	"strconv"
 	"strings"
 
+	"github.com/pkg/errors"
+
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/fleet/bmview"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
 )
 
@@ -93,3 +99,83 @@
 	}
 	return decoded
 }
+
+// compressedFrom is the size in bytes from which a value is compressed.
+// Desired states are tens to hundreds of kilobytes of JSON.
+const compressedFrom = 2 << 10
+
+// maxValueBytes bounds a value after decompression.
+const maxValueBytes = 4 * basilmoor.MaxValueBytes
+
+func encodeUpdate(u bmview.Update) *bmgrantpb.Update {
+	encoded := &bmgrantpb.Update{
+		From: u.From,
+		To:   u.To,
+	}
+	for _, e := range u.Events {
+		entry := &bmgrantpb.Entry{
+			Key:      e.Entry.Key,
+			Value:    e.Entry.Value,
+			Revision: e.Entry.Revision,
+			Deleted:  e.Deleted,
+		}
+		if len(entry.Value) >= compressedFrom {
+			entry.Value = compress(entry.Value)
+			entry.Compressed = true
+		}
+		encoded.Entries = append(encoded.Entries, entry)
+	}
+	return encoded
+}
+
+func compress(value []byte) []byte {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		panic("flate level: " + err.Error()) // BestSpeed is a valid level
+	}
+	// Writes to a bytes.Buffer never fail.
+	_, _ = w.Write(value)
+	_ = w.Close()
+	return b.Bytes()
+}
+
+func decodeUpdates(encoded []*bmgrantpb.Update) ([]bmview.Update, error) {
+	updates := make([]bmview.Update, 0, len(encoded))
+	for _, u := range encoded {
+		decoded := bmview.Update{
+			From: u.GetFrom(),
+			To:   u.GetTo(),
+		}
+		for _, e := range u.GetEntries() {
+			event, err := decodeEntry(e)
+			if err != nil {
+				return nil, err
+			}
+			decoded.Events = append(decoded.Events, event)
+		}
+		updates = append(updates, decoded)
+	}
+	return updates, nil
+}
+
+func decodeEntry(e *bmgrantpb.Entry) (basilmoor.Event, error) {
+	value := e.GetValue()
+	if e.GetCompressed() {
+		r := flate.NewReader(bytes.NewReader(value))
+		raw, err := io.ReadAll(io.LimitReader(r, maxValueBytes))
+		if err != nil {
+			return basilmoor.Event{}, errors.Wrapf(err, "entry %q", e.GetKey())
+		}
+		value = raw
+	}
+	return basilmoor.Event{
+		Entry: basilmoor.Entry{
+			Key:      e.GetKey(),
+			Value:    value,
+			Version:  e.GetRevision(),
+			Revision: e.GetRevision(),
+		},
+		Deleted: e.GetDeleted(),
+	}, nil
+}
--- a/internal/schedule/bmgrant/link.go
+++ b/internal/schedule/bmgrant/link.go
@@ -38,7 +38,7 @@
 func newLocalLink(b *Broker, hello *bmgrantpb.Hello) *localLink {
 	return &localLink{
 		broker:  b,
-		session: b.attach(hello),
+		session: b.attach(hello, true),
 		done:    make(chan struct{}),
 	}
 }
--- a/internal/schedule/bmgrant/server.go
+++ b/internal/schedule/bmgrant/server.go
@@ -36,7 +36,7 @@
 	if first.GetHello().GetHost() == "" {
 		return errors.New("the first batch names no host")
 	}
-	s := v.broker.attach(first.GetHello())
+	s := v.broker.attach(first.GetHello(), false)
 	sender := &sessionSender{
 		broker:  v.broker,
 		session: s,
--- a/internal/schedule/bmgrant/uplink.go
+++ b/internal/schedule/bmgrant/uplink.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 
+	"github.com/pkg/errors"
+
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/fleet/bmmember"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
@@ -15,6 +17,10 @@
 
 	// suspectBroker is how long a host whose session was lost is not chosen.
 	suspectBroker = 2 * basilmoor.Second
+
+	// ableShare is the share of the largest capacity from which a host may be
+	// the broker.
+	ableShare = 0.9
 )
 
 // uplink is the host's side of a session with a broker. Its fields are guarded
@@ -58,25 +64,37 @@
 	candidates := slices.DeleteFunc(slices.Clone(c.view.Hosts()), func(m basilmoor.Member) bool {
 		return now < c.suspects[m.Host]
 	})
-	return bmmember.Owner(brokerKey, candidates)
+	most := 0
+	for _, m := range candidates {
+		most = max(most, m.Capacity)
+	}
+	able := slices.DeleteFunc(candidates, func(m basilmoor.Member) bool {
+		return float64(m.Capacity) < ableShare*float64(most)
+	})
+	return bmmember.Owner(brokerKey, able)
 }
 
 // run opens a session and moves to it.
 func (c *Client) run(ctx context.Context, to basilmoor.Member) {
-	hello := &bmgrantpb.Hello{
-		Host:        c.self.Host,
-		DataCentre:  c.self.Place,
-		Incarnation: c.self.Incarnation,
-	}
 	if to.Host == c.self.Host {
-		c.opened(newLocalLink(c.broker, hello), nil, to)
+		c.opened(newLocalLink(c.broker, c.hello()), nil, to)
 		return
 	}
 	l, err := c.dial(ctx, to)
 	c.opened(l, err, to)
 }
 
+func (c *Client) hello() *bmgrantpb.Hello {
+	return &bmgrantpb.Hello{
+		Host:        c.self.Host,
+		DataCentre:  c.self.Place,
+		Incarnation: c.self.Incarnation,
+		Revision:    c.broker.views.Revision(),
+	}
+}
+
 func (c *Client) opened(l link, err error, to basilmoor.Member) {
+	hello := c.hello()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
@@ -93,11 +111,7 @@
 		heard: now,
 		sent:  now,
 		pending: &bmgrantpb.HostBatch{
-			Hello: &bmgrantpb.Hello{
-				Host:        c.self.Host,
-				DataCentre:  c.self.Place,
-				Incarnation: c.self.Incarnation,
-			},
+			Hello: hello,
 		},
 		wake:  make(chan struct{}, 1),
 		ended: make(chan struct{}),
@@ -115,6 +129,7 @@
 		return
 	}
 	close(c.up.ended)
+	c.broker.views.SetRelayed(false)
 	go c.up.runClose()
 	c.up = nil
 }
@@ -179,6 +194,7 @@
 	batch := u.pending
 	u.pending = &bmgrantpb.HostBatch{}
 	u.sent = c.clock.Now()
+	batch.Stamp = uint64(u.sent)
 	return batch
 }
 
@@ -196,8 +212,41 @@
 	c.drop(now)
 }
 
+// errGap tells that the broker's view goes on after one that this host lacks.
+var errGap = errors.New("steps of the view are missing")
+
+// follow takes over the broker's view. It must not be called with the mutex
+// held, because a new view is passed to the client.
+func (c *Client) follow(u *uplink, batch *bmgrantpb.BrokerBatch) error {
+	updates, err := decodeUpdates(batch.GetUpdates())
+	if err != nil {
+		return err
+	}
+	if !c.broker.views.Relay(updates) {
+		return errGap
+	}
+	if p := batch.GetProof(); p != nil {
+		c.broker.views.Confirm(basilmoor.Millis(p.GetEcho()) - basilmoor.Millis(p.GetAgeMs()))
+		c.setRelayed(u)
+	}
+	return nil
+}
+
+// setRelayed stops this host's own watch while the session lasts.
+func (c *Client) setRelayed(u *uplink) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.up == u {
+		c.broker.views.SetRelayed(true)
+	}
+}
+
 // receive takes a batch of the broker.
 func (c *Client) receive(u *uplink, batch *bmgrantpb.BrokerBatch) {
+	if err := c.follow(u, batch); err != nil {
+		c.lost(u, err)
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.up != u {
--- a/member.go
+++ b/member.go
@@ -11,6 +11,10 @@
 	ConfigNote    string
 	Load          int // requests in progress
 	Leaving       bool
+
+	// Capacity compares hosts that may take on duties for others; 0 if
+	// unknown.
+	Capacity int
 }
 
 // Membership tells which hosts are alive.
