--- /dev/null
+++ b/internal/schedule/bmgrant/failover_test.go
@@ -0,0 +1,362 @@
+package bmgrant
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/config/bmrouting"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/core/bmmetrics"
+	"basilmoor.example/basilmoor/internal/fleet/bmview"
+	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
+)
+
+// fixedFeed has one state of the platform.
+type fixedFeed struct {
+	changes bmview.Changes
+}
+
+func (f *fixedFeed) Snapshot(context.Context) ([]basilmoor.Event, int64, error) {
+	return []basilmoor.Event{{}}, 1, nil
+}
+
+func (f *fixedFeed) Watch(ctx context.Context, revision int64, _ basilmoor.Millis) ([]basilmoor.Event, int64, error) {
+	<-ctx.Done()
+	return nil, revision, ctx.Err()
+}
+
+func (f *fixedFeed) Decode([]basilmoor.Event) bmview.Changes { return f.changes }
+
+// testHost is one host with its broker and client.
+type testHost struct {
+	keeper *bmview.Keeper
+	broker *Broker
+	client *Client
+}
+
+// testFleet is several hosts on one manual clock, whose sessions pass through
+// memory and can be made to go silent.
+type testFleet struct {
+	t     *testing.T
+	clock *bmclock.Manual
+	feed  *fixedFeed
+	hosts map[string]*testHost
+
+	mu     sync.Mutex
+	silent map[string]bool // hosts that nothing reaches and that send nothing
+}
+
+func newTestFleet(t *testing.T, slots int, names ...string) *testFleet {
+	f := &testFleet{
+		t:      t,
+		clock:  bmclock.NewManual(1000),
+		hosts:  map[string]*testHost{},
+		silent: map[string]bool{},
+	}
+	target := testTarget("t", slots)
+	members := map[string]*basilmoor.Member{}
+	for _, name := range names {
+		members[name] = &basilmoor.Member{
+			Host: name,
+		}
+	}
+	f.feed = &fixedFeed{
+		changes: bmview.Changes{
+			Table: bmrouting.NewTable(bmrouting.Content{
+				Version:    1,
+				Workspaces: limited(100, 1_000_000),
+				Pools: []bmrouting.Pool{
+					{
+						Name:   "p",
+						Engine: &bmrouting.Engine{},
+					},
+				},
+			}),
+			Targets: map[string]*basilmoor.Target{
+				"t": &target,
+			},
+			Hosts: members,
+		},
+	}
+	for _, name := range names {
+		f.addHost(name)
+	}
+	return f
+}
+
+func (f *testFleet) addHost(name string) {
+	metrics := bmmetrics.NewRegistry()
+	h := &testHost{}
+	h.keeper = bmview.NewKeeper(f.clock, f.feed, zerolog.Nop(), metrics,
+		func(v *bmview.View) {
+			h.broker.SetView(v)
+			h.client.SetView(v)
+		},
+		func(u bmview.Update) { h.broker.Relay(u) })
+	h.broker = NewBroker(f.clock, h.keeper, Tolerance{}, metrics, zerolog.Nop())
+	h.client = NewClient(f.clock, basilmoor.Member{
+		Host: name,
+	}, h.broker, true, metrics, zerolog.Nop())
+	h.client.dial = func(_ context.Context, to basilmoor.Member) (link, error) {
+		return f.dial(name, to.Host)
+	}
+	f.hosts[name] = h
+	require.True(f.t, h.keeper.Relay([]bmview.Update{
+		{
+			To: 1,
+		},
+	}))
+}
+
+func (f *testFleet) reachable(a, b string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.silent[a] && !f.silent[b]
+}
+
+func (f *testFleet) setSilent(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent[name] = true
+}
+
+func (f *testFleet) dial(from, to string) (link, error) {
+	if !f.reachable(from, to) {
+		return nil, errors.New("unreachable")
+	}
+	h := f.hosts[to]
+	return &memoryLink{
+		fleet:  f,
+		from:   from,
+		to:     to,
+		broker: h.broker,
+		session: h.broker.attach(&bmgrantpb.Hello{
+			Host:     from,
+			Revision: 1,
+		}, false),
+		done: make(chan struct{}),
+	}, nil
+}
+
+// memoryLink is a session that loses everything while an end is silent.
+type memoryLink struct {
+	fleet    *testFleet
+	from, to string
+	broker   *Broker
+	session  *session
+	once     sync.Once
+	done     chan struct{}
+}
+
+func (l *memoryLink) send(batch *bmgrantpb.HostBatch) error {
+	if l.fleet.reachable(l.from, l.to) {
+		l.broker.handle(l.session, batch)
+	}
+	return nil
+}
+
+func (l *memoryLink) recv() (*bmgrantpb.BrokerBatch, error) {
+	for {
+		select {
+		case <-l.done:
+			return nil, errEnded
+		case <-l.session.wake:
+			batch := l.broker.take(l.session)
+			if l.fleet.reachable(l.from, l.to) {
+				return batch, nil
+			}
+		}
+	}
+}
+
+func (l *memoryLink) close() {
+	l.once.Do(func() { close(l.done) })
+}
+
+// until ticks the fleet until done holds, at most for limit on its clock, and
+// returns how long that took.
+func (f *testFleet) until(limit basilmoor.Millis, done func() bool) basilmoor.Millis {
+	f.t.Helper()
+	began := f.clock.Now()
+	for !done() {
+		require.Less(f.t, f.clock.Now()-began, limit, "condition not met in time")
+		f.clock.Advance(tickPeriod)
+		for name, h := range f.hosts {
+			if f.reachable(name, name) {
+				h.client.tick(context.Background())
+				h.broker.tick()
+			}
+		}
+		f.settle()
+	}
+	return f.clock.Now() - began
+}
+
+// settle lets the goroutines of the sessions take what was sent: it waits until
+// no wake-up is pending.
+func (f *testFleet) settle() {
+	for range 200 {
+		if !f.pending() {
+			return
+		}
+		f.yield()
+	}
+}
+
+func (f *testFleet) pending() bool {
+	for _, h := range f.hosts {
+		h.broker.mu.Lock()
+		for _, s := range h.broker.sessions {
+			if len(s.wake) > 0 {
+				h.broker.mu.Unlock()
+				return true
+			}
+		}
+		h.broker.mu.Unlock()
+		h.client.mu.Lock()
+		busy := h.client.opening || h.client.up != nil && len(h.client.up.wake) > 0
+		h.client.mu.Unlock()
+		if busy {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *testFleet) yield() {
+	timer := bmclock.NewSystem().NewTimer(1)
+	<-timer.C()
+}
+
+// brokerOf returns the host whose broker a host has a session with, empty for
+// none.
+func (f *testFleet) brokerOf(name string) string {
+	c := f.hosts[name].client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.up == nil {
+		return ""
+	}
+	return c.up.host
+}
+
+// agreed reports whether all hosts but the silent ones have the same broker,
+// and which.
+func (f *testFleet) agreed() (string, bool) {
+	broker := ""
+	for name := range f.hosts {
+		if !f.reachable(name, name) {
+			continue
+		}
+		b := f.brokerOf(name)
+		if b == "" || broker != "" && b != broker {
+			return "", false
+		}
+		broker = b
+	}
+	return broker, f.reachable(broker, broker)
+}
+
+func (f *testFleet) awaitBroker(limit basilmoor.Millis) string {
+	f.t.Helper()
+	f.until(limit, func() bool {
+		_, ok := f.agreed()
+		return ok
+	})
+	broker, _ := f.agreed()
+	return broker
+}
+
+// acquire begins an Acquire on a host.
+func (f *testFleet) acquire(host string) <-chan error {
+	result := make(chan error, 1)
+	waiting := f.waiting(host)
+	go func() {
+		_, err := f.hosts[host].client.Acquire(context.Background(), testDemand("", 0))
+		result <- err
+	}()
+	for f.waiting(host) == waiting && len(result) == 0 {
+		f.yield()
+	}
+	return result
+}
+
+func (f *testFleet) waiting(host string) int {
+	c := f.hosts[host].client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return int(c.next)
+}
+
+// Guards against a broker's silence that costs a waiting request its
+// objective: the shortest one of a streaming kind is 500 ms.
+func TestSilentBroker(t *testing.T) {
+	const shortestObjective basilmoor.Millis = 500
+	f := newTestFleet(t, 3, "a", "b", "c")
+	broker := f.awaitBroker(2000)
+	other := "a"
+	if broker == other {
+		other = "b"
+	}
+	f.setSilent(broker)
+	result := f.acquire(other)
+	took := f.until(shortestObjective, func() bool { return len(result) > 0 })
+	require.NoError(t, <-result)
+	require.Less(t, took, shortestObjective)
+}
+
+// Guards against hosts that stay without a common order after their broker has
+// gone, and against a successor that forgets what is in progress.
+func TestSuccessorKnowsOpenGrants(t *testing.T) {
+	f := newTestFleet(t, 3, "a", "b", "c")
+	first := f.awaitBroker(2000)
+	var others []string
+	for name := range f.hosts {
+		if name != first {
+			others = append(others, name)
+		}
+	}
+	for _, host := range others {
+		result := f.acquire(host)
+		f.until(500, func() bool { return len(result) > 0 })
+		require.NoError(t, <-result)
+	}
+	f.setSilent(first)
+	second := f.awaitBroker(3000)
+	require.NotEqual(t, first, second)
+	f.until(1000, func() bool {
+		b := f.hosts[second].broker
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		p := b.pools["p"]
+		return p != nil && len(p.flights) == 2
+	})
+}
+
+// Guards against allowances that the broker and cut-off hosts spend twice.
+func TestCutOffHostsShareTheAllowance(t *testing.T) {
+	f := newTestFleet(t, 3, "a", "b", "c", "d")
+	broker := f.awaitBroker(2000)
+	cut := "a"
+	if broker == cut {
+		cut = "b"
+	}
+	f.setSilent(cut)
+	f.until(2000, func() bool {
+		b := f.hosts[broker].broker
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(b.sessions) == 3
+	})
+	b := f.hosts[broker].broker
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	require.InDelta(t, 0.75, b.allowances.share, 1e-9)
+	require.InDelta(t, 0.25, f.hosts[cut].client.allowances.share, 1e-9)
+}
--- /dev/null
+++ b/internal/schedule/bmgrant/pool_test.go
@@ -0,0 +1,317 @@
+package bmgrant
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"basilmoor.example/basilmoor"
+)
+
+func testTarget(name string, slots int) basilmoor.Target {
+	return basilmoor.Target{
+		Name:    name,
+		Pool:    "p",
+		Address: "10.0.0.1:80",
+		Place:   "a",
+		Slots:   slots,
+	}
+}
+
+// testDemand is a demand that can wait for its objective of a second.
+func testDemand(id string, rank int) basilmoor.Demand {
+	return basilmoor.Demand{
+		Request:      basilmoor.RequestID("h/" + id),
+		Host:         "h",
+		Place:        "a",
+		Pool:         "p",
+		Tier:         rank,
+		PromptTokens: 1000,
+		OutputTokens: 100,
+		Objective:    1000,
+		Patience:     4000,
+		Deadline:     10_000,
+	}
+}
+
+// granted returns the requests of the grants, refused those of the refusals.
+func granted(decisions []basilmoor.Decision) []string {
+	ids := []string{}
+	for _, d := range decisions {
+		if d.Grant != nil {
+			ids = append(ids, string(d.Grant.Request))
+		}
+	}
+	return ids
+}
+
+func refused(decisions []basilmoor.Decision) []string {
+	ids := []string{}
+	for _, d := range decisions {
+		if d.Refusal != nil {
+			ids = append(ids, string(d.Refusal.Request))
+		}
+	}
+	return ids
+}
+
+func finish(p *Pool, now basilmoor.Millis, id string) []basilmoor.Decision {
+	return p.Observe(now, basilmoor.Observation{
+		Request: basilmoor.RequestID("h/" + id),
+		Stage:   basilmoor.StageFinished,
+	})
+}
+
+// newFullPool returns a pool with one slot that "first" holds.
+func newFullPool(t *testing.T) *Pool {
+	t.Helper()
+	p := NewPool(0)
+	p.SetTargets(0, []basilmoor.Target{testTarget("t", 1)})
+	require.Equal(t, []string{"h/first"}, granted(p.Submit(0, testDemand("first", 0))))
+	return p
+}
+
+// Guards against a burst of a low rank that delays a higher one, and against
+// responses that are all late because each waits for the one before: a demand
+// that has missed its objective yields to those of the next rank that have not.
+func TestOrderInAShortage(t *testing.T) {
+	tests := map[string]struct {
+		waiting []basilmoor.Demand // submitted at 0, in this order
+		now     basilmoor.Millis   // when the slot becomes free
+		want    string
+	}{
+		"the higher rank first": {
+			waiting: []basilmoor.Demand{testDemand("low", 2), testDemand("high", 0)},
+			now:     100,
+			want:    "h/high",
+		},
+		"the earlier objective first inside a rank": {
+			waiting: []basilmoor.Demand{testDemand("later", 0), withObjective(testDemand("sooner", 0), 500)},
+			now:     100,
+			want:    "h/sooner",
+		},
+		"a late one yields to the next rank": {
+			waiting: []basilmoor.Demand{withObjective(testDemand("late", 0), 300), testDemand("next", 1)},
+			now:     600,
+			want:    "h/next",
+		},
+		"a late one goes before the rank after the next": {
+			waiting: []basilmoor.Demand{withObjective(testDemand("late", 0), 300), testDemand("low", 2)},
+			now:     600,
+			want:    "h/late",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newFullPool(t)
+			for _, d := range tt.waiting {
+				require.Empty(t, granted(p.Submit(0, d)))
+			}
+			require.Equal(t, []string{tt.want}, granted(finish(p, tt.now, "first")))
+		})
+	}
+}
+
+func withObjective(d basilmoor.Demand, objective basilmoor.Millis) basilmoor.Demand {
+	d.Objective = objective
+	return d
+}
+
+// Guards against a request that is held until its caller has left in vain.
+func TestRefusedBeforeTheCallerLeaves(t *testing.T) {
+	p := newFullPool(t)
+	d := testDemand("waits", 1)
+	d.Patience = 2000
+	p.Submit(0, d)
+	require.Empty(t, refused(p.Tick(1500)))
+	decisions := p.Tick(2000)
+	require.Equal(t, []string{"h/waits"}, refused(decisions))
+	require.Positive(t, decisions[0].Refusal.RetryAfter)
+	require.Empty(t, granted(finish(p, 2100, "first")))
+}
+
+// Guards against requests that are all sent to a target that does not answer,
+// because all its slots are free.
+func TestFailedTargetIsTriedOnce(t *testing.T) {
+	p := NewPool(0)
+	p.SetTargets(0, []basilmoor.Target{testTarget("dead", 4)})
+	p.Submit(0, testDemand("1", 0))
+	p.Observe(10, basilmoor.Observation{
+		Request: "h/1",
+		Stage:   basilmoor.StageUnreachable,
+	})
+	require.Empty(t, granted(p.Submit(20, testDemand("2", 0))))
+	p.Submit(20, testDemand("3", 0))
+	require.Len(t, granted(p.Tick(10+suspectFor)), 1)
+	require.Len(t, granted(finish(p, 400, "2")), 1, "an answer ends the suspicion")
+}
+
+// Guards against a leaving target that still gets requests.
+func TestLeavingTargetGetsNothing(t *testing.T) {
+	p := NewPool(0)
+	p.SetTargets(0, []basilmoor.Target{testTarget("t", 4).WithLeaving(true)})
+	require.Empty(t, granted(p.Submit(0, testDemand("1", 0))))
+	require.Len(t, granted(p.SetTargets(5, []basilmoor.Target{testTarget("t", 4)})), 1)
+}
+
+// Guards against a broker that takes over and fills slots which hosts still
+// use by an earlier grant.
+func TestGrantsOfAnEarlierBrokerCount(t *testing.T) {
+	p := NewPool(warmUp)
+	p.SetTargets(0, []basilmoor.Target{testTarget("t", 1)})
+	require.Empty(t, granted(p.Submit(0, testDemand("waits", 0))), "before the hosts have reported")
+	open := testDemand("open", 0)
+	p.Observe(10, basilmoor.Observation{
+		Request: "h/open",
+		Target:  "t",
+		Stage:   basilmoor.StageDispatched,
+		Demand:  &open,
+	})
+	require.Empty(t, granted(p.Tick(warmUp)))
+	require.Equal(t, []string{"h/waits"}, granted(finish(p, 500, "open")))
+}
+
+// Guards, over random series of events, against a target with more granted
+// requests than slots, a demand that is decided twice, a leaving target that
+// is granted, and a free slot beside a demand that it fits.
+func TestPoolInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newPoolModel()
+		// Shorter than lapseAfter: the holders report nothing but the end.
+		for range rapid.IntRange(1, 90).Draw(t, "steps") {
+			m.now += basilmoor.Millis(rapid.IntRange(0, 300).Draw(t, "pause"))
+			m.step(t)
+			// Whatever happened, a tick follows within tickPeriod.
+			m.take(t, m.pool.Tick(m.now))
+			m.check(t)
+		}
+	})
+}
+
+// poolModel drives a pool and counts what it granted.
+type poolModel struct {
+	pool    *Pool
+	now     basilmoor.Millis
+	next    int
+	targets []basilmoor.Target
+	granted map[basilmoor.RequestID]string // requests by target
+	decided map[basilmoor.RequestID]bool
+}
+
+func newPoolModel() *poolModel {
+	m := &poolModel{
+		pool:    NewPool(0),
+		targets: []basilmoor.Target{testTarget("a", 1), testTarget("b", 3), testTarget("c", 2)},
+		granted: map[basilmoor.RequestID]string{},
+		decided: map[basilmoor.RequestID]bool{},
+	}
+	m.pool.SetTargets(0, m.targets)
+	return m
+}
+
+func (m *poolModel) step(t *rapid.T) {
+	switch rapid.IntRange(0, 4).Draw(t, "event") {
+	case 0, 1:
+		m.next++
+		d := testDemand(fmt.Sprint(m.next), rapid.IntRange(0, 2).Draw(t, "rank"))
+		d.Deadline = basilmoor.Millis(rapid.IntRange(100, 4000).Draw(t, "deadline"))
+		m.take(t, m.pool.Submit(m.now, d))
+	case 2:
+		m.end(t)
+	case 3:
+		i := rapid.IntRange(0, len(m.targets)-1).Draw(t, "target")
+		m.targets[i] = m.targets[i].WithLeaving(!m.targets[i].Leaving)
+		m.take(t, m.pool.SetTargets(m.now, append([]basilmoor.Target(nil), m.targets...)))
+	case 4:
+		m.take(t, m.pool.Tick(m.now))
+	}
+}
+
+// end finishes one of the granted requests.
+func (m *poolModel) end(t *rapid.T) {
+	stage := rapid.SampledFrom([]basilmoor.Stage{basilmoor.StageFinished, basilmoor.StageFailed, basilmoor.StageReturned}).Draw(t, "stage")
+	for n := 1; n <= m.next; n++ {
+		id := basilmoor.RequestID(fmt.Sprint("h/", n))
+		if _, ok := m.granted[id]; !ok {
+			continue
+		}
+		delete(m.granted, id)
+		m.take(t, m.pool.Observe(m.now, basilmoor.Observation{
+			Request: id,
+			Stage:   stage,
+		}))
+		return
+	}
+}
+
+func (m *poolModel) take(t *rapid.T, decisions []basilmoor.Decision) {
+	for _, d := range decisions {
+		id := basilmoor.RequestID("")
+		if d.Grant != nil {
+			id = d.Grant.Request
+			m.granted[id] = d.Grant.Target.Name
+			if d.Grant.Target.Leaving {
+				t.Fatalf("%s granted a leaving target", id)
+			}
+		} else {
+			id = d.Refusal.Request
+		}
+		if m.decided[id] {
+			t.Fatalf("%s decided twice", id)
+		}
+		m.decided[id] = true
+		if d.Grant != nil {
+			m.take(t, m.pool.Observe(m.now, basilmoor.Observation{
+				Request: id,
+				Stage:   basilmoor.StageDispatched,
+			}))
+		}
+	}
+}
+
+func (m *poolModel) check(t *rapid.T) {
+	used := map[string]int{}
+	for _, target := range m.granted {
+		used[target]++
+	}
+	for _, target := range m.targets {
+		if used[target.Name] > target.Slots {
+			t.Fatalf("%s has %d requests on %d slots", target.Name, used[target.Name], target.Slots)
+		}
+		free := m.pool.targets[target.Name].free(m.now)
+		if free && m.pool.Waiting() > 0 {
+			t.Fatalf("%s is free while %d demands wait", target.Name, m.pool.Waiting())
+		}
+	}
+}
+
+// Guards against shares that leave slots unused, or that add up to more than
+// there are.
+func TestSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 100).Draw(t, "hosts")
+		var hosts []basilmoor.Member
+		for i := range n {
+			hosts = append(hosts, basilmoor.Member{
+				Host: fmt.Sprintf("h%03d", i),
+			})
+		}
+		var targets []basilmoor.Target
+		for i := range rapid.IntRange(1, 20).Draw(t, "targets") {
+			targets = append(targets, testTarget(fmt.Sprint(i), rapid.IntRange(1, 12).Draw(t, "slots")))
+		}
+		sum := map[string]int{}
+		for _, h := range hosts {
+			for _, target := range share(targets, h.Host, hosts) {
+				sum[target.Name] += target.Slots
+			}
+		}
+		for _, target := range targets {
+			if sum[target.Name] != target.Slots {
+				t.Fatalf("%d hosts use %d of %d slots", n, sum[target.Name], target.Slots)
+			}
+		}
+	})
+}
