--- /dev/null
+++ b/internal/request/bmentry/handler_test.go
@@ -0,0 +1,431 @@
+package bmentry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/config/bmrouting"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/core/bmmetrics"
+	"basilmoor.example/basilmoor/internal/fleet/bmview"
+	"basilmoor.example/basilmoor/internal/request/bmexchange"
+)
+
+// testProtocol has headers of its own.
+type testProtocol struct{}
+
+func (testProtocol) Decode(h http.Header) (Attempt, error) {
+	return Attempt{
+		ID:        h.Get("Id"),
+		Key:       h.Get("Key"),
+		LastEvent: h.Get("Last"),
+	}, nil
+}
+
+func (testProtocol) Onward(_ http.Header, o Onward) http.Header {
+	return http.Header{
+		"Target":    []string{o.Target},
+		"Workspace": []string{o.Workspace},
+		"Last":      []string{o.LastEvent},
+	}
+}
+
+func (testProtocol) Answer(h http.Header) http.Header { return h.Clone() }
+
+func (testProtocol) SetRetryAfter(h http.Header, after basilmoor.Millis) {
+	h.Set("Retry-After", fmt.Sprint(int64(after)))
+}
+
+func (testProtocol) AttemptOf(http.Header) string { return "1" }
+
+func (testProtocol) NotRun(_ int, h http.Header) bool { return h.Get("Not-Run") != "" }
+
+// testViews is a fixed view of a settable age.
+type testViews struct {
+	view *bmview.View
+	age  basilmoor.Millis
+}
+
+func (v *testViews) View() *bmview.View { return v.view }
+
+func (v *testViews) Age() (basilmoor.Millis, bool) { return v.age, true }
+
+// testScheduler grants the first target that isn't excluded, and refuses if
+// there is none. It keeps the stages of its permits.
+type testScheduler struct {
+	targets []basilmoor.Target
+
+	mu      sync.Mutex
+	demands []basilmoor.Demand
+	stages  []basilmoor.Stage
+}
+
+func (s *testScheduler) Acquire(_ context.Context, d basilmoor.Demand) (basilmoor.Permit, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.demands = append(s.demands, d)
+	for _, t := range s.targets {
+		if !strings.Contains(strings.Join(d.Excluded, " "), t.Name) {
+			return &testPermit{
+				scheduler: s,
+				target:    t,
+			}, nil
+		}
+	}
+	return nil, &basilmoor.RefusalError{
+		Refusal: basilmoor.Refusal{
+			Reason:     basilmoor.ReasonDeadline,
+			RetryAfter: 700,
+		},
+	}
+}
+
+type testPermit struct {
+	scheduler *testScheduler
+	target    basilmoor.Target
+}
+
+func (p *testPermit) Target() basilmoor.Target { return p.target }
+
+func (p *testPermit) Valid() bool { return true }
+
+func (p *testPermit) Observe(o basilmoor.Observation) {
+	p.scheduler.mu.Lock()
+	defer p.scheduler.mu.Unlock()
+	p.scheduler.stages = append(p.scheduler.stages, o.Stage)
+}
+
+// Behaviours of targets.
+const (
+	answersOK    = "ok"
+	answers500   = "500"
+	refuses      = "refuses"
+	breaksOff    = "breaks off"       // without an answer
+	tearsStream  = "tears its stream" // after two events and a half
+	streamsRest  = "streams the rest" // what follows the last event, up to 4
+	isNotReached = "not reached"
+)
+
+// fleet is a handler before targets of given behaviours, in the order in which
+// the scheduler grants them.
+type fleet struct {
+	url       string
+	scheduler *testScheduler
+	views     *testViews
+	retries   *RetryBudget
+
+	mu   sync.Mutex
+	runs []string // targets that ran the request, with the last event they got
+}
+
+func newFleet(t *testing.T, behaviours ...string) *fleet {
+	t.Helper()
+	f := &fleet{
+		scheduler: &testScheduler{},
+		views: &testViews{
+			view: &bmview.View{
+				Table: testTable(),
+			},
+		},
+	}
+	for i, b := range behaviours {
+		f.scheduler.targets = append(f.scheduler.targets, basilmoor.Target{
+			Name:    fmt.Sprint("t", i),
+			Address: f.startTarget(t, fmt.Sprint("t", i), b),
+		})
+	}
+	clock := bmclock.NewSystem()
+	metrics := bmmetrics.NewRegistry()
+	exchange, closeExchange := bmexchange.New(clock, testProtocol{}, metrics)
+	t.Cleanup(closeExchange)
+	f.retries = NewRetryBudget(clock, 0, basilmoor.Minute)
+	f.retries.SetSlack(100)
+	handler := New(Config{
+		Clock:       clock,
+		Views:       f.views,
+		Protocol:    testProtocol{},
+		Scheduler:   f.scheduler,
+		Exchange:    exchange,
+		Retries:     f.retries,
+		Metrics:     metrics,
+		Log:         zerolog.Nop(),
+		MaxProofAge: func() basilmoor.Millis { return 4000 },
+	})
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	f.url = server.URL
+	return f
+}
+
+func testTable() *bmrouting.Table {
+	pools := []bmrouting.WeightedPool{
+		{
+			Pool:   "p",
+			Weight: 1,
+		},
+	}
+	return bmrouting.NewTable(bmrouting.Content{
+		Limits: bmrouting.Limits{
+			BodyBytes: 100,
+		},
+		Routes: []bmrouting.Route{
+			{Host: "127.0.0.1", Prefix: "/once/", MaxAttempts: 3, Pools: pools},
+			{Host: "127.0.0.1", Prefix: "/again/", MaxAttempts: 2, Repetition: bmrouting.RunAgain, Pools: pools},
+			{Host: "127.0.0.1", Prefix: "/stream/", MaxAttempts: 2, Streaming: true, Pools: pools},
+			{Host: "127.0.0.1", Prefix: "/resume/", MaxAttempts: 2, Streaming: true, Repetition: bmrouting.Resume, Pools: pools},
+			{Host: "127.0.0.1", Prefix: "/public/", MaxAttempts: 1, Public: true, Pools: pools},
+		},
+		Workspaces: []bmrouting.Workspace{{Name: "w", Keys: []string{"k"}}},
+		Pools:      []bmrouting.Pool{{Name: "p"}},
+	})
+}
+
+func (f *fleet) startTarget(t *testing.T, name, behaviour string) string {
+	if behaviour == isNotReached {
+		return "127.0.0.1:1"
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if behaviour != refuses {
+			f.mu.Lock()
+			f.runs = append(f.runs, strings.TrimSpace(name+" "+r.Header.Get("Last")))
+			f.mu.Unlock()
+		}
+		behave(w, r, behaviour)
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func behave(w http.ResponseWriter, r *http.Request, behaviour string) {
+	switch behaviour {
+	case answersOK:
+		fmt.Fprintf(w, "from %s for %q", r.Header.Get("Target"), r.Header.Get("Workspace"))
+	case answers500:
+		w.WriteHeader(http.StatusInternalServerError)
+		fmt.Fprint(w, "own failure")
+	case refuses:
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case breaksOff:
+		panic(http.ErrAbortHandler)
+	case tearsStream:
+		fmt.Fprint(w, "id: 1\ndata: id:9\n\nid: 2\ndata: b\n\nid: 3\nda")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case streamsRest:
+		last := 0
+		_, _ = fmt.Sscan(r.Header.Get("Last"), &last)
+		for id := last + 1; id <= 4; id++ {
+			fmt.Fprintf(w, "id: %d\ndata: x\n\n", id)
+		}
+	}
+}
+
+// ran returns the targets that ran a request.
+func (f *fleet) ran() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs
+}
+
+// get sends a request with a key and returns the status, body and error of
+// reading it.
+func (f *fleet) get(t *testing.T, path, key string) (int, string, error) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, f.url+path, strings.NewReader("body"))
+	require.NoError(t, err)
+	r.Header.Set("Id", "1")
+	r.Header.Set("Key", key)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
+}
+
+// Guards against a request that runs too often, and against an answer that
+// says something else than what became of it.
+func TestOutcomes(t *testing.T) {
+	tests := map[string]struct {
+		path       string
+		behaviours []string
+		status     int // 0: the connection is closed
+		runs       []string
+	}{
+		"answered":                                 {path: "/once/x", behaviours: []string{answersOK}, status: 200, runs: []string{"t0"}},
+		"once: an own failure is final":            {path: "/once/x", behaviours: []string{answers500, answersOK}, status: 500, runs: []string{"t0"}},
+		"once: a break is unknown":                 {path: "/once/x", behaviours: []string{breaksOff, answersOK}, status: 502, runs: []string{"t0"}},
+		"once: a refusal is tried elsewhere":       {path: "/once/x", behaviours: []string{refuses, answersOK}, status: 200, runs: []string{"t1"}},
+		"once: refused everywhere":                 {path: "/once/x", behaviours: []string{refuses, refuses}, status: 503},
+		"once: unreached is tried elsewhere":       {path: "/once/x", behaviours: []string{isNotReached, answersOK}, status: 200, runs: []string{"t1"}},
+		"once: no target":                          {path: "/once/x", status: 503},
+		"again: an own failure is tried elsewhere": {path: "/again/x", behaviours: []string{answers500, answersOK}, status: 200, runs: []string{"t0", "t1"}},
+		"again: the last failure is relayed once":  {path: "/again/x", behaviours: []string{answers500, answers500, answersOK}, status: 500, runs: []string{"t0", "t1"}},
+		"again: a break is tried elsewhere":        {path: "/again/x", behaviours: []string{breaksOff, answersOK}, status: 200, runs: []string{"t0", "t1"}},
+		"again: run, then refused, is unknown":     {path: "/again/x", behaviours: []string{breaksOff, refuses}, status: 502, runs: []string{"t0"}},
+		"again: run, then no target, is unknown":   {path: "/again/x", behaviours: []string{breaksOff}, status: 502, runs: []string{"t0"}},
+		"stream: a break before it is unknown":     {path: "/stream/x", behaviours: []string{breaksOff, streamsRest}, status: 502, runs: []string{"t0"}},
+		"stream: whole":                            {path: "/stream/x", behaviours: []string{streamsRest}, status: 200, runs: []string{"t0"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, tt.behaviours...)
+			status, _, err := f.get(t, tt.path, "k")
+			require.NoError(t, err)
+			require.Equal(t, tt.status, status)
+			require.Equal(t, tt.runs, f.ran())
+		})
+	}
+}
+
+const wholeStream = "id: 1\ndata: id:9\n\nid: 2\ndata: b\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\n"
+
+// Guards against events that are lost, doubled or torn when another target
+// goes on with a stream, and against a torn stream that looks complete.
+func TestTornStreams(t *testing.T) {
+	tests := map[string]struct {
+		path       string
+		behaviours []string
+		body       string
+		whole      bool
+		runs       []string
+	}{
+		"another target goes on": {
+			path:       "/resume/x",
+			behaviours: []string{tearsStream, streamsRest},
+			body:       wholeStream,
+			whole:      true,
+			runs:       []string{"t0", "t1 2"},
+		},
+		"it goes on after targets that are not reached": {
+			path:       "/resume/x",
+			behaviours: []string{tearsStream, isNotReached, streamsRest},
+			body:       wholeStream,
+			whole:      true,
+			runs:       []string{"t0", "t2 2"},
+		},
+		"it goes on after a target that refuses": {
+			path:       "/resume/x",
+			behaviours: []string{tearsStream, refuses, streamsRest},
+			body:       wholeStream,
+			whole:      true,
+			runs:       []string{"t0", "t2 2"},
+		},
+		"no other target": {
+			path:       "/resume/x",
+			behaviours: []string{tearsStream},
+			body:       "id: 1\ndata: id:9\n\nid: 2\ndata: b\n\n",
+			runs:       []string{"t0"},
+		},
+		"a stream that runs once": {
+			path:       "/stream/x",
+			behaviours: []string{tearsStream, streamsRest},
+			body:       "id: 1\ndata: id:9\n\nid: 2\ndata: b\n\n",
+			runs:       []string{"t0"},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, tt.behaviours...)
+			status, body, err := f.get(t, tt.path, "k")
+			require.Equal(t, http.StatusOK, status)
+			require.Equal(t, tt.body, body)
+			require.Equal(t, tt.whole, err == nil, "%v", err)
+			require.Equal(t, tt.runs, f.ran())
+		})
+	}
+}
+
+// Guards against requests that are admitted or turned away wrongly, above all
+// with a key that may have been taken away.
+func TestAdmission(t *testing.T) {
+	tests := map[string]struct {
+		path   string
+		key    string
+		age    basilmoor.Millis
+		empty  bool
+		status int
+	}{
+		"known key":             {path: "/once/x", key: "k", status: 200},
+		"unknown key":           {path: "/once/x", key: "other", status: 401},
+		"no key":                {path: "/once/x", status: 401},
+		"public":                {path: "/public/x", status: 200},
+		"no route":              {path: "/none/x", key: "k", status: 404},
+		"known key, old view":   {path: "/once/x", key: "k", age: 4000, status: 503},
+		"unknown key, old view": {path: "/once/x", key: "other", age: 4000, status: 503},
+		"no route, old view":    {path: "/none/x", key: "k", age: 4000, status: 503},
+		"public, old view":      {path: "/public/x", age: 4000, status: 200},
+		"no desired state yet":  {path: "/once/x", key: "k", empty: true, status: 503},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, answersOK)
+			f.views.age = tt.age
+			if tt.empty {
+				f.views.view = &bmview.View{}
+			}
+			status, body, err := f.get(t, tt.path, tt.key)
+			require.NoError(t, err)
+			require.Equal(t, tt.status, status, body)
+			if status == http.StatusOK && tt.key != "" {
+				require.Equal(t, `from t0 for "w"`, body)
+			}
+		})
+	}
+}
+
+// Guards against a body over the limit that reaches a target, declared or not.
+func TestBodyOverTheLimit(t *testing.T) {
+	for name, body := range map[string]io.Reader{
+		"with a length": strings.NewReader(strings.Repeat("x", 101)),
+		"in chunks":     io.MultiReader(strings.NewReader(strings.Repeat("x", 101))),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, answersOK)
+			resp, err := http.Post(f.url+"/public/x", "text/plain", body)
+			require.NoError(t, err)
+			defer func() { _ = resp.Body.Close() }()
+			require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
+			require.Empty(t, f.ran())
+		})
+	}
+}
+
+// Guards against more second sends than the budget of all hosts allows.
+func TestRetryBudgetBindsTheHandler(t *testing.T) {
+	f := newFleet(t, answers500, answersOK)
+	f.retries.SetSlack(1)
+	for _, want := range []int{200, 500, 500} {
+		status, _, err := f.get(t, "/again/x", "k")
+		require.NoError(t, err)
+		require.Equal(t, want, status)
+	}
+}
+
+// Guards against an answer that keeps its connection open while the host
+// leaves.
+func TestClosingIsAnnounced(t *testing.T) {
+	handler := New(Config{
+		Clock:    bmclock.NewSystem(),
+		Views:    &testViews{view: &bmview.View{}},
+		Protocol: testProtocol{},
+		Metrics:  bmmetrics.NewRegistry(),
+		Log:      zerolog.Nop(),
+	})
+	handler.Close()
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/once/x", nil))
+	require.Equal(t, "close", w.Header().Get("Connection"))
+}
