Bind allowances in the sliding window that the agreement names

Change: spending is recorded by steps of 100 ms; hosts tell a new broker what they spent; hosts that restart assume the rate for the last window.

--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -100,7 +100,10 @@
 	}
 	n.keeper = bmview.NewKeeper(n.clock, parts.Feed, log, n.metrics, n.viewChanged, n.relay)
 	n.broker = bmgrant.NewBroker(n.clock, n.keeper, s.Tolerance, n.metrics, log)
-	n.scheduler = bmgrant.NewClient(n.clock, self, n.broker, !s.LocalScheduling, n.metrics, log)
+	n.scheduler = bmgrant.NewClient(n.clock, self, n.broker, bmgrant.Options{
+		Alone:     s.LocalScheduling,
+		Restarted: !s.FirstStart,
+	}, n.metrics, log)
 	exchange, closeExchange := bmexchange.New(n.clock, parts.Contract, n.metrics)
 	n.exchange = exchange
 	n.onClose(closeExchange)
--- a/internal/node/bmentrynode/settings.go
+++ b/internal/node/bmentrynode/settings.go
@@ -45,6 +45,9 @@
 	// Tolerance is what workspaces may spend over their allowances.
 	Tolerance bmgrant.Tolerance
 
+	// FirstStart means that the whole system starts for the first time.
+	FirstStart bool
+
 	// LocalScheduling makes the host serve its requests with its own share
 	// of the slots, without a broker.
 	LocalScheduling bool
--- a/internal/request/bmentry/handler.go
+++ b/internal/request/bmentry/handler.go
@@ -151,6 +151,8 @@
 		Str("reason", string(reason)).
 		Int("status", status).
 		Str("target", c.target).
+		Int("prompt-tokens", c.attempt.PromptTokens).
+		Int("output-tokens", c.attempt.OutputTokens).
 		Int("sends", c.sends).
 		Int64("elapsed-ms", int64(elapsed)).
 		Int64("config-version", c.version).
--- a/internal/schedule/bmgrant/allowance.go
+++ b/internal/schedule/bmgrant/allowance.go
@@ -8,141 +8,174 @@
 	"basilmoor.example/basilmoor/internal/config/bmrouting"
 )
 
-// initialShare is the part of the burst that a new bucket holds. A host that
-// becomes the broker does not know what was spent before; a full bucket would
-// allow the burst once more with each change of the broker.
-const initialShare = 0.25
-
-// Tolerance is what the agreement with the workspaces allows over their
-// allowances, so that no host has to refuse a request that is within one:
-// Excess is a share of rate and burst, Slack a number of tokens.
+// Tolerance says over which window an allowance binds, and what the agreement
+// with the workspaces allows over it, so that no host has to refuse a request
+// that is within it: Excess is a share of what the window allows, Slack a
+// number of tokens.
 type Tolerance struct {
+	Window basilmoor.Millis
 	Excess float64
 	Slack  float64
 }
 
-// The parts of the tolerance that are spent. The rest covers one large request
-// that overdraws a bucket, and the time until a change of the broker or of a
-// limit is known everywhere.
 const (
-	excessUsed = 0.7
+	// excessUsed and slackUsed are the parts of the tolerance that are spent.
+	// The rest covers the time until a change of the broker or of a limit is
+	// known everywhere.
+	excessUsed = 0.5
 	slackUsed  = 0.5
+
+	// spendingStep is the resolution of the record of what was spent.
+	spendingStep basilmoor.Millis = 100
 )
 
-// allowances are the token buckets of the workspaces. They are not safe for
+// allowances record what workspaces spend, and bound it in every sliding
+// window: rate times window, and the burst once. They are not safe for
 // concurrent use.
 type allowances struct {
 	// share is the part of each allowance that this holder may spend; the
 	// parts of all holders add up to at most 1.
 	share     float64
 	tolerance Tolerance
-	buckets   map[string]*bucket
+	accounts  map[string]*account
 }
 
-type bucket struct {
+// account is the spending of one workspace in the last window.
+type account struct {
 	limit bmrouting.Allowance
-	level float64
-	at    basilmoor.Millis // of level
+	spent []spending // by time
+	sum   int
+}
+
+// spending is what was spent in the step that began at an instant.
+type spending struct {
+	at      basilmoor.Millis
+	tokens  int
+	assumed bool // nobody knows whether it was spent
 }
 
 func newAllowances(t Tolerance) *allowances {
 	return &allowances{
 		share:     1,
 		tolerance: t,
-		buckets:   map[string]*bucket{},
+		accounts:  map[string]*account{},
 	}
 }
 
-// rate is the tokens a second that flow into a bucket.
-func (a *allowances) rate(b *bucket) float64 {
-	return b.limit.TokensPerSecond * (1 + excessUsed*a.tolerance.Excess) * a.share
-}
-
-// burst is the most that a bucket holds.
-func (a *allowances) burst(b *bucket) float64 {
-	return (b.limit.Burst*(1+excessUsed*a.tolerance.Excess) + slackUsed*a.tolerance.Slack) * a.share
-}
-
 // set replaces the limits.
-func (a *allowances) set(now basilmoor.Millis, workspaces []bmrouting.Workspace) {
+func (a *allowances) set(workspaces []bmrouting.Workspace) {
 	known := map[string]bool{}
 	for _, w := range workspaces {
 		if !w.Allowance.Bounded() {
 			continue
 		}
 		known[w.Name] = true
-		b, ok := a.buckets[w.Name]
+		acc, ok := a.accounts[w.Name]
 		if !ok {
-			b = &bucket{
-				limit: w.Allowance,
-				at:    now,
-			}
-			b.level = initialShare * a.burst(b)
-			a.buckets[w.Name] = b
-			continue
+			acc = &account{}
+			a.accounts[w.Name] = acc
 		}
-		a.fill(now, b)
-		b.limit = w.Allowance
-		b.level = min(b.level, a.burst(b))
+		acc.limit = w.Allowance
 	}
-	for name := range a.buckets {
+	for name := range a.accounts {
 		if !known[name] {
-			delete(a.buckets, name)
+			delete(a.accounts, name)
 		}
 	}
 }
 
 // setShare changes the part of the allowances that may be spent.
-func (a *allowances) setShare(now basilmoor.Millis, share float64) {
-	if share == a.share {
-		return
-	}
-	for _, b := range a.buckets {
-		a.fill(now, b)
-	}
+func (a *allowances) setShare(share float64) {
 	a.share = share
-	for _, b := range a.buckets {
-		b.level = min(b.level, a.burst(b))
+}
+
+// bound is what a workspace may spend in a window.
+func (a *allowances) bound(acc *account) float64 {
+	window := float64(a.tolerance.Window) / float64(basilmoor.Second)
+	limit := acc.limit.TokensPerSecond*window + acc.limit.Burst
+	return (limit*(1+excessUsed*a.tolerance.Excess) + slackUsed*a.tolerance.Slack) * a.share
+}
+
+// assume records that every workspace has spent its rate in the last window. A
+// host that has just started does not know what it spent before; if all hosts
+// start at once, nobody does.
+func (a *allowances) assume(now basilmoor.Millis) {
+	for _, acc := range a.accounts {
+		tokens := acc.limit.TokensPerSecond * a.share * float64(spendingStep) / float64(basilmoor.Second)
+		for age := a.tolerance.Window; age > 0; age -= spendingStep {
+			a.record(acc, spending{
+				at:      now - age,
+				tokens:  int(tokens),
+				assumed: true,
+			})
+		}
 	}
 }
 
-func (a *allowances) fill(now basilmoor.Millis, b *bucket) {
-	b.level += a.rate(b) * float64(now-b.at) / float64(basilmoor.Second)
-	b.level = min(b.level, a.burst(b))
-	b.at = now
+// expire forgets what was spent before the last window.
+func (a *allowances) expire(now basilmoor.Millis, acc *account) {
+	n := 0
+	for n < len(acc.spent) && now-acc.spent[n].at >= a.tolerance.Window+spendingStep {
+		acc.sum -= acc.spent[n].tokens
+		n++
+	}
+	acc.spent = acc.spent[n:]
 }
 
-// take spends tokens if the workspace has any left. A request may overdraw the
-// bucket, so that one larger than the burst is served at all; the debt delays
-// the next ones. If there are none, wait is the time until there are.
+// take spends tokens if the workspace has as many left. If it has not, wait is
+// the time until it will have. A request larger than the bound is served when
+// nothing else was spent.
 func (a *allowances) take(now basilmoor.Millis, workspace string, tokens int) (wait basilmoor.Millis, ok bool) {
-	b, bounded := a.buckets[workspace]
+	acc, bounded := a.accounts[workspace]
 	if !bounded || tokens == 0 {
 		return 0, true
 	}
-	a.fill(now, b)
-	if b.level <= 0 {
-		return a.wait(b), false
+	a.expire(now, acc)
+	if acc.sum > 0 && float64(acc.sum+tokens) > a.bound(acc) {
+		return a.wait(now, acc, tokens), false
 	}
-	b.level -= float64(tokens)
+	a.record(acc, spending{
+		at:     now,
+		tokens: tokens,
+	})
 	return 0, true
 }
 
-// spend takes tokens that were spent already; a negative number gives them
-// back.
-func (a *allowances) spend(now basilmoor.Millis, workspace string, tokens int) {
-	if b, bounded := a.buckets[workspace]; bounded {
-		a.fill(now, b)
-		b.level -= float64(tokens)
+// spend records tokens that were spent at an instant of the last window,
+// whatever is left; a negative number gives them back.
+func (a *allowances) spend(at basilmoor.Millis, workspace string, tokens int) {
+	if acc, bounded := a.accounts[workspace]; bounded {
+		a.record(acc, spending{
+			at:     at,
+			tokens: tokens,
+		})
+	}
+}
+
+func (a *allowances) record(acc *account, s spending) {
+	s.at -= s.at % spendingStep
+	acc.sum += s.tokens
+	i := len(acc.spent)
+	for i > 0 && acc.spent[i-1].at > s.at {
+		i--
 	}
+	if i > 0 && acc.spent[i-1].at == s.at && acc.spent[i-1].assumed == s.assumed {
+		acc.spent[i-1].tokens += s.tokens
+		return
+	}
+	acc.spent = slices.Insert(acc.spent, i, s)
 }
 
-func (a *allowances) wait(b *bucket) basilmoor.Millis {
-	rate := a.rate(b)
-	if rate <= 0 {
-		return maxRetryAfter
+// wait is the time until so much was forgotten that tokens are left.
+func (a *allowances) wait(now basilmoor.Millis, acc *account, tokens int) basilmoor.Millis {
+	excess := float64(acc.sum+tokens) - a.bound(acc)
+	for _, s := range acc.spent {
+		excess -= float64(s.tokens)
+		if excess <= 0 {
+			return s.at + a.tolerance.Window + spendingStep - now
+		}
 	}
-	return basilmoor.Millis(-b.level/rate*float64(basilmoor.Second)) + 1
+	return a.tolerance.Window
 }
 
 // exhaustion is a workspace without allowance.
@@ -154,15 +187,25 @@
 // exhausted lists the workspaces without allowance, ordered by name.
 func (a *allowances) exhausted(now basilmoor.Millis) []exhaustion {
 	var list []exhaustion
-	for name, b := range a.buckets {
-		a.fill(now, b)
-		if b.level <= 0 {
+	for name, acc := range a.accounts {
+		a.expire(now, acc)
+		if float64(acc.sum) >= a.bound(acc) {
 			list = append(list, exhaustion{
 				workspace: name,
-				wait:      a.wait(b),
+				wait:      a.wait(now, acc, 1),
 			})
 		}
 	}
 	slices.SortFunc(list, func(x, y exhaustion) int { return strings.Compare(x.workspace, y.workspace) })
 	return list
 }
+
+// each calls f with every record of the last window.
+func (a *allowances) each(now basilmoor.Millis, f func(workspace string, s spending)) {
+	for name, acc := range a.accounts {
+		a.expire(now, acc)
+		for _, s := range acc.spent {
+			f(name, s)
+		}
+	}
+}
--- a/internal/schedule/bmgrant/allowance_test.go
+++ b/internal/schedule/bmgrant/allowance_test.go
@@ -10,6 +10,8 @@
 	"basilmoor.example/basilmoor/internal/config/bmrouting"
 )
 
+const testWindow = 8 * basilmoor.Second
+
 func limited(rate, burst float64) []bmrouting.Workspace {
 	return []bmrouting.Workspace{
 		{
@@ -22,40 +24,49 @@
 	}
 }
 
-// Guards against a workspace that gets more than its allowance and the
-// agreed tolerance in any window, also while the holder's part of the
-// allowance and the limit change.
+func testAllowances(rate, burst float64) *allowances {
+	a := newAllowances(Tolerance{
+		Window: testWindow,
+	})
+	a.set(limited(rate, burst))
+	return a
+}
+
+// Guards against a workspace that gets more than its allowance and the agreed
+// tolerance in any window, also while the holder's part changes and grants are
+// given back.
 func TestAllowanceInAnyWindow(t *testing.T) {
-	const window = 8 * basilmoor.Second
 	tolerance := Tolerance{
+		Window: testWindow,
 		Excess: 0.1,
 		Slack:  1000,
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		rate := float64(rapid.IntRange(10, 1000).Draw(t, "rate"))
 		a := newAllowances(tolerance)
-		a.set(0, limited(rate, rate))
-		type spending struct {
-			at     basilmoor.Millis
-			tokens int
-		}
+		a.set(limited(rate, rate))
 		var spent []spending
 		now := basilmoor.Millis(0)
 		for range rapid.IntRange(1, 200).Draw(t, "requests") {
 			now += basilmoor.Millis(rapid.IntRange(0, 400).Draw(t, "pause"))
 			if rapid.IntRange(0, 9).Draw(t, "event") == 0 {
-				a.setShare(now, rapid.SampledFrom([]float64{0.2, 0.5, 1}).Draw(t, "share"))
+				a.setShare(rapid.SampledFrom([]float64{0.2, 0.5, 1}).Draw(t, "share"))
 			}
 			tokens := rapid.IntRange(1, 300).Draw(t, "tokens")
-			if _, ok := a.take(now, "w", tokens); ok {
-				spent = append(spent, spending{
-					at:     now,
-					tokens: tokens,
-				})
+			if _, ok := a.take(now, "w", tokens); !ok {
+				continue
 			}
+			if rapid.IntRange(0, 9).Draw(t, "returned") == 0 {
+				a.spend(now, "w", -tokens)
+				continue
+			}
+			spent = append(spent, spending{
+				at:     now,
+				tokens: tokens,
+			})
 			sum := 0
 			for _, s := range spent {
-				if now-s.at < window {
+				if now-s.at < testWindow {
 					sum += s.tokens
 				}
 			}
@@ -67,29 +78,57 @@
 	})
 }
 
-// Guards against refusals of a workspace that stays below its limit.
-func TestAllowanceBelowTheLimit(t *testing.T) {
-	a := newAllowances(Tolerance{})
-	a.set(0, limited(1000, 1000))
-	for now := basilmoor.Millis(0); now < basilmoor.Minute; now += 100 {
-		_, ok := a.take(now, "w", 90)
-		require.True(t, ok, "at %d ms", now)
-	}
+// Guards against refusals of a workspace that stays within its limit: at an
+// even rate, and with a crest of four times its rate after a quiet time, as at
+// the start of a burst.
+func TestAllowanceWithinTheLimit(t *testing.T) {
+	t.Run("even", func(t *testing.T) {
+		a := testAllowances(1000, 1000)
+		for now := basilmoor.Millis(0); now < basilmoor.Minute; now += 100 {
+			_, ok := a.take(now, "w", 99)
+			require.True(t, ok, "at %d ms", now)
+		}
+	})
+	t.Run("crest", func(t *testing.T) {
+		a := testAllowances(1000, 1000)
+		for now := basilmoor.Millis(0); now < basilmoor.Minute; now += 100 {
+			tokens := 40
+			if now%(10*basilmoor.Second) < 1500 {
+				tokens = 400
+			}
+			_, ok := a.take(now, "w", tokens)
+			require.True(t, ok, "at %d ms", now)
+		}
+	})
 }
 
-// Guards against a wait that is too short for the caller to be served then.
+// Guards against a wait that is too short for the caller to be served then, or
+// longer than needed.
 func TestAllowanceWait(t *testing.T) {
-	a := newAllowances(Tolerance{})
-	a.set(0, limited(100, 100))
+	a := testAllowances(100, 100)
 	_, ok := a.take(0, "w", 500)
-	require.True(t, ok, "a request larger than the burst is served")
-	wait, ok := a.take(0, "w", 1)
+	require.True(t, ok)
+	_, ok = a.take(2000, "w", 400)
+	require.True(t, ok)
+	require.Len(t, a.exhausted(2000), 1)
+	wait, ok := a.take(3000, "w", 450)
 	require.False(t, ok)
-	_, ok = a.take(wait-10, "w", 1)
+	_, ok = a.take(3000+wait-1, "w", 450)
 	require.False(t, ok)
-	_, ok = a.take(wait, "w", 1)
+	_, ok = a.take(3000+wait, "w", 450)
 	require.True(t, ok)
-	require.Empty(t, a.exhausted(2*wait))
 	_, unbounded := a.take(0, "other", 1_000_000)
 	require.True(t, unbounded)
 }
+
+// Guards against a request larger than the whole allowance that is never
+// served.
+func TestAllowanceOfAHugeRequest(t *testing.T) {
+	a := testAllowances(100, 100)
+	_, ok := a.take(0, "w", 5000)
+	require.True(t, ok)
+	wait, ok := a.take(1000, "w", 5000)
+	require.False(t, ok)
+	_, ok = a.take(1000+wait, "w", 5000)
+	require.True(t, ok)
+}
--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -41,6 +41,7 @@
 	pools      map[string]*Pool
 	sessions   map[string]*session // by host
 	allowances *allowances
+	began      basilmoor.Millis // when the first host came
 	holdOff    basilmoor.Millis
 }
 
@@ -104,8 +105,8 @@
 	if b.view.Table == nil {
 		return
 	}
-	b.setShare(now)
-	b.allowances.set(now, b.view.Table.Workspaces())
+	b.setShare()
+	b.allowances.set(b.view.Table.Workspaces())
 	for _, spec := range b.view.Table.Pools() {
 		p, ok := b.pools[spec.Name]
 		if !ok {
@@ -118,9 +119,9 @@
 
 // setShare spends the part of the allowances that belongs to the hosts with a
 // session. The others spend their own part.
-func (b *Broker) setShare(now basilmoor.Millis) {
+func (b *Broker) setShare() {
 	n := len(b.view.Hosts())
-	b.allowances.setShare(now, min(float64(len(b.sessions))/float64(max(n, 1)), 1))
+	b.allowances.setShare(min(float64(len(b.sessions))/float64(max(n, 1)), 1))
 }
 
 // Relay passes a step of the platform's state on to the hosts.
@@ -192,6 +193,7 @@
 	now := b.clock.Now()
 	if len(b.sessions) == 0 {
 		b.reset()
+		b.began = now
 		b.holdOff = now + warmUp
 	}
 	if old, ok := b.sessions[hello.GetHost()]; ok {
@@ -242,7 +244,7 @@
 	delete(b.sessions, s.host)
 	close(s.ended)
 	b.shareView()
-	b.setShare(now)
+	b.setShare()
 	for _, p := range b.pools {
 		b.deliver(p.DropHost(now, s.host))
 	}
@@ -271,15 +273,25 @@
 			b.deliver(p.Cancel(now, requestID(s.host, c.GetNumber())))
 		}
 	}
-	for _, spent := range batch.GetSpendings() {
-		b.allowances.spend(now, spent.GetWorkspace(), int(spent.GetTokens()))
-	}
+	b.spend(now, batch.GetSpendings())
 	for _, d := range batch.GetDemands() {
 		b.submit(now, decodeDemand(s.host, s.dataCentre, d))
 	}
 	b.endWarmUp(now, batch)
 }
 
+// spend records what a host has spent without a grant of this broker. What the
+// host only assumes counts if the broker does not know better: one that has
+// been there for a whole window does.
+func (b *Broker) spend(now basilmoor.Millis, spendings []*bmgrantpb.Spending) {
+	for _, s := range spendings {
+		if s.GetAssumed() && now-b.began >= b.tolerance.Window {
+			continue
+		}
+		b.allowances.spend(now-basilmoor.Millis(s.GetAgeMs()), s.GetWorkspace(), int(s.GetTokens()))
+	}
+}
+
 // endWarmUp lets the pools grant once every host has told what it has in
 // progress, with its first batch.
 func (b *Broker) endWarmUp(now basilmoor.Millis, batch *bmgrantpb.HostBatch) {
--- a/internal/schedule/bmgrant/client.go
+++ b/internal/schedule/bmgrant/client.go
@@ -34,7 +34,8 @@
 	entries map[basilmoor.RequestID]*entry
 
 	own        map[string]*Pool // pools that this host serves itself
-	allowances *allowances      // while there is no broker
+	allowances *allowances      // what this host spends; binds without a broker
+	restarted  bool             // what it spent before is still to be assumed
 
 	up        *uplink // nil without a broker
 	opening   bool
@@ -91,9 +92,16 @@
 	return o
 }
 
-// NewClient returns a client of the host self. With connect false it never
-// uses a broker.
-func NewClient(clock basilmoor.Clock, self basilmoor.Member, broker *Broker, connect bool, metrics *bmmetrics.Registry, log zerolog.Logger) *Client {
+// Options are choices of a client.
+type Options struct {
+	// Alone means that the client never uses a broker.
+	Alone bool
+	// Restarted means that hosts may have spent allowances before.
+	Restarted bool
+}
+
+// NewClient returns a client of the host self.
+func NewClient(clock basilmoor.Clock, self basilmoor.Member, broker *Broker, o Options, metrics *bmmetrics.Registry, log zerolog.Logger) *Client {
 	c := &Client{
 		clock:      clock,
 		self:       self,
@@ -106,8 +114,9 @@
 		own:        map[string]*Pool{},
 		allowances: newAllowances(broker.tolerance),
 		suspects:   map[string]basilmoor.Millis{},
+		restarted:  o.Restarted,
 	}
-	if connect {
+	if !o.Alone {
 		c.dial = dialStream
 	}
 	return c
@@ -129,8 +138,12 @@
 	if c.view.Table == nil {
 		return
 	}
-	c.allowances.setShare(now, 1/float64(max(len(c.view.Hosts()), 1)))
-	c.allowances.set(now, c.view.Table.Workspaces())
+	c.allowances.setShare(1 / float64(max(len(c.view.Hosts()), 1)))
+	c.allowances.set(c.view.Table.Workspaces())
+	if c.restarted {
+		c.restarted = false
+		c.allowances.assume(now)
+	}
 	for _, pool := range c.view.Table.Pools() {
 		p, ok := c.own[pool.Name]
 		if !ok {
@@ -306,6 +319,7 @@
 			return e.wait, false
 		}
 	}
+	c.allowances.spend(now, d.Workspace, d.Charge)
 	c.up.pending.Spendings = append(c.up.pending.Spendings, &bmgrantpb.Spending{
 		Workspace: d.Workspace,
 		Tokens:    int64(d.Charge),
--- a/internal/schedule/bmgrant/failover_test.go
+++ b/internal/schedule/bmgrant/failover_test.go
@@ -48,6 +48,8 @@
 	feed  *fixedFeed
 	hosts map[string]*testHost
 
+	restarted bool // of hosts that are added
+
 	mu     sync.Mutex
 	silent map[string]bool // hosts that nothing reaches and that send nothing
 }
@@ -60,12 +62,6 @@
 		silent: map[string]bool{},
 	}
 	target := testTarget("t", slots)
-	members := map[string]*basilmoor.Member{}
-	for _, name := range names {
-		members[name] = &basilmoor.Member{
-			Host: name,
-		}
-	}
 	f.feed = &fixedFeed{
 		changes: bmview.Changes{
 			Table: bmrouting.NewTable(bmrouting.Content{
@@ -81,15 +77,24 @@
 			Targets: map[string]*basilmoor.Target{
 				"t": &target,
 			},
-			Hosts: members,
+			Hosts: map[string]*basilmoor.Member{},
 		},
 	}
+	for _, name := range names {
+		f.addMember(name)
+	}
 	for _, name := range names {
 		f.addHost(name)
 	}
 	return f
 }
 
+func (f *testFleet) addMember(name string) {
+	f.feed.changes.Hosts[name] = &basilmoor.Member{
+		Host: name,
+	}
+}
+
 func (f *testFleet) addHost(name string) {
 	metrics := bmmetrics.NewRegistry()
 	h := &testHost{}
@@ -99,10 +104,14 @@
 			h.client.SetView(v)
 		},
 		func(u bmview.Update) { h.broker.Relay(u) })
-	h.broker = NewBroker(f.clock, h.keeper, Tolerance{}, metrics, zerolog.Nop())
+	h.broker = NewBroker(f.clock, h.keeper, Tolerance{
+		Window: testWindow,
+	}, metrics, zerolog.Nop())
 	h.client = NewClient(f.clock, basilmoor.Member{
 		Host: name,
-	}, h.broker, true, metrics, zerolog.Nop())
+	}, h.broker, Options{
+		Restarted: f.restarted,
+	}, metrics, zerolog.Nop())
 	h.client.dial = func(_ context.Context, to basilmoor.Member) (link, error) {
 		return f.dial(name, to.Host)
 	}
@@ -360,3 +369,22 @@
 	require.InDelta(t, 0.75, b.allowances.share, 1e-9)
 	require.InDelta(t, 0.25, f.hosts[cut].client.allowances.share, 1e-9)
 }
+
+// Guards against a fleet that starts anew, all at once, and gives a workspace
+// its whole window once more.
+func TestRestartedFleetAssumesSpending(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.restarted = true
+	for _, name := range []string{"a", "b", "c"} {
+		f.addMember(name)
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		f.addHost(name)
+	}
+	broker := f.awaitBroker(2000)
+	b := f.hosts[broker].broker
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	acc := b.allowances.accounts["w"]
+	require.InDelta(t, acc.limit.TokensPerSecond*8, float64(acc.sum), acc.limit.TokensPerSecond)
+}
--- a/internal/schedule/bmgrant/uplink.go
+++ b/internal/schedule/bmgrant/uplink.go
@@ -145,8 +145,17 @@
 	c.resetOwn(now)
 }
 
-// resubmit tells a new broker what waits and what is in progress.
+// resubmit tells a new broker what waits, what is in progress, and what this
+// host has spent of the allowances.
 func (c *Client) resubmit(now basilmoor.Millis) {
+	c.allowances.each(now, func(workspace string, s spending) {
+		c.up.pending.Spendings = append(c.up.pending.Spendings, &bmgrantpb.Spending{
+			Workspace: workspace,
+			Tokens:    int64(s.tokens),
+			AgeMs:     int64(now - s.at),
+			Assumed:   s.assumed,
+		})
+	})
 	for _, e := range c.sorted() {
 		if !c.brokered(e.demand.Pool) {
 			continue
@@ -282,6 +291,7 @@
 	}
 	t, known := c.targets[g.GetTarget()]
 	if known && !t.Leaving {
+		c.allowances.spend(now, e.demand.Workspace, e.demand.Charge)
 		c.grant(e, t)
 		return
 	}
