--- a/internal/core/bmmetrics/metrics.go
+++ b/internal/core/bmmetrics/metrics.go
@@ -1,10 +1,16 @@
 // Package bmmetrics counts what the node did, by reason, over go-metrics.
 //
 // Invariants: counters only grow, and a name is made of a fixed prefix and a
-// reason of the root package, so that the number of names is bounded.
+// reason of the root package, or a pool and a rank, so that the number of names
+// is bounded.
 package bmmetrics
 
 import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+
 	"github.com/rcrowley/go-metrics"
 
 	"basilmoor.example/basilmoor"
@@ -47,6 +53,64 @@
 	metrics.GetOrRegisterGauge(name, r.registry).Update(n)
 }
 
+// sampleSize and sampleDecay make a histogram represent the last minutes, with
+// an error of a few per cent at the 99th percentile.
+const (
+	sampleSize  = 512
+	sampleDecay = 0.015
+)
+
+// Observe adds a duration to the histogram with the given name.
+func (r *Registry) Observe(name string, d basilmoor.Millis) {
+	h := r.registry.GetOrRegister(name, newHistogram)
+	if h, ok := h.(metrics.Histogram); ok {
+		h.Update(int64(d))
+	}
+}
+
+func newHistogram() metrics.Histogram {
+	return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay))
+}
+
+// quantiles are what WriteText tells of a histogram.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// WriteText writes all counters, gauges and histograms as lines of a name and a
+// value, ordered by name, in the text form that common collectors read.
+func (r *Registry) WriteText(w io.Writer) error {
+	var lines []string
+	r.registry.Each(func(name string, m any) {
+		name = textName(name)
+		switch m := m.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d", name, m.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d", name, m.Value()))
+		case metrics.Histogram:
+			lines = append(lines, histogramLines(name, m.Snapshot())...)
+		}
+	})
+	sort.Strings(lines)
+	_, err := io.WriteString(w, strings.Join(lines, "\n")+"\n")
+	return err
+}
+
+func histogramLines(name string, h metrics.Histogram) []string {
+	lines := []string{
+		fmt.Sprintf("%s_count %d", name, h.Count()),
+		fmt.Sprintf("%s_max %d", name, h.Max()),
+	}
+	for i, v := range h.Percentiles(quantiles) {
+		lines = append(lines, fmt.Sprintf("%s{quantile=\"%g\"} %.0f", name, quantiles[i], v))
+	}
+	return lines
+}
+
+// textName turns a name into one that collectors accept.
+func textName(name string) string {
+	return "basilmoor_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+}
+
 // Snapshot returns all counters and gauges by name.
 func (r *Registry) Snapshot() map[string]int64 {
 	values := make(map[string]int64)
--- /dev/null
+++ b/internal/node/bmentrynode/fleet_test.go
@@ -0,0 +1,380 @@
+package bmentrynode_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/core/bmmetrics"
+	"basilmoor.example/basilmoor/internal/node/bmentrynode"
+	"basilmoor.example/basilmoor/internal/schedule/bmgrant"
+	"basilmoor.example/basilmoor/internal/standin/bmstandinplatform"
+	bmplatform "basilmoor.example/basilmoor/platform"
+)
+
+// patience bounds the wait for an event that has no bound of its own. It is
+// far above what a busy machine needs.
+const patience = 20 * time.Second
+
+const stateFormat = `{"version":%d,
+ "routes":[
+  {"name":"stream","hostname":"127.0.0.1","prefix":"/stream/","route_type":"streaming","timeout_ms":9000,"target_latency_ms":5000,"backend":"engines","max_attempts":2,"stream_resume":true,"target_itl_ms":300},
+  {"name":"lookup","hostname":"127.0.0.1","prefix":"/lookup/","route_type":"idempotent","timeout_ms":9000,"target_latency_ms":5000,"backend":"plain","max_attempts":2}],
+ "backends":[{"name":"engines","engine":{"slots":4,"kv_capacity":1000,"stride":1}},{"name":"plain"}],
+ "limits":{"max_body_bytes":1000,"header_timeout_ms":3000},
+ "tenants":[{"name":"w","api_keys":[%s],"unit":"tokens","uncached_tokens":1,"rate_per_s":1000000,"burst":1000000}]}`
+
+// fleet is several nodes over a stand-in of the platform.
+type fleet struct {
+	t       *testing.T
+	store   *bmstandinplatform.Store
+	replica map[string]*bmstandinplatform.Replica
+	nodes   []*node
+	version int
+	next    atomic.Int64
+}
+
+// node is one process' worth of parts.
+type node struct {
+	settings bmentrynode.Settings
+	metrics  *bmmetrics.Registry
+	stop     context.CancelFunc
+	done     chan error
+	release  func() // waits for the end and frees everything
+}
+
+func newFleet(t *testing.T, hosts int) *fleet {
+	t.Helper()
+	f := &fleet{
+		t:       t,
+		replica: map[string]*bmstandinplatform.Replica{},
+	}
+	store, stopStore := bmstandinplatform.NewStore()
+	t.Cleanup(stopStore)
+	f.store = store
+	t.Cleanup(f.stop)
+	f.configure(`"k"`)
+	f.addReplica("e1", "engines")
+	f.addReplica("e2", "engines")
+	f.addReplica("p1", "plain")
+	for i := range hosts {
+		f.addNode(fmt.Sprint("h", i))
+	}
+	for _, n := range f.nodes {
+		f.eventually("ready", func() bool { return n.ready() })
+	}
+	return f
+}
+
+// stop ends all nodes together.
+func (f *fleet) stop() {
+	for _, n := range f.nodes {
+		n.stop()
+	}
+	for _, n := range f.nodes {
+		n.release()
+	}
+}
+
+// configure puts the next desired state with the given keys into the store.
+func (f *fleet) configure(keys string) {
+	f.version++
+	f.store.Put("op/config", []byte(fmt.Sprintf(stateFormat, f.version, keys)))
+}
+
+func (f *fleet) addReplica(id, pool string) {
+	r, stop := bmstandinplatform.NewReplica(id)
+	f.t.Cleanup(stop)
+	f.replica[id] = r
+	f.store.Put("servers/"+id, r.Entry(pool, "ready"))
+}
+
+// freePort returns a port at which, and at the one after which, nothing
+// listens.
+func freePort(t *testing.T) int {
+	t.Helper()
+	for range 100 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		port := l.Addr().(*net.TCPAddr).Port
+		next, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port+1))
+		require.NoError(t, l.Close())
+		if err == nil {
+			require.NoError(t, next.Close())
+			return port
+		}
+	}
+	t.Fatal("no two free ports in a row")
+	return 0
+}
+
+func (f *fleet) addNode(host string) {
+	f.t.Helper()
+	first := freePort(f.t)
+	n := &node{
+		settings: bmentrynode.Settings{
+			Host:           host,
+			IP:             "127.0.0.1",
+			DataCentre:     "z1",
+			CallersAddress: fmt.Sprint("127.0.0.1:", freePort(f.t)),
+			ReadyAddress:   fmt.Sprint("127.0.0.1:", freePort(f.t)),
+			StoreAddress:   f.store.Address(),
+			FirstPort:      first,
+			LastPort:       first + 1,
+			MemoryBytes:    1 << 30,
+			CPUFraction:    1,
+			StopGrace:      basilmoor.Minute,
+			TargetDrain:    2000,
+			Revocation:     5000,
+			RetryRatio:     1,
+			RetryWindow:    10_000,
+			RetrySlack:     100,
+			Tolerance: bmgrant.Tolerance{
+				Window: 8000,
+			},
+			FirstStart: true,
+		},
+		metrics: bmmetrics.NewRegistry(),
+		done:    make(chan error, 1),
+	}
+	require.NoError(f.t, n.settings.Check())
+	n.start(f.t)
+	f.nodes = append(f.nodes, n)
+}
+
+func (n *node) start(t *testing.T) {
+	t.Helper()
+	clock := bmclock.NewSystem()
+	store, closeStore, err := bmplatform.NewStore(clock, n.settings.StoreAddress)
+	require.NoError(t, err)
+	served, cleanup, err := bmentrynode.New(n.settings, bmentrynode.Parts{
+		Clock:        clock,
+		Metrics:      n.metrics,
+		Store:        store,
+		Feed:         bmplatform.NewFeed(store, zerolog.Nop()),
+		Protocol:     bmplatform.Headers{},
+		Contract:     bmplatform.Headers{},
+		Registration: bmplatform.Registration,
+	}, zerolog.Nop())
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	go n.run(ctx, served)
+	n.release = func() {
+		<-n.done
+		cleanup()
+		closeStore()
+	}
+}
+
+func (n *node) run(ctx context.Context, served *bmentrynode.Node) {
+	n.done <- served.Serve(ctx)
+	close(n.done)
+}
+
+func (n *node) ready() bool {
+	resp, err := http.Get("http://" + n.settings.ReadyAddress + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
+
+// eventually waits until a condition holds.
+func (f *fleet) eventually(what string, holds func() bool) {
+	f.t.Helper()
+	require.Eventually(f.t, holds, patience, 10*time.Millisecond, what)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	err    error
+	header http.Header
+}
+
+// send sends a request with a key to a node.
+func (f *fleet) send(n *node, method, path, key string) answer {
+	body := io.Reader(http.NoBody)
+	if method == http.MethodPost {
+		body = strings.NewReader("prompt")
+	}
+	r, err := http.NewRequest(method, "http://"+n.settings.CallersAddress+path, body)
+	require.NoError(f.t, err)
+	r.Header.Set("X-Attempt-Id", fmt.Sprint("a", f.next.Add(1)))
+	r.Header.Set("X-Deadline-Ms", "9000")
+	r.Header.Set("X-Token-Usage", "100,5")
+	r.Header.Set("Authorization", "Token "+key)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{
+			err: err,
+		}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return answer{
+		status: resp.StatusCode,
+		body:   string(raw),
+		err:    err,
+		header: resp.Header,
+	}
+}
+
+func (f *fleet) runs() []bmstandinplatform.Run {
+	var runs []bmstandinplatform.Run
+	for _, r := range f.replica {
+		runs = append(runs, r.Runs()...)
+	}
+	return runs
+}
+
+func wholeStream() string {
+	events := ""
+	for id := 1; id <= bmstandinplatform.Events; id++ {
+		events += fmt.Sprintf("id: %d\ndata: x\n\n", id)
+	}
+	return events
+}
+
+// Guards against a path that breaks anywhere between a caller and a replica:
+// each host serves both kinds of request, the replica learns the workspace and
+// never the key, and the caller gets the replica's signature.
+func TestPath(t *testing.T) {
+	f := newFleet(t, 3)
+	for _, n := range f.nodes {
+		a := f.send(n, http.MethodPost, "/stream/a%2Fb?x=1", "k")
+		require.NoError(t, a.err)
+		require.Equal(t, http.StatusOK, a.status, a.body)
+		require.Equal(t, wholeStream(), a.body)
+		require.Contains(t, a.header.Get("X-Response-Signature"), "sig-e")
+		a = f.send(n, http.MethodGet, "/lookup/1", "k")
+		require.NoError(t, a.err)
+		require.Equal(t, "whole", a.body)
+	}
+	for _, run := range f.runs() {
+		require.Equal(t, "w", run.Tenant)
+		require.Empty(t, run.Key)
+	}
+}
+
+// Guards against hosts that each watch the store, whose calls are priced: once
+// all have a broker, only its host asks for changes, and all learn of them.
+func TestOneHostWatchesTheStore(t *testing.T) {
+	f := newFleet(t, 4)
+	watchers := func() int {
+		before := map[*node]int64{}
+		for _, n := range f.nodes {
+			before[n] = n.metrics.Snapshot()["view.calls"]
+		}
+		f.configure(`"k","k` + fmt.Sprint(f.version) + `"`)
+		for _, n := range f.nodes {
+			f.eventually("new key in effect", func() bool {
+				return f.send(n, http.MethodGet, "/lookup/1", fmt.Sprint("k", f.version-1)).status == http.StatusOK
+			})
+		}
+		asked := 0
+		for _, n := range f.nodes {
+			if n.metrics.Snapshot()["view.calls"] > before[n] {
+				asked++
+			}
+		}
+		return asked
+	}
+	f.eventually("one host watches", func() bool { return watchers() == 1 })
+}
+
+// Guards against a key that works on after it was taken away.
+func TestRevokedKey(t *testing.T) {
+	f := newFleet(t, 2)
+	f.configure(`"other"`)
+	for _, n := range f.nodes {
+		f.eventually("key refused", func() bool {
+			return f.send(n, http.MethodGet, "/lookup/1", "k").status == http.StatusUnauthorized
+		})
+		require.Equal(t, http.StatusOK, f.send(n, http.MethodGet, "/lookup/1", "other").status)
+	}
+}
+
+// Guards against a host that serves keyed requests although it can't know
+// which keys were taken away, and against one that stays so.
+func TestStoreOutage(t *testing.T) {
+	f := newFleet(t, 2)
+	f.store.SetDown(true)
+	for _, n := range f.nodes {
+		f.eventually("refused", func() bool {
+			return f.send(n, http.MethodGet, "/lookup/1", "k").status == http.StatusServiceUnavailable
+		})
+		require.False(t, n.ready())
+	}
+	f.store.SetDown(false)
+	for _, n := range f.nodes {
+		f.eventually("served again", func() bool {
+			return f.send(n, http.MethodGet, "/lookup/1", "k").status == http.StatusOK
+		})
+	}
+}
+
+// Guards against a leaving replica that still gets requests.
+func TestDrainingReplica(t *testing.T) {
+	f := newFleet(t, 2)
+	f.store.Put("servers/e1", f.replica["e1"].Entry("engines", "draining"))
+	for _, n := range f.nodes {
+		f.eventually("draining known", func() bool {
+			before := len(f.replica["e1"].Runs())
+			for range 4 {
+				f.send(n, http.MethodPost, "/stream/1", "k")
+			}
+			return len(f.replica["e1"].Runs()) == before
+		})
+	}
+}
+
+// Guards against a planned stop that cuts a request in progress.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	f := newFleet(t, 2)
+	leaving := f.nodes[0]
+	before := len(f.runs())
+	result := make(chan answer, 1)
+	go func() { result <- f.send(leaving, http.MethodPost, "/stream/1", "k") }()
+	f.eventually("request runs", func() bool { return len(f.runs()) > before })
+	leaving.stop()
+	a := <-result
+	require.NoError(t, a.err)
+	require.Equal(t, wholeStream(), a.body)
+	f.eventually("turned away", func() bool { return !leaving.ready() })
+	f.eventually("registration ended", func() bool { return !f.store.Has("basilmoor/hosts/h0") })
+	require.NoError(t, <-leaving.done)
+	require.Equal(t, http.StatusOK, f.send(f.nodes[1], http.MethodPost, "/stream/2", "k").status)
+}
+
+// Guards against a stream that ends with its replica although another one can
+// go on with it.
+func TestReplicaCrashMidStream(t *testing.T) {
+	f := newFleet(t, 1)
+	before := len(f.runs())
+	result := make(chan answer, 1)
+	go func() { result <- f.send(f.nodes[0], http.MethodPost, "/stream/1", "k") }()
+	f.eventually("request runs", func() bool { return len(f.runs()) > before })
+	for _, id := range []string{"e1", "e2"} {
+		if len(f.replica[id].Runs()) > 0 {
+			f.replica[id].Crash()
+		}
+	}
+	a := <-result
+	require.NoError(t, a.err)
+	require.Equal(t, wholeStream(), a.body)
+}
--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -146,7 +146,7 @@
 		return errors.Wrap(err, "readiness")
 	}
 	n.onClose(n.ready.close)
-	if n.metric, err = newListener(s.port(portMetrics), &http.Server{
+	if n.metric, err = newListener(s.metricsAddress(), &http.Server{
 		Handler:           http.HandlerFunc(n.serveMetrics),
 		ReadHeaderTimeout: headerTimeout.Duration(),
 	}); err != nil {
--- a/internal/node/bmentrynode/serve.go
+++ b/internal/node/bmentrynode/serve.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
-	"sort"
 
 	"basilmoor.example/basilmoor"
 )
@@ -41,16 +39,15 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// serveMetrics writes all counters as lines of a name and a value.
+// serveMetrics writes all metrics with the state at this moment.
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	values := n.metrics.Snapshot()
-	names := make([]string, 0, len(values))
-	for name := range values {
-		names = append(names, name)
+	n.metrics.Set("requests.in-progress", int64(n.handler.Active()))
+	if age, known := n.keeper.Age(); known {
+		n.metrics.Set("view.age-ms", int64(age))
 	}
-	sort.Strings(names)
-	for _, name := range names {
-		fmt.Fprintf(w, "%s %d\n", name, values[name])
+	n.metrics.Set("view.hosts", int64(len(n.keeper.View().Hosts())))
+	if err := n.metrics.WriteText(w); err != nil {
+		n.log.Debug().Err(err).Msg("metrics not written")
 	}
 }
 
--- a/internal/node/bmentrynode/settings.go
+++ b/internal/node/bmentrynode/settings.go
@@ -45,6 +45,10 @@
 	// Tolerance is what workspaces may spend over their allowances.
 	Tolerance bmgrant.Tolerance
 
+	// MetricsPort is where metrics are served; 0 selects the second port
+	// between hosts.
+	MetricsPort int
+
 	// FirstStart means that the whole system starts for the first time.
 	FirstStart bool
 
@@ -128,6 +132,13 @@
 	portsUsed
 )
 
+func (s Settings) metricsAddress() string {
+	if s.MetricsPort > 0 {
+		return net.JoinHostPort(s.IP, fmt.Sprint(s.MetricsPort))
+	}
+	return s.port(portMetrics)
+}
+
 func (s Settings) port(offset int) string {
 	return net.JoinHostPort(s.IP, fmt.Sprint(s.FirstPort+offset))
 }
--- a/internal/operator/bmcli/entry.go
+++ b/internal/operator/bmcli/entry.go
@@ -27,6 +27,7 @@
 	flags.StringVar(&path, "settings", path, "settings file of the platform; the default is $"+bmplatform.SettingsVariable)
 	level := flags.String("log-level", "info", "least level of log lines: debug, info, warn, error")
 	local := flags.Bool("local-scheduling", false, "serve with this host's share of the slots, without a broker")
+	metricsPort := flags.Int("metrics-port", 0, "port of the metrics; 0 selects the second port between hosts")
 	if err := flags.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return ExitOK
@@ -44,6 +45,7 @@
 		return ExitUsage
 	}
 	settings.LocalScheduling = *local
+	settings.MetricsPort = *metricsPort
 	clock := bmclock.NewSystem()
 	metrics := bmmetrics.NewRegistry()
 	lines, closeLog := bmlog.New(clock, env.Stdout, metrics)
--- a/internal/request/bmentry/handler.go
+++ b/internal/request/bmentry/handler.go
@@ -96,9 +96,10 @@
 	body      []byte
 	limit     basilmoor.Millis // instant at which the answer is due
 
-	demands  int // made to the scheduler
-	sends    int // handed to a target
-	runs     int // sends that may have run
+	demands  int              // made to the scheduler
+	waited   basilmoor.Millis // for grants
+	sends    int              // handed to a target
+	runs     int              // sends that may have run
 	excluded []string
 	target   string // of the last send
 }
@@ -153,7 +154,9 @@
 		Str("target", c.target).
 		Int("prompt-tokens", c.attempt.PromptTokens).
 		Int("output-tokens", c.attempt.OutputTokens).
+		Int("expected-tokens", c.attempt.ExpectedTokens).
 		Int("sends", c.sends).
+		Int64("waited-ms", int64(c.waited)).
 		Int64("elapsed-ms", int64(elapsed)).
 		Int64("config-version", c.version).
 		Int64("view-age-ms", int64(age)).
--- a/internal/request/bmentry/relay.go
+++ b/internal/request/bmentry/relay.go
@@ -271,7 +271,7 @@
 // resume goes on after the last event at another target.
 func (s *stream) resume(ctx context.Context) error {
 	c := s.call
-	permit, err := c.handler.cfg.Scheduler.Acquire(ctx, c.demand())
+	permit, err := c.acquire(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/request/bmentry/run.go
+++ b/internal/request/bmentry/run.go
@@ -26,7 +26,7 @@
 // nothing more may be tried.
 func (c *call) run(ctx context.Context) error {
 	for unsent := 0; ; {
-		permit, err := c.handler.cfg.Scheduler.Acquire(ctx, c.demand())
+		permit, err := c.acquire(ctx)
 		if err != nil {
 			return c.notGranted(ctx, err)
 		}
@@ -52,6 +52,21 @@
 	}
 }
 
+// acquire waits for a grant.
+func (c *call) acquire(ctx context.Context) (basilmoor.Permit, error) {
+	began := c.handler.cfg.Clock.Now()
+	permit, err := c.handler.cfg.Scheduler.Acquire(ctx, c.demand())
+	waited := c.handler.cfg.Clock.Now() - began
+	c.waited += waited
+	c.handler.cfg.Metrics.Observe("grant-wait-ms."+c.series(), waited)
+	return permit, err
+}
+
+// series names the pool and rank of the request in histograms.
+func (c *call) series() string {
+	return c.pool.Name + ".rank-" + strconv.Itoa(c.route.Rank)
+}
+
 // notGranted is the answer to a request that got no grant.
 func (c *call) notGranted(ctx context.Context, err error) error {
 	if c.r.Context().Err() != nil {
@@ -243,6 +258,7 @@
 		c.observeFailure(permit, err)
 		return nil, 0, err
 	}
+	c.handler.cfg.Metrics.Observe("first-byte-ms."+c.series(), c.handler.cfg.Clock.Now()-sent)
 	return resp, sent, nil
 }
 
--- a/internal/schedule/bmgrant/allowance.go
+++ b/internal/schedule/bmgrant/allowance.go
@@ -96,12 +96,12 @@
 	return (limit*(1+excessUsed*a.tolerance.Excess) + slackUsed*a.tolerance.Slack) * a.share
 }
 
-// assume records that every workspace has spent its rate in the last window. A
-// host that has just started does not know what it spent before; if all hosts
-// start at once, nobody does.
+// assume records that every workspace has spent, evenly over the last window,
+// all that it may. A host that has just started does not know what it spent
+// before; if all hosts start at once, nobody does.
 func (a *allowances) assume(now basilmoor.Millis) {
 	for _, acc := range a.accounts {
-		tokens := acc.limit.TokensPerSecond * a.share * float64(spendingStep) / float64(basilmoor.Second)
+		tokens := a.bound(acc) * float64(spendingStep) / float64(a.tolerance.Window)
 		for age := a.tolerance.Window; age > 0; age -= spendingStep {
 			a.record(acc, spending{
 				at:      now - age,
--- a/internal/schedule/bmgrant/pool.go
+++ b/internal/schedule/bmgrant/pool.go
@@ -27,9 +27,11 @@
 
 // item is a waiting demand.
 type item struct {
-	demand  basilmoor.Demand
-	onTime  basilmoor.Millis // last instant of a grant that meets the objective
-	expires basilmoor.Millis // last instant of a grant that can still be served
+	demand    basilmoor.Demand
+	objective basilmoor.Millis // instant at which the first token is due; 0 for none
+	deadline  basilmoor.Millis // instant at which the response has to be complete
+	onTime    basilmoor.Millis // last instant of a grant that meets the objective
+	expires   basilmoor.Millis // last instant of a grant that can still be served
 }
 
 // Pool is the policy of one pool of targets. It is not safe for concurrent
@@ -89,14 +91,17 @@
 	}
 	p.remove(d.Request)
 	i := &item{
-		demand:  d,
-		onTime:  now + d.Objective - p.firstToken(d),
-		expires: now + d.Deadline - p.duration(d),
+		demand:    d,
+		objective: now + d.Objective,
+		deadline:  now + d.Deadline,
+		onTime:    now + d.Objective - p.firstToken(d),
+		expires:   now + d.Deadline - p.duration(d),
 	}
 	if d.Patience != 0 {
 		i.expires = min(i.expires, now+d.Patience-p.firstToken(d))
 	}
 	if d.Objective == 0 {
+		i.objective = 0
 		i.onTime = i.expires
 	}
 	if len(p.waiting) >= maxWaiting {
@@ -130,6 +135,7 @@
 	case basilmoor.StageFirstToken:
 		f.dispatched = true
 		if f.first == 0 {
+			t.guess(o.Elapsed, p.pace())
 			f.first = max(o.Elapsed, 1)
 			t.backlog -= f.demand.PromptTokens
 		}
@@ -270,7 +276,7 @@
 			return
 		}
 		i := p.waiting[n]
-		t := p.choose(now, i.demand)
+		t := p.choose(now, i)
 		p.waiting = slices.Delete(p.waiting, n, n+1)
 		p.grant(now, i.demand, t)
 	}
@@ -287,7 +293,7 @@
 		if best >= 0 && !i.before(p.waiting[best], now) {
 			continue
 		}
-		if p.choose(now, i.demand) != nil {
+		if p.choose(now, i) != nil {
 			best = n
 		}
 	}
@@ -310,15 +316,16 @@
 	return class
 }
 
-// choose returns the free target that is expected to serve d first, or nil.
-func (p *Pool) choose(now basilmoor.Millis, d basilmoor.Demand) *target {
+// choose returns the free target that is expected to serve a demand first
+// among those that suit it, or nil.
+func (p *Pool) choose(now basilmoor.Millis, i *item) *target {
 	var best *target
 	bestCost := 0.0
 	for _, t := range p.order {
-		if !t.free(now) || slices.Contains(d.Excluded, t.spec.Name) {
+		if !t.free(now) || slices.Contains(i.demand.Excluded, t.spec.Name) || !p.suits(now, i, t) {
 			continue
 		}
-		cost := p.cost(t, d)
+		cost := p.cost(t, i.demand)
 		if best == nil || cost < bestCost {
 			best = t
 			bestCost = cost
@@ -327,15 +334,24 @@
 	return best
 }
 
+// suits reports whether a target is fast enough for a demand. One that would
+// miss the objective is left to other demands while a faster one can still meet
+// it, and one that would miss the deadline as long as a faster one would not.
+func (p *Pool) suits(now basilmoor.Millis, i *item, t *target) bool {
+	pace := p.paceOf(t)
+	first := now + firstTokenOf(pace, i.demand.PromptTokens+t.backlog)
+	if now <= i.onTime && i.objective > 0 && first > i.objective {
+		return false
+	}
+	end := first + basilmoor.Millis(pace*float64(i.demand.OutputTokens))
+	return end <= i.deadline || now+p.duration(i.demand) > i.deadline
+}
+
 // cost is the expected time of d on t in ms, with the load and distance of t
 // added.
 func (p *Pool) cost(t *target, d basilmoor.Demand) float64 {
-	pace := t.pace
-	if pace == 0 {
-		pace = p.pace()
-	}
-	speed := pace / defaultPace
-	cost := firstTokenBase*speed + defaultPrefill*speed*float64(d.PromptTokens+t.backlog) + pace*float64(d.OutputTokens)
+	pace := p.paceOf(t)
+	cost := float64(firstTokenOf(pace, d.PromptTokens+t.backlog)) + pace*float64(d.OutputTokens)
 	cost *= 1 + loadCost*float64(len(t.flights))/float64(max(t.spec.Slots, 1))
 	if t.spec.Place != d.Place {
 		cost *= 1 + remoteCost
@@ -343,8 +359,22 @@
 	return cost
 }
 
-// pace is the fastest known time between tokens, so that new targets are
-// tried.
+// firstTokenOf is the expected time to first token at a pace, with the prompt
+// tokens that are read before it.
+func firstTokenOf(pace float64, promptTokens int) basilmoor.Millis {
+	return basilmoor.Millis(pace / defaultPace * (firstTokenBase + defaultPrefill*float64(promptTokens)))
+}
+
+// paceOf is the time between tokens of a target. One that has shown none is
+// taken for a fast one, so that it is tried.
+func (p *Pool) paceOf(t *target) float64 {
+	if t.pace > 0 {
+		return t.pace
+	}
+	return p.pace()
+}
+
+// pace is the fastest known time between tokens.
 func (p *Pool) pace() float64 {
 	best := 0.0
 	for _, t := range p.order {
@@ -360,8 +390,7 @@
 
 // firstToken is the expected time from a grant to the first token.
 func (p *Pool) firstToken(d basilmoor.Demand) basilmoor.Millis {
-	speed := p.pace() / defaultPace
-	return basilmoor.Millis(speed * (firstTokenBase + defaultPrefill*float64(d.PromptTokens)))
+	return firstTokenOf(p.pace(), d.PromptTokens)
 }
 
 // duration is the expected time from a grant to the end of the response.
--- a/internal/schedule/bmgrant/target.go
+++ b/internal/schedule/bmgrant/target.go
@@ -19,6 +19,10 @@
 	// paceWeight is the weight of a new sample in a target's pace.
 	paceWeight = 0.3
 
+	// maxGuess bounds the slowness that the first time to first token of a
+	// target tells: it may have waited in the target's own queue.
+	maxGuess = 4.0
+
 	// minPaceTokens is the least number of output tokens that tell a pace.
 	minPaceTokens = 8
 
@@ -95,6 +99,16 @@
 	t.pace += paceWeight * (sample - t.pace)
 }
 
+// guess takes the first time to first token of a target that has shown no pace
+// for its speed, compared with the fastest pace.
+func (t *target) guess(first basilmoor.Millis, fastest float64) {
+	if t.pace > 0 {
+		return
+	}
+	expected := firstTokenOf(fastest, t.backlog)
+	t.pace = fastest * min(max(float64(first)/float64(max(expected, 1)), 1), maxGuess)
+}
+
 func (t *target) add(f *flight) {
 	t.flights[f.demand.Request] = f
 	if f.first == 0 {
--- /dev/null
+++ b/internal/standin/bmstandinplatform/replica.go
@@ -0,0 +1,108 @@
+package bmstandinplatform
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Replica is a stand-in of a replica. It runs every request that expects it,
+// and answers a GET with a text and a POST with a stream of events. It is safe
+// for concurrent use.
+type Replica struct {
+	ID     string
+	server *httptest.Server
+
+	mu   sync.Mutex
+	runs []Run
+}
+
+// Run is a request that a replica ran.
+type Run struct {
+	Attempt string
+	Tenant  string
+	Key     string // that reached the replica, which is a fault
+	Path    string
+}
+
+// Events is the number of events of a stream, and EventPause the time between
+// two of them.
+const (
+	Events     = 5
+	EventPause = 20 * time.Millisecond
+)
+
+// NewReplica starts a replica and returns a function that stops it.
+func NewReplica(id string) (*Replica, func()) {
+	r := &Replica{
+		ID: id,
+	}
+	r.server = httptest.NewServer(http.HandlerFunc(r.serve))
+	return r, r.server.Close
+}
+
+// Address returns the IP address and port of the replica.
+func (r *Replica) Address() string {
+	return strings.TrimPrefix(r.server.URL, "http://")
+}
+
+// Entry is what the replica writes to the store.
+func (r *Replica) Entry(pool, lifecycle string) map[string]any {
+	return map[string]any{
+		"backend":   pool,
+		"address":   r.Address(),
+		"zone":      "z1",
+		"version":   "v1",
+		"slots":     4,
+		"lifecycle": lifecycle,
+	}
+}
+
+// Runs returns the requests that the replica ran.
+func (r *Replica) Runs() []Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Run(nil), r.runs...)
+}
+
+// Crash closes all connections.
+func (r *Replica) Crash() {
+	r.server.CloseClientConnections()
+}
+
+func (r *Replica) serve(w http.ResponseWriter, q *http.Request) {
+	w.Header().Set("X-Attempt-Id", q.Header.Get("X-Attempt-Id"))
+	if q.Header.Get("X-Expected-Replica") != r.ID {
+		w.Header().Set("X-Replica-Id", r.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	r.mu.Lock()
+	r.runs = append(r.runs, Run{
+		Attempt: q.Header.Get("X-Attempt-Id"),
+		Tenant:  q.Header.Get("X-Tenant-Id"),
+		Key:     q.Header.Get("Authorization"),
+		Path:    q.RequestURI,
+	})
+	r.mu.Unlock()
+	w.Header().Set("X-Response-Signature", "sig-"+r.ID)
+	if q.Method == http.MethodGet {
+		fmt.Fprint(w, "whole")
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	last := 0
+	if _, err := fmt.Sscan(q.Header.Get("Last-Event-Id"), &last); err != nil {
+		last = 0
+	}
+	for id := last + 1; id <= Events; id++ {
+		fmt.Fprintf(w, "id: %d\ndata: x\n\n", id)
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+		time.Sleep(EventPause)
+	}
+}
