Record what workspaces have spent in the platform's store

Change: the broker's host writes the record once a second; the next broker takes it over, and assumptions count only for the time since.

--- a/internal/core/bmclock/system.go
+++ b/internal/core/bmclock/system.go
@@ -83,3 +83,10 @@
 func WallAfter(d basilmoor.Millis) time.Time {
 	return time.Now().Add(d.Duration())
 }
+
+// WallMillis returns the time of day in milliseconds of the Unix epoch. It may
+// jump and differ between hosts: it serves only for instants that other hosts
+// read.
+func WallMillis() int64 {
+	return time.Now().UnixMilli()
+}
--- a/internal/fleet/bmview/keeper.go
+++ b/internal/fleet/bmview/keeper.go
@@ -72,6 +72,7 @@
 	known     atomic.Bool  // whether a call has confirmed the view
 	relayed   atomic.Bool  // whether another host relays its view
 	shared    atomic.Bool  // whether others follow this view
+	spending  atomic.Pointer[[]byte]
 	history   *history
 
 	mu          sync.Mutex // guards what follows, and orders the callbacks
@@ -112,6 +113,15 @@
 	return k.clock.Now() - basilmoor.Millis(k.confirmed.Load()), true
 }
 
+// Spending returns the last record of what workspaces have spent, nil if there
+// is none.
+func (k *Keeper) Spending() []byte {
+	if record := k.spending.Load(); record != nil {
+		return *record
+	}
+	return nil
+}
+
 // Since returns the steps of the state after a revision.
 func (k *Keeper) Since(revision int64) []Update {
 	return k.history.since(revision)
@@ -251,6 +261,9 @@
 	} else {
 		k.state.apply(changes, k.keepUntil())
 	}
+	if changes.Spending != nil {
+		k.spending.Store(&changes.Spending)
+	}
 	k.revision = u.To
 	k.history.add(u)
 	k.publish(len(changes.Targets) > 0 || len(changes.Hosts) > 0 || changes.Table != nil || u.From == 0)
--- a/internal/fleet/bmview/view.go
+++ b/internal/fleet/bmview/view.go
@@ -44,6 +44,9 @@
 	// Targets and Hosts are by name; a nil value is one that is gone.
 	Targets map[string]*basilmoor.Target
 	Hosts   map[string]*basilmoor.Member
+	// Spending is the brokers' record of what workspaces have spent, if it
+	// has changed, else nil.
+	Spending []byte
 }
 
 // state is the mutable form of a view.
--- a/internal/node/bmentrynode/fleet_test.go
+++ b/internal/node/bmentrynode/fleet_test.go
@@ -166,6 +166,7 @@
 		Protocol:     bmplatform.Headers{},
 		Contract:     bmplatform.Headers{},
 		Registration: bmplatform.Registration,
+		SpendingKey:  bmplatform.KeySpending,
 	}, zerolog.Nop())
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -12,6 +12,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmview"
 	"basilmoor.example/basilmoor/internal/request/bmentry"
@@ -51,6 +52,8 @@
 	Contract bmexchange.Contract
 	// Registration returns the key and value under which a host registers.
 	Registration func(m basilmoor.Member) (key string, value []byte, err error)
+	// SpendingKey is the key of the record of what workspaces have spent.
+	SpendingKey string
 }
 
 // Node is the process of an entry host.
@@ -68,6 +71,7 @@
 	retries   *bmentry.RetryBudget
 	handler   *bmentry.Handler
 	registrar *registrar
+	recorder  *bmgrant.Recorder
 
 	callers *listener
 	ready   *listener
@@ -95,7 +99,7 @@
 		Place:   s.DataCentre,
 		Region:  s.Region,
 		// Only the starts of one host are compared.
-		Incarnation: uint64(time.Now().UnixMilli()),
+		Incarnation: uint64(bmclock.WallMillis()),
 		Capacity:    s.capacity(),
 	}
 	n.keeper = bmview.NewKeeper(n.clock, parts.Feed, log, n.metrics, n.viewChanged, n.relay)
@@ -120,6 +124,7 @@
 		MaxProofAge: func() basilmoor.Millis { return n.settings.Load().maxProofAge() },
 	})
 	n.registrar = newRegistrar(n.clock, parts.Store, s.MinLease, func() (string, []byte, error) { return parts.Registration(self) }, log)
+	n.recorder = bmgrant.NewRecorder(n.clock, parts.Store, parts.SpendingKey, n.broker, log)
 	if err := n.listen(s); err != nil {
 		n.close()
 		return nil, nil, err
@@ -215,7 +220,7 @@
 		EventHook: n.logEvent,
 		Timeout:   time.Second,
 	})
-	for _, s := range []suture.Service{n.keeper, n.broker, n.scheduler, n.registrar, n.peers, n.callers, n.ready, n.metric} {
+	for _, s := range []suture.Service{n.keeper, n.broker, n.scheduler, n.registrar, n.recorder, n.peers, n.callers, n.ready, n.metric} {
 		supervisor.Add(s)
 	}
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
--- a/internal/operator/bmcli/entry.go
+++ b/internal/operator/bmcli/entry.go
@@ -66,6 +66,7 @@
 		Protocol:     bmplatform.Headers{},
 		Contract:     bmplatform.Headers{},
 		Registration: bmplatform.Registration,
+		SpendingKey:  bmplatform.KeySpending,
 	}, log)
 	if err != nil {
 		log.Error().Err(err).Msg("not started")
--- a/internal/schedule/bmgrant/allowance.go
+++ b/internal/schedule/bmgrant/allowance.go
@@ -44,7 +44,21 @@
 type account struct {
 	limit bmrouting.Allowance
 	spent []spending // by time
-	sum   int
+	sum   int        // of what this holder's hosts spent
+	fleet int        // of what all hosts spent, whoever holds them now
+}
+
+// used is what counts against this holder's part of the allowance.
+func (a *allowances) used(acc *account) float64 {
+	return float64(acc.sum) + float64(acc.fleet)*a.share
+}
+
+func (acc *account) add(s spending, tokens int) {
+	if s.fleet {
+		acc.fleet += tokens
+		return
+	}
+	acc.sum += tokens
 }
 
 // spending is what was spent in the step that began at an instant.
@@ -52,6 +66,7 @@
 	at      basilmoor.Millis
 	tokens  int
 	assumed bool // nobody knows whether it was spent
+	fleet   bool // by all hosts
 }
 
 func newAllowances(t Tolerance) *allowances {
@@ -116,7 +131,7 @@
 func (a *allowances) expire(now basilmoor.Millis, acc *account) {
 	n := 0
 	for n < len(acc.spent) && now-acc.spent[n].at >= a.tolerance.Window+spendingStep {
-		acc.sum -= acc.spent[n].tokens
+		acc.add(acc.spent[n], -acc.spent[n].tokens)
 		n++
 	}
 	acc.spent = acc.spent[n:]
@@ -131,7 +146,7 @@
 		return 0, true
 	}
 	a.expire(now, acc)
-	if acc.sum > 0 && float64(acc.sum+tokens) > a.bound(acc) {
+	if used := a.used(acc); used > 0 && used+float64(tokens) > a.bound(acc) {
 		return a.wait(now, acc, tokens), false
 	}
 	a.record(acc, spending{
@@ -154,12 +169,12 @@
 
 func (a *allowances) record(acc *account, s spending) {
 	s.at -= s.at % spendingStep
-	acc.sum += s.tokens
+	acc.add(s, s.tokens)
 	i := len(acc.spent)
 	for i > 0 && acc.spent[i-1].at > s.at {
 		i--
 	}
-	if i > 0 && acc.spent[i-1].at == s.at && acc.spent[i-1].assumed == s.assumed {
+	if i > 0 && acc.spent[i-1].at == s.at && acc.spent[i-1].assumed == s.assumed && acc.spent[i-1].fleet == s.fleet {
 		acc.spent[i-1].tokens += s.tokens
 		return
 	}
@@ -168,9 +183,13 @@
 
 // wait is the time until so much was forgotten that tokens are left.
 func (a *allowances) wait(now basilmoor.Millis, acc *account, tokens int) basilmoor.Millis {
-	excess := float64(acc.sum+tokens) - a.bound(acc)
+	excess := a.used(acc) + float64(tokens) - a.bound(acc)
 	for _, s := range acc.spent {
-		excess -= float64(s.tokens)
+		if s.fleet {
+			excess -= float64(s.tokens) * a.share
+		} else {
+			excess -= float64(s.tokens)
+		}
 		if excess <= 0 {
 			return s.at + a.tolerance.Window + spendingStep - now
 		}
@@ -189,7 +208,7 @@
 	var list []exhaustion
 	for name, acc := range a.accounts {
 		a.expire(now, acc)
-		if float64(acc.sum) >= a.bound(acc) {
+		if a.used(acc) >= a.bound(acc) {
 			list = append(list, exhaustion{
 				workspace: name,
 				wait:      a.wait(now, acc, 1),
@@ -200,6 +219,17 @@
 	return list
 }
 
+// load records what all hosts had spent at an instant of the last window.
+func (a *allowances) load(at basilmoor.Millis, workspace string, tokens int) {
+	if acc, bounded := a.accounts[workspace]; bounded {
+		a.record(acc, spending{
+			at:     at,
+			tokens: tokens,
+			fleet:  true,
+		})
+	}
+}
+
 // each calls f with every record of the last window.
 func (a *allowances) each(now basilmoor.Millis, f func(workspace string, s spending)) {
 	for name, acc := range a.accounts {
--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmview"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
@@ -35,6 +36,7 @@
 
 	views     Views
 	tolerance Tolerance
+	wall      func() int64 // wall clock in ms, for what other hosts read
 
 	mu         sync.Mutex
 	view       *bmview.View
@@ -42,6 +44,9 @@
 	sessions   map[string]*session // by host
 	allowances *allowances
 	began      basilmoor.Millis // when the first host came
+	loaded     bool             // whether a record of spending was looked for
+	hasRecord  bool             // whether one was taken over
+	recorded   basilmoor.Millis // when it was written; may be before the clock's origin
 	holdOff    basilmoor.Millis
 }
 
@@ -69,6 +74,7 @@
 	Confirm(at basilmoor.Millis)
 	SetRelayed(relayed bool)
 	SetShared(shared bool)
+	Spending() []byte
 }
 
 // NewBroker returns a broker without sessions.
@@ -79,6 +85,7 @@
 		log:       log,
 		views:     views,
 		tolerance: tolerance,
+		wall:      bmclock.WallMillis,
 		view:      &bmview.View{},
 	}
 	b.reset()
@@ -107,6 +114,10 @@
 	}
 	b.setShare()
 	b.allowances.set(b.view.Table.Workspaces())
+	if !b.loaded {
+		b.loaded = true
+		b.loadRecord(now)
+	}
 	for _, spec := range b.view.Table.Pools() {
 		p, ok := b.pools[spec.Name]
 		if !ok {
@@ -194,6 +205,8 @@
 	if len(b.sessions) == 0 {
 		b.reset()
 		b.began = now
+		b.loaded = false
+		b.hasRecord = false
 		b.holdOff = now + warmUp
 	}
 	if old, ok := b.sessions[hello.GetHost()]; ok {
@@ -280,15 +293,19 @@
 	b.endWarmUp(now, batch)
 }
 
-// spend records what a host has spent without a grant of this broker. What the
-// host only assumes counts if the broker does not know better: one that has
-// been there for a whole window does.
+// spend records what a host has spent without a grant of this broker. What an
+// earlier broker has recorded counts once, and what the host only assumes
+// counts for the time before this broker, which knows the rest.
 func (b *Broker) spend(now basilmoor.Millis, spendings []*bmgrantpb.Spending) {
 	for _, s := range spendings {
-		if s.GetAssumed() && now-b.began >= b.tolerance.Window {
+		at := now - basilmoor.Millis(s.GetAgeMs())
+		if b.hasRecord && at <= b.recorded {
+			continue
+		}
+		if s.GetAssumed() && at >= b.began {
 			continue
 		}
-		b.allowances.spend(now-basilmoor.Millis(s.GetAgeMs()), s.GetWorkspace(), int(s.GetTokens()))
+		b.allowances.spend(at, s.GetWorkspace(), int(s.GetTokens()))
 	}
 }
 
--- a/internal/schedule/bmgrant/failover_test.go
+++ b/internal/schedule/bmgrant/failover_test.go
@@ -57,7 +57,7 @@
 func newTestFleet(t *testing.T, slots int, names ...string) *testFleet {
 	f := &testFleet{
 		t:      t,
-		clock:  bmclock.NewManual(1000),
+		clock:  bmclock.NewManual(0), // as in a process that has just started
 		hosts:  map[string]*testHost{},
 		silent: map[string]bool{},
 	}
@@ -348,6 +348,36 @@
 	})
 }
 
+// Guards against a fleet that starts anew, all at once, and does not know what
+// the last broker recorded: a workspace would get its window once more, or
+// nothing for a while.
+func TestRecordOutlivesAllHosts(t *testing.T) {
+	before := newTestFleet(t, 3, "a", "b", "c")
+	first := before.hosts[before.awaitBroker(2000)].broker
+	first.mu.Lock()
+	first.allowances.spend(before.clock.Now(), "w", 700_000)
+	first.mu.Unlock()
+	raw, worth, err := first.spendingRecord()
+	require.NoError(t, err)
+	require.True(t, worth)
+
+	f := newTestFleet(t, 3)
+	f.restarted = true
+	f.feed.changes.Spending = raw
+	for _, name := range []string{"a", "b", "c"} {
+		f.addMember(name)
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		f.addHost(name)
+	}
+	b := f.hosts[f.awaitBroker(2000)].broker
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sum := b.allowances.used(b.allowances.accounts["w"])
+	require.GreaterOrEqual(t, sum, 700_000.0)
+	require.Less(t, sum, 0.8*b.allowances.bound(b.allowances.accounts["w"]), "only the time since the record is assumed to be spent")
+}
+
 // Guards against allowances that the broker and cut-off hosts spend twice.
 func TestCutOffHostsShareTheAllowance(t *testing.T) {
 	f := newTestFleet(t, 3, "a", "b", "c", "d")
