--- a/cmd/basilmoor/main.go
+++ b/cmd/basilmoor/main.go
@@ -1,5 +1,5 @@
 // Command basilmoor schedules requests from many workspaces onto unlike
-// targets. See docs/operations.md.
+// targets. See docs/OPERATIONS.md.
 package main
 
 import (
--- a/internal/node/bmsettings/page_test.go
+++ b/internal/node/bmsettings/page_test.go
@@ -16,7 +16,7 @@
 		start = "a test compares them -->\n"
 		end   = "<!-- end of settings -->"
 	)
-	path := filepath.Join("..", "..", "..", "docs", "operations.md")
+	path := filepath.Join("..", "..", "..", "docs", "node-operations.md")
 	page, err := os.ReadFile(path)
 	require.NoError(t, err)
 	head, rest, found := strings.Cut(string(page), start)
