Leave a broker that has lost the store; learn lengths of responses; log the state of pools

Cause: hosts stayed with a broker that was cut off from the store and each asked the store for itself; hosts cut off with it refused keyed requests. Requests without an estimate counted as long as their bound, ten times what they need.

--- a/internal/request/bmentry/handler.go
+++ b/internal/request/bmentry/handler.go
@@ -45,15 +45,17 @@
 
 // Handler serves callers. It is safe for concurrent use.
 type Handler struct {
-	cfg     Config
-	closing atomic.Bool
-	active  atomic.Int64
+	cfg      Config
+	expected *expectations
+	closing  atomic.Bool
+	active   atomic.Int64
 }
 
 // New returns a handler.
 func New(cfg Config) *Handler {
 	return &Handler{
-		cfg: cfg,
+		cfg:      cfg,
+		expected: newExpectations(),
 	}
 }
 
@@ -142,7 +144,7 @@
 		e = cfg.Log.Warn()
 	}
 	if c.route != nil {
-		e = e.Str("route", c.route.Name)
+		e = e.Str("route", c.route.Name).Int("rank", c.route.Rank)
 	}
 	if c.workspace != nil {
 		e = e.Str("workspace", c.workspace.Name)
--- a/internal/request/bmentry/handler_test.go
+++ b/internal/request/bmentry/handler_test.go
@@ -1,7 +1,9 @@
 package bmentry
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -120,10 +122,13 @@
 // the scheduler grants them.
 type fleet struct {
 	url       string
+	close     func() // ends the handler's server with its requests
 	scheduler *testScheduler
 	views     *testViews
 	retries   *RetryBudget
 
+	log bytes.Buffer // read only after the request has ended
+
 	mu   sync.Mutex
 	runs []string // targets that ran the request, with the last event they got
 }
@@ -158,12 +163,13 @@
 		Exchange:    exchange,
 		Retries:     f.retries,
 		Metrics:     metrics,
-		Log:         zerolog.Nop(),
+		Log:         zerolog.New(&f.log),
 		MaxProofAge: func() basilmoor.Millis { return 4000 },
 	})
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
 	f.url = server.URL
+	f.close = server.Close
 	return f
 }
 
@@ -429,3 +435,57 @@
 	handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/once/x", nil))
 	require.Equal(t, "close", w.Header().Get("Connection"))
 }
+
+// Guards against a line of the log that lacks what docs/OPERATIONS.md uses to
+// get from a request to its cause.
+func TestLogLineOfARequest(t *testing.T) {
+	tests := map[string]struct {
+		behaviours []string
+		age        basilmoor.Millis
+		want       map[string]any
+	}{
+		"refused for shortage": {
+			want: map[string]any{
+				"reason": "deadline",
+				"status": 503.0,
+				"sends":  0.0,
+				"target": "",
+			},
+		},
+		"lost answer": {
+			behaviours: []string{breaksOff},
+			want: map[string]any{
+				"reason": "target-failed",
+				"status": 502.0,
+				"sends":  1.0,
+				"target": "t0",
+			},
+		},
+		"old view": {
+			age: 4000,
+			want: map[string]any{
+				"reason":      "isolated",
+				"status":      503.0,
+				"sends":       0.0,
+				"view-age-ms": 4000.0,
+			},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, tt.behaviours...)
+			f.views.age = tt.age
+			_, _, err := f.get(t, "/once/x", "k")
+			require.NoError(t, err)
+			f.close()
+			var line map[string]any
+			require.NoError(t, json.Unmarshal(f.log.Bytes(), &line))
+			for field, value := range tt.want {
+				require.Equal(t, value, line[field], field)
+			}
+			for _, field := range []string{"request", "route", "rank", "outcome", "waited-ms", "elapsed-ms", "config-version", "view-age-ms", "prompt-tokens", "output-tokens", "expected-tokens"} {
+				require.Contains(t, line, field)
+			}
+		})
+	}
+}
--- a/internal/request/bmentry/relay.go
+++ b/internal/request/bmentry/relay.go
@@ -236,11 +236,8 @@
 			}
 		}
 	}
-	tokens := events
-	if s.call.pool.Engine != nil {
-		tokens *= s.call.pool.Engine.EventTokens
-	}
-	s.call.observeFinished(permit, sent, tokens)
+	s.call.handler.expected.learn(s.call.route.Name, s.call.outputTokens(s.events))
+	s.call.observeFinished(permit, sent, s.call.outputTokens(events))
 	return nil
 }
 
--- a/internal/request/bmentry/run.go
+++ b/internal/request/bmentry/run.go
@@ -164,7 +164,7 @@
 		Pool:         c.pool.Name,
 		Model:        c.attempt.Model,
 		PromptTokens: c.attempt.PromptTokens,
-		OutputTokens: c.outputTokens(),
+		OutputTokens: c.handler.expected.expect(c.route.Name, c.attempt),
 		Age:          now - c.arrived,
 		Deadline:     c.limit - now,
 		Excluded:     c.excluded,
@@ -206,15 +206,6 @@
 	return a.DefaultTokens
 }
 
-// outputTokens is the caller's estimate within its bound. The bound alone is
-// far above what most responses reach.
-func (c *call) outputTokens() int {
-	if c.attempt.ExpectedTokens > 0 {
-		return min(c.attempt.ExpectedTokens, max(c.attempt.OutputTokens, 1))
-	}
-	return c.attempt.OutputTokens
-}
-
 // send hands the request to the granted target and relays the response.
 func (c *call) send(ctx context.Context, permit basilmoor.Permit) error {
 	resp, sent, err := c.dispatch(ctx, permit, c.attempt.LastEvent)
--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -21,6 +21,14 @@
 	// given up. Requests have objectives from 100 ms on.
 	silenceBound basilmoor.Millis = 350
 
+	// staleProof is the age of a broker's proof from which hosts that have a
+	// younger one choose another broker. While the store answers, a broker's
+	// proof stays under 1.1 s.
+	staleProof basilmoor.Millis = 2500
+
+	// summaryPeriod is the time between two log lines of a pool.
+	summaryPeriod = basilmoor.Second
+
 	// warmUp is how long a new broker collects what hosts have in progress
 	// before it grants, unless all hosts have reported.
 	warmUp basilmoor.Millis = 150
@@ -48,6 +56,7 @@
 	hasRecord  bool             // whether one was taken over
 	recorded   basilmoor.Millis // when it was written; may be before the clock's origin
 	holdOff    basilmoor.Millis
+	summarized basilmoor.Millis // when the pools were logged last
 }
 
 // session is the broker's side of a session with one host. Its fields are
@@ -177,8 +186,11 @@
 			b.deliver(p.Tick(now))
 		}
 	}
+	b.logPools(now)
+	leaving := b.abandoned()
 	exhausted := b.allowances.exhausted(now)
 	for _, s := range b.sessions {
+		s.pending.Leaving = leaving
 		if now-s.sent >= keepalivePeriod || len(exhausted) != s.exhausted {
 			b.tellExhausted(s, exhausted)
 			s.signal()
@@ -186,6 +198,36 @@
 	}
 }
 
+// abandoned reports whether this host has lost the platform's store while most
+// hosts follow another broker: those that are left would be better off there.
+func (b *Broker) abandoned() bool {
+	age, known := b.views.Age()
+	return known && age >= staleProof && 2*len(b.sessions) < len(b.view.Hosts())
+}
+
+// logPools logs the state of the pools in which demands wait, once a period.
+func (b *Broker) logPools(now basilmoor.Millis) {
+	if now-b.summarized < summaryPeriod {
+		return
+	}
+	b.summarized = now
+	for name, p := range b.pools {
+		s := p.Summarize(now)
+		if len(s.Waiting) == 0 && len(s.Refused) == 0 {
+			continue
+		}
+		b.log.Info().
+			Str("pool", name).
+			Interface("waiting", s.Waiting).
+			Interface("granted", s.Granted).
+			Interface("refused", s.Refused).
+			Int("slots", s.Slots).
+			Int("in-use", s.InUse).
+			Int("suspect", s.Suspect).
+			Msg("pool state")
+	}
+}
+
 func (b *Broker) tellExhausted(s *session, list []exhaustion) {
 	s.exhausted = len(list)
 	s.pending.Exhausted = nil
--- a/internal/schedule/bmgrant/failover_test.go
+++ b/internal/schedule/bmgrant/failover_test.go
@@ -378,6 +378,45 @@
 	require.Less(t, sum, 0.8*b.allowances.bound(b.allowances.accounts["w"]), "only the time since the record is assumed to be spent")
 }
 
+// Guards against a fleet that stays with a broker that is cut off from the
+// store: each host would ask the store for itself, and hosts that are cut off
+// as well would refuse keyed requests although others could prove their view.
+func TestBrokerThatLostTheStore(t *testing.T) {
+	f := newTestFleet(t, 3, "a", "b", "c", "d", "e")
+	first := f.awaitBroker(2000)
+	for _, h := range f.hosts {
+		h.keeper.Confirm(f.clock.Now())
+	}
+	cut := map[string]bool{first: true}
+	for name := range f.hosts {
+		if len(cut) < 2 {
+			cut[name] = true
+		}
+	}
+	f.until(10_000, func() bool {
+		for name, h := range f.hosts {
+			if !cut[name] {
+				h.keeper.Confirm(f.clock.Now())
+			}
+		}
+		broker, ok := f.agreed()
+		return ok && !cut[broker]
+	})
+	f.until(1000, func() bool {
+		for name, h := range f.hosts {
+			if !cut[name] {
+				h.keeper.Confirm(f.clock.Now())
+			}
+		}
+		for name := range cut {
+			if age, known := f.hosts[name].keeper.Age(); !known || age >= staleProof {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // Guards against allowances that the broker and cut-off hosts spend twice.
 func TestCutOffHostsShareTheAllowance(t *testing.T) {
 	f := newTestFleet(t, 3, "a", "b", "c", "d")
--- a/internal/schedule/bmgrant/pool.go
+++ b/internal/schedule/bmgrant/pool.go
@@ -43,6 +43,8 @@
 	waiting []*item
 	holdOff basilmoor.Millis // no grants before this instant
 	swept   basilmoor.Millis
+	granted map[int]int // by rank, since the last summary
+	refused map[int]int
 
 	decisions []basilmoor.Decision
 }
@@ -54,6 +56,8 @@
 	return &Pool{
 		targets: map[string]*target{},
 		flights: map[basilmoor.RequestID]*target{},
+		granted: map[int]int{},
+		refused: map[int]int{},
 		holdOff: holdOff,
 	}
 }
@@ -211,6 +215,41 @@
 	return len(p.waiting)
 }
 
+// Summary is the state of a pool for the log.
+type Summary struct {
+	Waiting map[int]int // by rank
+	Granted map[int]int // by rank, since the last summary
+	Refused map[int]int
+	Slots   int // of targets that take requests
+	InUse   int
+	Suspect int // targets that failed lately
+}
+
+// Summarize returns the state of the pool and starts the next period.
+func (p *Pool) Summarize(now basilmoor.Millis) Summary {
+	s := Summary{
+		Waiting: map[int]int{},
+		Granted: p.granted,
+		Refused: p.refused,
+		InUse:   len(p.flights),
+	}
+	for _, i := range p.waiting {
+		s.Waiting[i.demand.Tier]++
+	}
+	for _, t := range p.order {
+		if t.spec.Leaving {
+			continue
+		}
+		s.Slots += t.spec.Slots
+		if t.failures > 0 && now < t.suspect {
+			s.Suspect++
+		}
+	}
+	p.granted = map[int]int{}
+	p.refused = map[int]int{}
+	return s
+}
+
 func (p *Pool) remove(id basilmoor.RequestID) {
 	p.waiting = slices.DeleteFunc(p.waiting, func(i *item) bool { return i.demand.Request == id })
 }
@@ -399,6 +438,7 @@
 }
 
 func (p *Pool) grant(now basilmoor.Millis, d basilmoor.Demand, t *target) {
+	p.granted[d.Tier]++
 	t.add(&flight{
 		demand:  d,
 		granted: now,
@@ -414,6 +454,7 @@
 }
 
 func (p *Pool) refuse(d basilmoor.Demand, reason basilmoor.Reason) {
+	p.refused[d.Tier]++
 	p.decisions = append(p.decisions, basilmoor.Decision{
 		Refusal: &basilmoor.Refusal{
 			Request:    d.Request,
--- a/internal/schedule/bmgrant/uplink.go
+++ b/internal/schedule/bmgrant/uplink.go
@@ -18,6 +18,10 @@
 	// suspectBroker is how long a host whose session was lost is not chosen.
 	suspectBroker = 2 * basilmoor.Second
 
+	// suspectCutOff is the same for a host that has lost the store. Its
+	// registration ends after some seconds more.
+	suspectCutOff = 5 * basilmoor.Second
+
 	// ableShare is the share of the largest capacity from which a host may be
 	// the broker.
 	ableShare = 0.9
@@ -234,20 +238,33 @@
 	if !c.broker.views.Relay(updates) {
 		return errGap
 	}
-	if p := batch.GetProof(); p != nil {
+	p := batch.GetProof()
+	if p != nil {
 		c.broker.views.Confirm(basilmoor.Millis(p.GetEcho()) - basilmoor.Millis(p.GetAgeMs()))
-		c.setRelayed(u)
 	}
+	age, known := c.broker.views.Age()
+	fresher := p != nil && basilmoor.Millis(p.GetAgeMs()) >= staleProof && known && age < staleProof
+	c.judge(u, p != nil, fresher || batch.GetLeaving())
 	return nil
 }
 
-// setRelayed stops this host's own watch while the session lasts.
-func (c *Client) setRelayed(u *uplink) {
+// judge stops this host's own watch while a broker relays its view, and
+// suspects a broker that has lost the store while others have not. The session
+// goes on until there is another one.
+func (c *Client) judge(u *uplink, relays, cutOff bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.up == u {
+	if c.up != u {
+		return
+	}
+	if relays {
 		c.broker.views.SetRelayed(true)
 	}
+	now := c.clock.Now()
+	if cutOff && now >= c.suspects[u.host] {
+		c.suspects[u.host] = now + suspectCutOff
+		c.log.Warn().Str("broker", u.host).Msg("broker has lost the store")
+	}
 }
 
 // receive takes a batch of the broker.
