--- a/internal/node/bmentrynode/fleet_test.go
+++ b/internal/node/bmentrynode/fleet_test.go
@@ -201,10 +201,11 @@
 
 // answer is what a caller got.
 type answer struct {
-	status int
-	body   string
-	err    error
-	header http.Header
+	attempt string
+	status  int
+	body    string
+	err     error
+	header  http.Header
 }
 
 // send sends a request with a key to a node.
@@ -215,7 +216,8 @@
 	}
 	r, err := http.NewRequest(method, "http://"+n.settings.CallersAddress+path, body)
 	require.NoError(f.t, err)
-	r.Header.Set("X-Attempt-Id", fmt.Sprint("a", f.next.Add(1)))
+	attempt := fmt.Sprint("a", f.next.Add(1))
+	r.Header.Set("X-Attempt-Id", attempt)
 	r.Header.Set("X-Deadline-Ms", "9000")
 	r.Header.Set("X-Token-Usage", "100,5")
 	r.Header.Set("Authorization", "Token "+key)
@@ -228,10 +230,11 @@
 	defer func() { _ = resp.Body.Close() }()
 	raw, err := io.ReadAll(resp.Body)
 	return answer{
-		status: resp.StatusCode,
-		body:   string(raw),
-		err:    err,
-		header: resp.Header,
+		attempt: attempt,
+		status:  resp.StatusCode,
+		body:    string(raw),
+		err:     err,
+		header:  resp.Header,
 	}
 }
 
@@ -243,14 +246,6 @@
 	return runs
 }
 
-func wholeStream() string {
-	events := ""
-	for id := 1; id <= bmstandinplatform.Events; id++ {
-		events += fmt.Sprintf("id: %d\ndata: x\n\n", id)
-	}
-	return events
-}
-
 // Guards against a path that breaks anywhere between a caller and a replica:
 // each host serves both kinds of request, the replica learns the workspace and
 // never the key, and the caller gets the replica's signature.
@@ -260,11 +255,11 @@
 		a := f.send(n, http.MethodPost, "/stream/a%2Fb?x=1", "k")
 		require.NoError(t, a.err)
 		require.Equal(t, http.StatusOK, a.status, a.body)
-		require.Equal(t, wholeStream(), a.body)
+		require.Equal(t, bmstandinplatform.StreamBody(a.attempt), a.body)
 		require.Contains(t, a.header.Get("X-Response-Signature"), "sig-e")
 		a = f.send(n, http.MethodGet, "/lookup/1", "k")
 		require.NoError(t, a.err)
-		require.Equal(t, "whole", a.body)
+		require.Equal(t, bmstandinplatform.PlainBody(a.attempt), a.body)
 	}
 	for _, run := range f.runs() {
 		require.Equal(t, "w", run.Tenant)
@@ -355,7 +350,7 @@
 	leaving.stop()
 	a := <-result
 	require.NoError(t, a.err)
-	require.Equal(t, wholeStream(), a.body)
+	require.Equal(t, bmstandinplatform.StreamBody(a.attempt), a.body)
 	f.eventually("turned away", func() bool { return !leaving.ready() })
 	f.eventually("registration ended", func() bool { return !f.store.Has("basilmoor/hosts/h0") })
 	require.NoError(t, <-leaving.done)
@@ -377,5 +372,5 @@
 	}
 	a := <-result
 	require.NoError(t, a.err)
-	require.Equal(t, wholeStream(), a.body)
+	require.Equal(t, bmstandinplatform.StreamBody(a.attempt), a.body)
 }
--- /dev/null
+++ b/internal/proof/bmsoak/callers_test.go
@@ -0,0 +1,184 @@
+package bmsoak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"basilmoor.example/basilmoor/internal/standin/bmstandinplatform"
+)
+
+// result is what a caller saw of one request.
+type result struct {
+	attempt string
+	path    string
+	key     string
+	sent    time.Time
+	status  int // 0: no response
+	body    string
+	err     error
+}
+
+// callers send requests to all hosts over kept connections until they are
+// stopped.
+type callers struct {
+	fleet   *fleet
+	next    atomic.Int64
+	mu      sync.Mutex
+	results []result
+	wg      sync.WaitGroup
+}
+
+// run is one caller.
+func (c *callers) run(ctx context.Context, rng *rand.Rand) {
+	defer c.wg.Done()
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{
+		Transport: transport,
+		Timeout:   6 * time.Second,
+	}
+	for ctx.Err() == nil {
+		h := c.fleet.hosts[rng.IntN(len(c.fleet.hosts))]
+		path := []string{"/stream/", "/stream/", "/again/", "/once/"}[rng.IntN(4)]
+		key := []string{"key-kept", "key-kept", "key-kept", "key-toggled"}[rng.IntN(4)]
+		r := c.send(client, h, path, key)
+		c.mu.Lock()
+		c.results = append(c.results, r)
+		c.mu.Unlock()
+		if r.status != http.StatusOK {
+			time.Sleep(30 * time.Millisecond)
+		}
+	}
+}
+
+func (c *callers) send(client *http.Client, h *host, path, key string) result {
+	r := result{
+		attempt: fmt.Sprint("a", c.next.Add(1)),
+		path:    path,
+		key:     key,
+		sent:    time.Now(),
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+h.callers+path+r.attempt, strings.NewReader("prompt"))
+	if err != nil {
+		r.err = err
+		return r
+	}
+	req.GetBody = nil
+	req.Header.Set("X-Attempt-Id", r.attempt)
+	req.Header.Set("X-Deadline-Ms", "4000")
+	req.Header.Set("X-Token-Usage", "10,5")
+	req.Header.Set("Authorization", "Token "+key)
+	resp, err := client.Do(req)
+	if err != nil {
+		r.err = err
+		return r
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	r.status = resp.StatusCode
+	r.body = string(raw)
+	r.err = err
+	return r
+}
+
+// toggle is a key that is valid at times.
+type toggle struct {
+	mu      sync.Mutex
+	changes []change // in order of time
+}
+
+// change is when the store had acknowledged that the key is valid or not.
+type change struct {
+	at    time.Time
+	valid bool
+}
+
+func (k *toggle) note(valid bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.changes = append(k.changes, change{
+		at:    time.Now(),
+		valid: valid,
+	})
+}
+
+// mustNotWork reports whether a request sent at an instant may not run: the key
+// was taken away longer ago than the bound, and not given back since.
+func (k *toggle) mustNotWork(sent time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	taken := time.Time{}
+	for _, c := range k.changes {
+		if c.at.After(sent) {
+			break
+		}
+		switch {
+		case c.valid:
+			taken = time.Time{}
+		case taken.IsZero():
+			taken = c.at
+		}
+	}
+	// A change that is being made counts as made: the ack comes later.
+	for _, c := range k.changes {
+		if c.valid && c.at.After(sent) && c.at.Sub(sent) < time.Second {
+			return false
+		}
+	}
+	return !taken.IsZero() && sent.Sub(taken) > revokeBound
+}
+
+// check compares what callers saw with what replicas ran.
+func (c *callers) check(t *testing.T, key *toggle) {
+	runs := map[string]int{}
+	for _, r := range c.fleet.replicas {
+		for _, run := range r.Runs() {
+			runs[run.Attempt]++
+			assert.Empty(t, run.Key, "a replica saw the key of %s", run.Attempt)
+			assert.Equal(t, "w", run.Tenant, "workspace of %s", run.Attempt)
+		}
+	}
+	served := 0
+	for _, r := range c.results {
+		n := runs[r.attempt]
+		if r.path == "/once/" {
+			assert.LessOrEqual(t, n, 1, "%s may run once", r.attempt)
+		}
+		if r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests {
+			assert.True(t, r.path != "/once/" || n == 0, "%s ran and was answered %d", r.attempt, r.status)
+		}
+		if r.key == "key-toggled" && key.mustNotWork(r.sent) {
+			assert.Zero(t, n, "%s ran with a key that was taken away", r.attempt)
+		}
+		if r.status == http.StatusOK {
+			c.checkBody(t, r)
+			served++
+		}
+	}
+	assert.NotZero(t, served, "nothing was served")
+	t.Logf("%d requests, %d served", len(c.results), served)
+}
+
+// checkBody guards against answers of other requests, and against events that
+// are lost, doubled or torn.
+func (c *callers) checkBody(t *testing.T, r result) {
+	want := bmstandinplatform.PlainBody(r.attempt)
+	if r.path == bmstandinplatform.StreamPrefix {
+		want = bmstandinplatform.StreamBody(r.attempt)
+	}
+	if r.err == nil {
+		assert.Equal(t, want, r.body, "body of %s", r.attempt)
+		return
+	}
+	assert.True(t, strings.HasPrefix(want, r.body), "%s broke off after %q", r.attempt, r.body)
+}
--- /dev/null
+++ b/internal/proof/bmsoak/proxy_test.go
@@ -0,0 +1,135 @@
+package bmsoak
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// proxyMode is what a proxy does to the bytes of its connections.
+type proxyMode int
+
+const (
+	passes   proxyMode = iota
+	delays             // each chunk by 150 ms
+	silences           // nothing passes, nothing is closed
+	oneWay             // requests pass, responses don't
+)
+
+// proxy is a loopback proxy before a listener.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	mode  proxyMode
+	conns map[net.Conn]bool
+}
+
+func newProxy(t *testing.T, target string) *proxy {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &proxy{
+		listener: l,
+		target:   target,
+		conns:    map[net.Conn]bool{},
+	}
+	go p.run()
+	t.Cleanup(func() {
+		_ = l.Close()
+		p.reset()
+	})
+	return p
+}
+
+func (p *proxy) address() string {
+	return p.listener.Addr().String()
+}
+
+func (p *proxy) set(m proxyMode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+}
+
+// reset closes all connections with a reset.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *proxy) track(c net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[c] = true
+}
+
+func (p *proxy) forget(c net.Conn) {
+	_ = c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+}
+
+func (p *proxy) run() {
+	for {
+		in, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", p.target)
+		if err != nil {
+			_ = in.Close()
+			continue
+		}
+		p.track(in)
+		p.track(out)
+		go p.loop(in, out, false)
+		go p.loop(out, in, true)
+	}
+}
+
+// loop copies from one end to the other.
+func (p *proxy) loop(from, to net.Conn, response bool) {
+	defer p.forget(from)
+	defer p.forget(to)
+	chunk := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(chunk)
+		if err != nil {
+			return
+		}
+		if !p.admit(response) {
+			continue
+		}
+		if _, err := to.Write(chunk[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// admit applies the mode to a chunk and reports whether it passes.
+func (p *proxy) admit(response bool) bool {
+	p.mu.Lock()
+	mode := p.mode
+	p.mu.Unlock()
+	switch mode {
+	case delays:
+		time.Sleep(150 * time.Millisecond)
+	case silences:
+		return false
+	case oneWay:
+		return !response
+	}
+	return true
+}
--- a/internal/standin/bmstandinplatform/replica.go
+++ b/internal/standin/bmstandinplatform/replica.go
@@ -9,9 +9,30 @@
 	"time"
 )
 
-// Replica is a stand-in of a replica. It runs every request that expects it,
-// and answers a GET with a text and a POST with a stream of events. It is safe
-// for concurrent use.
+// StreamPrefix begins the paths of requests that are answered by a stream of
+// events.
+const StreamPrefix = "/stream/"
+
+// PlainBody is the response to a request of another path.
+func PlainBody(attempt string) string {
+	return "whole answer to " + attempt
+}
+
+// StreamBody is the whole stream that answers a request.
+func StreamBody(attempt string) string {
+	var b strings.Builder
+	for id := 1; id <= Events; id++ {
+		b.WriteString(streamEvent(attempt, id))
+	}
+	return b.String()
+}
+
+func streamEvent(attempt string, id int) string {
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", id, attempt)
+}
+
+// Replica is a stand-in of a replica. It runs every request that expects it.
+// It is safe for concurrent use.
 type Replica struct {
 	ID     string
 	server *httptest.Server
@@ -51,9 +72,15 @@
 
 // Entry is what the replica writes to the store.
 func (r *Replica) Entry(pool, lifecycle string) map[string]any {
+	return EntryAt(r.Address(), pool, lifecycle)
+}
+
+// EntryAt is the entry of a replica that is reached at another address, as
+// through a proxy.
+func EntryAt(address, pool, lifecycle string) map[string]any {
 	return map[string]any{
 		"backend":   pool,
-		"address":   r.Address(),
+		"address":   address,
 		"zone":      "z1",
 		"version":   "v1",
 		"slots":     4,
@@ -89,8 +116,9 @@
 	})
 	r.mu.Unlock()
 	w.Header().Set("X-Response-Signature", "sig-"+r.ID)
-	if q.Method == http.MethodGet {
-		fmt.Fprint(w, "whole")
+	attempt := q.Header.Get("X-Attempt-Id")
+	if !strings.HasPrefix(q.URL.Path, StreamPrefix) {
+		fmt.Fprint(w, PlainBody(attempt))
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -99,7 +127,7 @@
 		last = 0
 	}
 	for id := last + 1; id <= Events; id++ {
-		fmt.Fprintf(w, "id: %d\ndata: x\n\n", id)
+		fmt.Fprint(w, streamEvent(attempt, id))
 		if http.NewResponseController(w).Flush() != nil {
 			return
 		}
