--- a/internal/schedule/bmgrant/uplink.go
+++ b/internal/schedule/bmgrant/uplink.go
@@ -18,9 +18,10 @@
 	// suspectBroker is how long a host whose session was lost is not chosen.
 	suspectBroker = 2 * basilmoor.Second
 
-	// suspectCutOff is the same for a host that has lost the store. Its
-	// registration ends after some seconds more.
-	suspectCutOff = 5 * basilmoor.Second
+	// suspectCutOff is the same for a host that has lost the store. It exceeds
+	// the life of a registration that is not renewed, 10 s: after it the host
+	// is no candidate any more, or has the store again.
+	suspectCutOff = 12 * basilmoor.Second
 
 	// ableShare is the share of the largest capacity from which a host may be
 	// the broker.
