Grant slots of plain services by the broker as well

Change: the broker grants them too, with a queue of half their slots; own counts exist only while a host has no broker.

--- a/internal/schedule/bmgrant/allowance.go
+++ b/internal/schedule/bmgrant/allowance.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/config/bmrouting"
@@ -197,28 +196,6 @@
 	return a.tolerance.Window
 }
 
-// exhaustion is a workspace without allowance.
-type exhaustion struct {
-	workspace string
-	wait      basilmoor.Millis
-}
-
-// exhausted lists the workspaces without allowance, ordered by name.
-func (a *allowances) exhausted(now basilmoor.Millis) []exhaustion {
-	var list []exhaustion
-	for name, acc := range a.accounts {
-		a.expire(now, acc)
-		if a.used(acc) >= a.bound(acc) {
-			list = append(list, exhaustion{
-				workspace: name,
-				wait:      a.wait(now, acc, 1),
-			})
-		}
-	}
-	slices.SortFunc(list, func(x, y exhaustion) int { return strings.Compare(x.workspace, y.workspace) })
-	return list
-}
-
 // load records what all hosts had spent at an instant of the last window.
 func (a *allowances) load(at basilmoor.Millis, workspace string, tokens int) {
 	if acc, bounded := a.accounts[workspace]; bounded {
--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -119,8 +120,23 @@
 			p = NewPool(b.holdOff)
 			b.pools[spec.Name] = p
 		}
-		b.deliver(p.SetTargets(now, b.view.Targets(spec.Name)))
+		targets := b.view.Targets(spec.Name)
+		if spec.Engine == nil {
+			targets = withQueue(targets)
+		}
+		b.deliver(p.SetTargets(now, targets))
+	}
+}
+
+// withQueue adds a short queue to the slots of plain services. Their requests
+// take about ten times as long as the way of a grant, so that a slot without a
+// queue would be idle for a tenth of the time.
+func withQueue(targets []basilmoor.Target) []basilmoor.Target {
+	queued := slices.Clone(targets)
+	for i := range queued {
+		queued[i].Slots += (queued[i].Slots + 1) / 2
 	}
+	return queued
 }
 
 // setShare spends the part of the allowances that belongs to the hosts with a
@@ -174,11 +190,9 @@
 	}
 	b.logPools(now)
 	leaving := b.abandoned()
-	exhausted := b.allowances.exhausted(now)
 	for _, s := range b.sessions {
 		s.pending.Leaving = leaving
-		if now-s.sent >= keepalivePeriod || len(exhausted) != s.exhausted {
-			b.tellExhausted(s, exhausted)
+		if now-s.sent >= keepalivePeriod {
 			s.signal()
 		}
 	}
@@ -214,17 +228,6 @@
 	}
 }
 
-func (b *Broker) tellExhausted(s *session, list []exhaustion) {
-	s.exhausted = len(list)
-	s.pending.Exhausted = nil
-	for _, e := range list {
-		s.pending.Exhausted = append(s.pending.Exhausted, &bmgrantpb.Exhausted{
-			Workspace:    e.workspace,
-			RetryAfterMs: int32(e.wait),
-		})
-	}
-}
-
 // handle takes a batch of a host.
 func (b *Broker) handle(s *session, batch *bmgrantpb.HostBatch) {
 	b.mu.Lock()
--- a/internal/schedule/bmgrant/client.go
+++ b/internal/schedule/bmgrant/client.go
@@ -17,8 +17,8 @@
 const tickPeriod basilmoor.Millis = 20
 
 // Client acquires grants for the requests that this host holds: from the
-// broker for pools of engines, from its own count for plain services and while
-// it has no broker. It is safe for concurrent use.
+// broker, or from its own count while it has none. It is safe for concurrent
+// use.
 type Client struct {
 	clock   basilmoor.Clock
 	self    basilmoor.Member
@@ -33,14 +33,13 @@
 	next    uint64
 	entries map[basilmoor.RequestID]*entry
 
-	own        map[string]*Pool // pools that this host serves itself
+	own        map[string]*Pool // while there is no broker
 	allowances *allowances      // what this host spends; binds without a broker
 	restarted  bool             // what it spent before is still to be assumed
 
-	up        *uplink // nil without a broker
-	opening   bool
-	suspects  map[string]basilmoor.Millis // hosts that are not chosen until then
-	exhausted []exhaustion                // workspaces, as the broker told last
+	up       *uplink // nil without a broker
+	opening  bool
+	suspects map[string]basilmoor.Millis // hosts that are not chosen until then
 }
 
 var _ basilmoor.Scheduler = (*Client)(nil)
@@ -144,6 +143,9 @@
 		c.restarted = false
 		c.allowances.assume(now)
 	}
+	if c.up != nil {
+		return
+	}
 	for _, pool := range c.view.Table.Pools() {
 		p, ok := c.own[pool.Name]
 		if !ok {
@@ -158,18 +160,14 @@
 	}
 }
 
-// resetOwn makes the own pools of engines anew from what this host has in
-// progress and waiting.
+// resetOwn makes the own pools anew from what this host has in progress and
+// waiting.
 func (c *Client) resetOwn(now basilmoor.Millis) {
-	for name := range c.own {
-		if c.engines(name) {
-			delete(c.own, name)
-		}
-	}
+	c.own = map[string]*Pool{}
 	c.applyView(now)
 	for _, e := range c.sorted() {
 		p, ok := c.own[e.demand.Pool]
-		if !ok || !c.engines(e.demand.Pool) {
+		if !ok {
 			continue
 		}
 		d := e.remaining(now)
@@ -191,22 +189,6 @@
 	return all
 }
 
-// engines reports whether a pool is one of model engines.
-func (c *Client) engines(pool string) bool {
-	if c.view.Table == nil {
-		return false
-	}
-	p, ok := c.view.Table.Pool(pool)
-	return ok && p.Engine != nil
-}
-
-// brokered reports whether the broker decides on the demands of a pool. Hosts
-// choose the targets of plain services by themselves: their load is far below
-// their slots and their objectives are short.
-func (c *Client) brokered(pool string) bool {
-	return c.up != nil && c.engines(pool)
-}
-
 // Serve does what depends on time until ctx ends.
 func (c *Client) Serve(ctx context.Context) error {
 	defer c.leave()
@@ -236,7 +218,7 @@
 			c.deliver(p.Tick(now))
 		}
 	}
-	if c.up != nil && (now-c.up.sent >= keepalivePeriod || len(c.up.pending.GetObservations()) > 0 || len(c.up.pending.GetSpendings()) > 0) {
+	if c.up != nil && (now-c.up.sent >= keepalivePeriod || len(c.up.pending.GetObservations()) > 0) {
 		c.up.signal()
 	}
 }
@@ -280,7 +262,7 @@
 // offer hands the demand of an entry to whoever decides on it.
 func (c *Client) offer(now basilmoor.Millis, e *entry) {
 	d := e.remaining(now)
-	if c.brokered(d.Pool) {
+	if c.up != nil {
 		c.up.pending.Demands = append(c.up.pending.Demands, encodeDemand(e.number, d))
 		c.up.signal()
 		return
@@ -294,7 +276,7 @@
 		})
 		return
 	}
-	if wait, ok := c.charge(now, d); !ok {
+	if wait, ok := c.allowances.take(now, d.Workspace, d.Charge); !ok {
 		c.refuse(basilmoor.Refusal{
 			Request:    d.Request,
 			Reason:     basilmoor.ReasonRateLimit,
@@ -305,28 +287,6 @@
 	c.deliver(p.Submit(now, d))
 }
 
-// charge takes a demand that no broker decides on from its workspace's
-// allowance.
-func (c *Client) charge(now basilmoor.Millis, d basilmoor.Demand) (basilmoor.Millis, bool) {
-	if c.up == nil {
-		return c.allowances.take(now, d.Workspace, d.Charge)
-	}
-	if d.Charge == 0 {
-		return 0, true
-	}
-	for _, e := range c.exhausted {
-		if e.workspace == d.Workspace {
-			return e.wait, false
-		}
-	}
-	c.allowances.spend(now, d.Workspace, d.Charge)
-	c.up.pending.Spendings = append(c.up.pending.Spendings, &bmgrantpb.Spending{
-		Workspace: d.Workspace,
-		Tokens:    int64(d.Charge),
-	})
-	return 0, true
-}
-
 func (c *Client) settle(e *entry, decision basilmoor.Decision) (basilmoor.Permit, error) {
 	if decision.Refusal != nil {
 		return nil, &basilmoor.RefusalError{
@@ -350,7 +310,7 @@
 		return
 	}
 	c.close(e)
-	if c.brokered(e.demand.Pool) {
+	if c.up != nil {
 		c.up.pending.Cancels = append(c.up.pending.Cancels, &bmgrantpb.Cancel{
 			Number: e.number,
 			Pool:   e.demand.Pool,
@@ -420,7 +380,7 @@
 	if o.Target == "" {
 		o.Target = e.target.Name
 	}
-	if !c.brokered(e.demand.Pool) {
+	if c.up == nil {
 		if p, ok := c.own[e.demand.Pool]; ok {
 			c.deliver(p.Observe(c.clock.Now(), o))
 		}
--- a/internal/schedule/bmgrant/session.go
+++ b/internal/schedule/bmgrant/session.go
@@ -15,7 +15,6 @@
 	pending    *bmgrantpb.BrokerBatch
 	wake       chan struct{} // receives when pending is to be sent
 	ended      chan struct{} // closed at the end
-	exhausted  int           // workspaces without allowance that were told last
 	local      bool          // the host is this one
 }
 
@@ -98,10 +97,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	batch := s.pending
-	// The list of exhausted workspaces replaces the one before.
-	s.pending = &bmgrantpb.BrokerBatch{
-		Exhausted: batch.Exhausted,
-	}
+	s.pending = &bmgrantpb.BrokerBatch{}
 	s.sent = b.clock.Now()
 	return batch
 }
--- a/internal/schedule/bmgrant/target.go
+++ b/internal/schedule/bmgrant/target.go
@@ -23,6 +23,10 @@
 	// target tells: it may have waited in the target's own queue.
 	maxGuess = 4.0
 
+	// plainWeight is the same for a plain service, whose requests differ in
+	// work.
+	plainWeight = 0.1
+
 	// minPaceTokens is the least number of output tokens that tell a pace.
 	minPaceTokens = 8
 
@@ -88,6 +92,10 @@
 
 // learn takes the pace of a finished response.
 func (t *target) learn(f *flight, tokens int, elapsed basilmoor.Millis) {
+	if f.demand.OutputTokens == 0 {
+		t.learnPlain(elapsed)
+		return
+	}
 	if f.first == 0 || tokens < minPaceTokens || elapsed <= f.first {
 		return
 	}
@@ -99,6 +107,17 @@
 	t.pace += paceWeight * (sample - t.pace)
 }
 
+// learnPlain takes the time of a request of a plain service, which has no
+// tokens, for its pace: the time to first token of an empty prompt.
+func (t *target) learnPlain(elapsed basilmoor.Millis) {
+	sample := defaultPace * float64(elapsed) / firstTokenBase
+	if t.pace == 0 {
+		t.pace = sample
+		return
+	}
+	t.pace += plainWeight * (sample - t.pace)
+}
+
 // guess takes the first time to first token of a target that has shown no pace
 // for its speed, compared with the fastest pace.
 func (t *target) guess(first basilmoor.Millis, fastest float64) {
--- a/internal/schedule/bmgrant/uplink.go
+++ b/internal/schedule/bmgrant/uplink.go
@@ -121,6 +121,7 @@
 		wake:  make(chan struct{}, 1),
 		ended: make(chan struct{}),
 	}
+	c.own = map[string]*Pool{}
 	c.log.Info().Str("broker", to.Host).Int("waiting", len(c.entries)).Msg("broker chosen")
 	c.resubmit(now)
 	c.up.signal()
@@ -162,9 +163,6 @@
 		})
 	})
 	for _, e := range c.sorted() {
-		if !c.brokered(e.demand.Pool) {
-			continue
-		}
 		d := e.remaining(now)
 		if e.received == 0 {
 			c.up.pending.Demands = append(c.up.pending.Demands, encodeDemand(e.number, d))
@@ -281,13 +279,6 @@
 	}
 	now := c.clock.Now()
 	u.heard = now
-	c.exhausted = c.exhausted[:0]
-	for _, e := range batch.GetExhausted() {
-		c.exhausted = append(c.exhausted, exhaustion{
-			workspace: e.GetWorkspace(),
-			wait:      basilmoor.Millis(e.GetRetryAfterMs()),
-		})
-	}
 	for _, r := range batch.GetRefusals() {
 		c.refuse(basilmoor.Refusal{
 			Request:    requestID(c.self.Host, r.GetNumber()),
