--- a/internal/schedule/bmgrant/pool.go
+++ b/internal/schedule/bmgrant/pool.go
@@ -112,10 +112,25 @@
 		p.refuse(d, basilmoor.ReasonQueueFull)
 		return p.step(now)
 	}
+	if p.excludesAll(d) {
+		p.refuse(d, basilmoor.ReasonNoTarget)
+		return p.step(now)
+	}
 	p.waiting = append(p.waiting, i)
 	return p.step(now)
 }
 
+// excludesAll reports whether a demand was tried at every listed target: it
+// would wait in vain.
+func (p *Pool) excludesAll(d basilmoor.Demand) bool {
+	if len(d.Excluded) == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(p.order, func(t *target) bool {
+		return !t.spec.Leaving && !slices.Contains(d.Excluded, t.spec.Name)
+	})
+}
+
 // Cancel implements basilmoor.Policy.
 func (p *Pool) Cancel(now basilmoor.Millis, id basilmoor.RequestID) []basilmoor.Decision {
 	p.remove(id)
--- a/internal/schedule/bmgrant/pool_test.go
+++ b/internal/schedule/bmgrant/pool_test.go
@@ -132,6 +132,18 @@
 	require.Empty(t, granted(finish(p, 2100, "first")))
 }
 
+// Guards against a request that all targets have refused and that is held until
+// its time limit instead of being answered at once.
+func TestRefusedByAllTargets(t *testing.T) {
+	p := NewPool(0)
+	p.SetTargets(0, []basilmoor.Target{testTarget("a", 1), testTarget("b", 1), testTarget("c", 1).WithLeaving(true)})
+	d := testDemand("1", 0)
+	d.Excluded = []string{"a", "b"}
+	require.Equal(t, []string{"h/1"}, refused(p.Submit(0, d)))
+	d.Excluded = []string{"a"}
+	require.Equal(t, []string{"h/1"}, granted(p.Submit(0, d)))
+}
+
 // Guards against requests that are all sent to a target that does not answer,
 // because all its slots are free.
 func TestFailedTargetIsTriedOnce(t *testing.T) {
