Clean up what reading the change showed; no change of behaviour

- The time that is left of a demand was worked out in three places, with the rule for bounds of 0 in two of them: Demand.WithWait serves bmentry, bmgrant and bmscheduler. bmentry no longer makes a request id that the scheduler replaces.
- Writing over a key of the store stood in the registrar and in the recorder: basilmoor.Overwrite.
- The wake-up of a sender stood in both ends of a session: wakeUp.
- A table sorted its pools at each change of the view: once, when it is made.
- NewBroker had a parameter that nothing used; Dial was exported for nothing; a doc comment told of an earlier form of Keeper.Relay.

--- a/internal/config/bmrouting/table.go
+++ b/internal/config/bmrouting/table.go
@@ -1,6 +1,7 @@
 package bmrouting
 
 import (
+	"slices"
 	"sort"
 	"strings"
 )
@@ -13,6 +14,7 @@
 	byKey      map[string]*Workspace
 	workspaces []Workspace
 	pools      map[string]Pool
+	ordered    []Pool // by name
 }
 
 // Content is what a table is made of. Its slices belong to the table
@@ -34,6 +36,7 @@
 		byKey:      map[string]*Workspace{},
 		workspaces: c.Workspaces,
 		pools:      map[string]Pool{},
+		ordered:    slices.Clone(c.Pools),
 	}
 	for _, r := range c.Routes {
 		t.routes[r.Host] = append(t.routes[r.Host], r)
@@ -49,6 +52,7 @@
 	for _, p := range c.Pools {
 		t.pools[p.Name] = p
 	}
+	sort.Slice(t.ordered, func(i, j int) bool { return t.ordered[i].Name < t.ordered[j].Name })
 	return t
 }
 
@@ -100,14 +104,9 @@
 	return p, ok
 }
 
-// Pools returns all pools, ordered by name.
+// Pools returns all pools, ordered by name. The caller must not change them.
 func (t *Table) Pools() []Pool {
-	pools := make([]Pool, 0, len(t.pools))
-	for _, p := range t.pools {
-		pools = append(pools, p)
-	}
-	sort.Slice(pools, func(i, j int) bool { return pools[i].Name < pools[j].Name })
-	return pools
+	return t.ordered
 }
 
 // Choose returns the pool of the route for a number from [0,1).
--- a/internal/fleet/bmview/keeper.go
+++ b/internal/fleet/bmview/keeper.go
@@ -144,8 +144,7 @@
 	k.shared.Store(shared)
 }
 
-// Relay takes steps of the state from another host, and the proof that they
-// were complete at an instant of this host's clock. It returns false if a step
+// Relay takes steps of the state from another host. It returns false if a step
 // is missing.
 func (k *Keeper) Relay(updates []Update) bool {
 	k.mu.Lock()
--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -103,7 +103,7 @@
 		Capacity:    s.capacity(),
 	}
 	n.keeper = bmview.NewKeeper(n.clock, parts.Feed, log, n.metrics, n.viewChanged, n.relay)
-	n.broker = bmgrant.NewBroker(n.clock, n.keeper, s.Tolerance, n.metrics, log)
+	n.broker = bmgrant.NewBroker(n.clock, n.keeper, s.Tolerance, log)
 	n.scheduler = bmgrant.NewClient(n.clock, self, n.broker, bmgrant.Options{
 		Alone:     s.LocalScheduling,
 		Restarted: !s.FirstStart,
--- a/internal/node/bmentrynode/registrar.go
+++ b/internal/node/bmentrynode/registrar.go
@@ -95,7 +95,8 @@
 	if err != nil {
 		return err
 	}
-	if err := r.put(ctx, key, value, lease); err != nil {
+	// An earlier process of this host may have left its registration.
+	if _, err := basilmoor.Overwrite(ctx, r.store, key, 0, value, lease); err != nil {
 		return err
 	}
 	r.lease = lease
@@ -103,18 +104,6 @@
 	return nil
 }
 
-// put writes the registration over the one of an earlier process of this
-// host, if there is one.
-func (r *registrar) put(ctx context.Context, key string, value []byte, lease string) error {
-	_, err := r.store.CompareAndSwap(ctx, key, 0, value, lease)
-	var conflict *basilmoor.ConflictError
-	if !errors.As(err, &conflict) {
-		return err
-	}
-	_, err = r.store.CompareAndSwap(ctx, key, conflict.Current.Version, value, lease)
-	return err
-}
-
 func (r *registrar) end(ctx context.Context) {
 	if r.lease == "" {
 		return
--- a/internal/request/bmentry/run.go
+++ b/internal/request/bmentry/run.go
@@ -154,10 +154,8 @@
 
 // demand describes the request to the scheduler.
 func (c *call) demand() basilmoor.Demand {
-	now := c.handler.cfg.Clock.Now()
 	c.demands++
 	d := basilmoor.Demand{
-		Request:      basilmoor.RequestID(c.attempt.ID + "/" + strconv.Itoa(c.demands)),
 		Weight:       1,
 		Tier:         c.route.Rank,
 		Kind:         c.route.Name,
@@ -165,33 +163,19 @@
 		Model:        c.attempt.Model,
 		PromptTokens: c.attempt.PromptTokens,
 		OutputTokens: c.handler.expected.expect(c.route.Name, c.attempt),
-		Age:          now - c.arrived,
-		Deadline:     c.limit - now,
+		Objective:    c.route.Objective,
+		Patience:     c.route.Patience,
+		Deadline:     c.limit - c.arrived,
 		Excluded:     c.excluded,
 		BodyBytes:    len(c.body),
 	}
-	if c.route.Objective > 0 {
-		d.Objective = left(c.arrived+c.route.Objective, now)
-	}
-	if c.route.Patience > 0 {
-		d.Patience = left(c.arrived+c.route.Patience, now)
-	}
 	if c.demands == 1 && c.workspace != nil && c.workspace.Allowance.Bounded() {
 		d.Charge = c.charge()
 	}
 	if c.workspace != nil {
 		d.Workspace = c.workspace.Name
 	}
-	return d
-}
-
-// left is the time until an instant, negative if it has passed. It is never 0,
-// which stands for no bound.
-func left(until, now basilmoor.Millis) basilmoor.Millis {
-	if until == now {
-		return -1
-	}
-	return until - now
+	return d.WithWait(c.handler.cfg.Clock.Now() - c.arrived)
 }
 
 // charge is what the request takes from its workspace's allowance.
--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -9,7 +9,6 @@
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/core/bmclock"
-	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmview"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
 )
@@ -39,9 +38,8 @@
 // one; it holds state only while hosts choose it. It is safe for concurrent
 // use.
 type Broker struct {
-	clock   basilmoor.Clock
-	metrics *bmmetrics.Registry
-	log     zerolog.Logger
+	clock basilmoor.Clock
+	log   zerolog.Logger
 
 	views     Views
 	tolerance Tolerance
@@ -74,10 +72,9 @@
 }
 
 // NewBroker returns a broker without sessions.
-func NewBroker(clock basilmoor.Clock, views Views, tolerance Tolerance, metrics *bmmetrics.Registry, log zerolog.Logger) *Broker {
+func NewBroker(clock basilmoor.Clock, views Views, tolerance Tolerance, log zerolog.Logger) *Broker {
 	b := &Broker{
 		clock:     clock,
-		metrics:   metrics,
 		log:       log,
 		views:     views,
 		tolerance: tolerance,
@@ -159,7 +156,7 @@
 			encoded = encodeUpdate(u)
 		}
 		s.pending.Updates = append(s.pending.Updates, encoded)
-		s.signal()
+		s.wake.signal()
 	}
 }
 
@@ -193,7 +190,7 @@
 	for _, s := range b.sessions {
 		s.pending.Leaving = leaving
 		if now-s.sent >= keepalivePeriod {
-			s.signal()
+			s.wake.signal()
 		}
 	}
 }
@@ -332,7 +329,7 @@
 			Number: number,
 			Target: d.Grant.Target.Name,
 		})
-		s.signal()
+		s.wake.signal()
 	}
 }
 
@@ -352,5 +349,5 @@
 		Reason:       string(reason),
 		RetryAfterMs: int32(retryAfter),
 	})
-	s.signal()
+	s.wake.signal()
 }
--- a/internal/schedule/bmgrant/client.go
+++ b/internal/schedule/bmgrant/client.go
@@ -25,7 +25,7 @@
 	metrics *bmmetrics.Registry
 	log     zerolog.Logger
 	broker  *Broker // of this host
-	dial    Dial    // nil: never use a broker
+	dial    dialer  // nil: never use a broker
 
 	mu      sync.Mutex
 	view    *bmview.View
@@ -58,22 +58,7 @@
 
 // remaining returns the demand with the time that is left.
 func (e *entry) remaining(now basilmoor.Millis) basilmoor.Demand {
-	waited := now - e.submitted
-	d := e.demand.WithAge(e.demand.Age+waited, e.demand.Deadline-waited)
-	d.Objective = after(d.Objective, waited)
-	d.Patience = after(d.Patience, waited)
-	return d
-}
-
-// after shortens a bound of which 0 stands for none.
-func after(bound, waited basilmoor.Millis) basilmoor.Millis {
-	switch bound {
-	case 0:
-		return 0
-	case waited:
-		return -1
-	}
-	return bound - waited
+	return e.demand.WithWait(now - e.submitted)
 }
 
 // open describes a grant to a broker that does not know it.
@@ -219,7 +204,7 @@
 		}
 	}
 	if c.up != nil && (now-c.up.sent >= keepalivePeriod || len(c.up.pending.GetObservations()) > 0) {
-		c.up.signal()
+		c.up.wake.signal()
 	}
 }
 
@@ -264,7 +249,7 @@
 	d := e.remaining(now)
 	if c.up != nil {
 		c.up.pending.Demands = append(c.up.pending.Demands, encodeDemand(e.number, d))
-		c.up.signal()
+		c.up.wake.signal()
 		return
 	}
 	p, ok := c.own[d.Pool]
@@ -315,7 +300,7 @@
 			Number: e.number,
 			Pool:   e.demand.Pool,
 		})
-		c.up.signal()
+		c.up.wake.signal()
 		return
 	}
 	if p, ok := c.own[e.demand.Pool]; ok {
@@ -388,6 +373,6 @@
 	}
 	c.up.pending.Observations = append(c.up.pending.Observations, encodeObservation(e.number, o))
 	if o.Stage.Terminal() {
-		c.up.signal()
+		c.up.wake.signal()
 	}
 }
--- a/internal/schedule/bmgrant/failover_test.go
+++ b/internal/schedule/bmgrant/failover_test.go
@@ -112,7 +112,7 @@
 		func(u bmview.Update) { h.broker.Relay(u) })
 	h.broker = NewBroker(f.clock, h.keeper, Tolerance{
 		Window: testWindow,
-	}, metrics, zerolog.Nop())
+	}, zerolog.Nop())
 	h.client = NewClient(f.clock, basilmoor.Member{
 		Host: name,
 	}, h.broker, Options{
--- a/internal/schedule/bmgrant/link.go
+++ b/internal/schedule/bmgrant/link.go
@@ -23,8 +23,8 @@
 	close()
 }
 
-// Dial opens a session with the broker of a host.
-type Dial func(ctx context.Context, to basilmoor.Member) (link, error)
+// dialer opens a session with the broker of a host.
+type dialer func(ctx context.Context, to basilmoor.Member) (link, error)
 
 var errEnded = errors.New("the session has ended")
 
--- a/internal/schedule/bmgrant/record.go
+++ b/internal/schedule/bmgrant/record.go
@@ -150,18 +150,13 @@
 	}
 }
 
-// write replaces the record. A conflict tells the version to replace next
-// time: another broker has written, or an answer was lost.
+// write replaces the record, also one of another broker.
 func (r *Recorder) write(ctx context.Context) error {
 	raw, worth, err := r.broker.spendingRecord()
 	if err != nil || !worth {
 		return err
 	}
-	entry, err := r.store.CompareAndSwap(ctx, r.key, r.version, raw, "")
-	var conflict *basilmoor.ConflictError
-	if errors.As(err, &conflict) {
-		entry, err = r.store.CompareAndSwap(ctx, r.key, conflict.Current.Version, raw, "")
-	}
+	entry, err := basilmoor.Overwrite(ctx, r.store, r.key, r.version, raw, "")
 	if err != nil {
 		return err
 	}
--- a/internal/schedule/bmgrant/session.go
+++ b/internal/schedule/bmgrant/session.go
@@ -13,7 +13,7 @@
 	heard      basilmoor.Millis
 	sent       basilmoor.Millis
 	pending    *bmgrantpb.BrokerBatch
-	wake       chan struct{} // receives when pending is to be sent
+	wake       wakeUp        // when pending is to be sent
 	ended      chan struct{} // closed at the end
 	local      bool          // the host is this one
 }
@@ -38,7 +38,7 @@
 		dataCentre: hello.GetDataCentre(),
 		heard:      now,
 		pending:    &bmgrantpb.BrokerBatch{},
-		wake:       make(chan struct{}, 1),
+		wake:       newWakeUp(),
 		ended:      make(chan struct{}),
 		local:      local,
 	}
@@ -50,7 +50,7 @@
 	}
 	b.shareView()
 	b.applyView(now)
-	s.signal()
+	s.wake.signal()
 	b.log.Info().Str("peer", s.host).Int("sessions", len(b.sessions)).Msg("session with a host")
 	return s
 }
@@ -84,14 +84,6 @@
 	}
 }
 
-// signal wakes the sender.
-func (s *session) signal() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
-
 // take removes what is to be sent.
 func (b *Broker) take(s *session) *bmgrantpb.BrokerBatch {
 	b.mu.Lock()
--- a/internal/schedule/bmgrant/uplink.go
+++ b/internal/schedule/bmgrant/uplink.go
@@ -36,17 +36,10 @@
 	heard   basilmoor.Millis
 	sent    basilmoor.Millis
 	pending *bmgrantpb.HostBatch
-	wake    chan struct{} // receives when pending is to be sent
+	wake    wakeUp        // when pending is to be sent
 	ended   chan struct{} // closed at the end
 }
 
-func (u *uplink) signal() {
-	select {
-	case u.wake <- struct{}{}:
-	default:
-	}
-}
-
 // manage keeps the session with the broker that this host prefers.
 func (c *Client) manage(ctx context.Context, now basilmoor.Millis) {
 	if c.up != nil && now-c.up.heard >= silenceBound {
@@ -118,13 +111,13 @@
 		pending: &bmgrantpb.HostBatch{
 			Hello: hello,
 		},
-		wake:  make(chan struct{}, 1),
+		wake:  newWakeUp(),
 		ended: make(chan struct{}),
 	}
 	c.own = map[string]*Pool{}
 	c.log.Info().Str("broker", to.Host).Int("waiting", len(c.entries)).Msg("broker chosen")
 	c.resubmit(now)
-	c.up.signal()
+	c.up.wake.signal()
 	go c.up.run(c)
 	go c.up.loop(c)
 }
--- a/internal/schedule/bmscheduler/broker.go
+++ b/internal/schedule/bmscheduler/broker.go
@@ -385,7 +385,7 @@
 	})
 	for _, h := range held {
 		waited := now - h.at
-		b.pass(now, h.demand.WithAge(h.demand.Age+waited, h.demand.Deadline-waited))
+		b.pass(now, h.demand.WithWait(waited))
 	}
 }
 
--- a/internal/schedule/bmscheduler/ledger.go
+++ b/internal/schedule/bmscheduler/ledger.go
@@ -172,8 +172,7 @@
 // remaining returns the demand with its original age and the deadline that is
 // left.
 func (e *entry) remaining(now basilmoor.Millis) basilmoor.Demand {
-	waited := now - e.submitted
-	return e.demand.WithAge(e.demand.Age+waited, e.demand.Deadline-waited)
+	return e.demand.WithWait(now - e.submitted)
 }
 
 // resubmission describes an open grant to a broker that doesn't know it. A
--- a/schedule.go
+++ b/schedule.go
@@ -70,6 +70,28 @@
 	return d
 }
 
+// WithWait returns a copy of d as it is after a further wait: its age grows and
+// the time until each of its bounds shrinks.
+func (d Demand) WithWait(wait Millis) Demand {
+	d.Age += wait
+	d.Deadline -= wait
+	d.Objective = shorten(d.Objective, wait)
+	d.Patience = shorten(d.Patience, wait)
+	return d
+}
+
+// shorten takes a wait off a bound of which 0 stands for none: one that ends
+// just now becomes negative, as one that has passed.
+func shorten(bound, wait Millis) Millis {
+	switch bound {
+	case 0:
+		return 0
+	case wait:
+		return -1
+	}
+	return bound - wait
+}
+
 // Grant allows the holder of a request to dispatch it to one target.
 type Grant struct {
 	Request RequestID
--- a/store.go
+++ b/store.go
@@ -1,6 +1,9 @@
 package basilmoor
 
-import "context"
+import (
+	"context"
+	"errors"
+)
 
 // Entry is one key of the platform's key-value service.
 type Entry struct {
@@ -24,6 +27,17 @@
 // MaxValueBytes is the largest value that the platform's service accepts.
 const MaxValueBytes = 1 << 20
 
+// Overwrite writes value over whatever the key holds. version is the one that
+// the caller believes it to have; another one costs a second call.
+func Overwrite(ctx context.Context, s Store, key string, version int64, value []byte, lease string) (Entry, error) {
+	entry, err := s.CompareAndSwap(ctx, key, version, value, lease)
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) {
+		return entry, err
+	}
+	return s.CompareAndSwap(ctx, key, conflict.Current.Version, value, lease)
+}
+
 // Store is the platform's key-value service. Calls return an
 // *UnavailableError when the service did not answer; the effect of a write is
 // then unknown.
