Hold back requests that crash their targets on entry hosts

Change: after a connection breaks before the end of a response, the host asks whether the target refuses connections, which tells that its process ended. It records the death in bmcrash under a digest of workspace, method, path and body, and tells the broker, which passes it on to all sessions; new sessions exchange what both sides know. After two deaths the request is answered with 503 crash-suspect, not run, and is neither retried nor resumed. Targets that only break off count for nothing. The digest and the probe stand once, in bmcrash, for both gateways; grants use the crash message of heartbeats.

Innocent requests on a target that dies get one mark each, which holds nothing back.

--- a/internal/fleet/bmmember/driver_test.go
+++ b/internal/fleet/bmmember/driver_test.go
@@ -47,10 +47,11 @@
 	return c.recent
 }
 
-func (c *crashLog) Merge(crashes []basilmoor.Crash) {
+func (c *crashLog) Merge(crashes []basilmoor.Crash) []basilmoor.Crash {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.recent = crashes
+	return crashes
 }
 
 // Guards against a driver that doesn't find its peers, doesn't pass on crashes
--- a/internal/fleet/bmpeer/convert.go
+++ b/internal/fleet/bmpeer/convert.go
@@ -37,8 +37,15 @@
 	for _, r := range b.Rosters {
 		out.Rosters = append(out.Rosters, encodeRoster(r))
 	}
-	for _, c := range b.Crashes {
-		out.Crashes = append(out.Crashes, &bmpeerpb.Crash{
+	out.Crashes = EncodeCrashes(b.Crashes)
+	return out
+}
+
+// EncodeCrashes returns the message form of crashes.
+func EncodeCrashes(crashes []basilmoor.Crash) []*bmpeerpb.Crash {
+	var out []*bmpeerpb.Crash
+	for _, c := range crashes {
+		out = append(out, &bmpeerpb.Crash{
 			Digest:  c.Digest,
 			Targets: c.Targets,
 			AgeMs:   int64(c.Age),
@@ -48,6 +55,20 @@
 	return out
 }
 
+// DecodeCrashes is the inverse of EncodeCrashes.
+func DecodeCrashes(in []*bmpeerpb.Crash) []basilmoor.Crash {
+	var crashes []basilmoor.Crash
+	for _, c := range in {
+		crashes = append(crashes, basilmoor.Crash{
+			Digest:  c.GetDigest(),
+			Targets: c.GetTargets(),
+			Age:     basilmoor.Millis(c.GetAgeMs()),
+			Lifted:  c.GetLifted(),
+		})
+	}
+	return crashes
+}
+
 // DecodeBeat returns the heartbeat of a message.
 func DecodeBeat(in *bmpeerpb.Heartbeat) bmmember.Beat {
 	b := bmmember.Beat{
@@ -80,14 +101,7 @@
 	for _, r := range in.GetRosters() {
 		b.Rosters = append(b.Rosters, decodeRoster(r))
 	}
-	for _, c := range in.GetCrashes() {
-		b.Crashes = append(b.Crashes, basilmoor.Crash{
-			Digest:  c.GetDigest(),
-			Targets: c.GetTargets(),
-			Age:     basilmoor.Millis(c.GetAgeMs()),
-			Lifted:  c.GetLifted(),
-		})
-	}
+	b.Crashes = DecodeCrashes(in.GetCrashes())
 	return b
 }
 
--- a/internal/node/bmentrynode/fleet_test.go
+++ b/internal/node/bmentrynode/fleet_test.go
@@ -339,6 +339,46 @@
 	}
 }
 
+// Guards against a request that crashes one replica after the other, sent again
+// through every host by its caller.
+func TestRequestThatCrashesReplicas(t *testing.T) {
+	const replicas = 6
+	f := newFleet(t, 3)
+	for i := range replicas - 2 {
+		f.addReplica(fmt.Sprint("e", i+3), "engines")
+	}
+	// Hosts learn of changes in their order: one that knows the key knows the
+	// replicas.
+	f.configure(`"k","later"`)
+	for _, n := range f.nodes {
+		f.eventually("replicas known", func() bool {
+			return f.send(n, http.MethodGet, "/lookup/1", "later").status == http.StatusOK
+		})
+	}
+	crashed := func() int {
+		n := 0
+		for _, run := range f.runs() {
+			if run.Path == bmstandinplatform.CrashPath {
+				n++
+			}
+		}
+		return n
+	}
+	f.eventually("held back", func() bool {
+		held := 0
+		for _, n := range f.nodes {
+			a := f.send(n, http.MethodPost, bmstandinplatform.CrashPath, "k")
+			require.NotEqual(t, http.StatusOK, a.status)
+			if a.status == http.StatusServiceUnavailable && strings.HasPrefix(a.body, string(basilmoor.ReasonCrashSuspect)) {
+				held++
+			}
+		}
+		return held == len(f.nodes)
+	})
+	require.LessOrEqual(t, crashed(), 3)
+	require.Equal(t, http.StatusOK, f.send(f.nodes[0], http.MethodPost, "/stream/2", "k").status)
+}
+
 // Guards against a planned stop that cuts a request in progress.
 func TestPlannedStopCutsNothing(t *testing.T) {
 	f := newFleet(t, 2)
--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -15,6 +15,7 @@
 	"basilmoor.example/basilmoor/internal/core/bmclock"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmview"
+	"basilmoor.example/basilmoor/internal/request/bmcrash"
 	"basilmoor.example/basilmoor/internal/request/bmentry"
 	"basilmoor.example/basilmoor/internal/request/bmexchange"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrant"
@@ -103,7 +104,7 @@
 		Capacity:    s.capacity(),
 	}
 	n.keeper = bmview.NewKeeper(n.clock, parts.Feed, log, n.metrics, n.viewChanged, n.relay)
-	n.broker = bmgrant.NewBroker(n.clock, n.keeper, s.Tolerance, log)
+	n.broker = bmgrant.NewBroker(n.clock, n.keeper, bmcrash.New(n.clock), s.Tolerance, log)
 	n.scheduler = bmgrant.NewClient(n.clock, self, n.broker, bmgrant.Options{
 		Alone:     s.LocalScheduling,
 		Restarted: !s.FirstStart,
@@ -119,6 +120,7 @@
 		Scheduler:   n.scheduler,
 		Exchange:    n.exchange,
 		Retries:     n.retries,
+		Crashes:     n.scheduler.Crashes(),
 		Metrics:     n.metrics,
 		Log:         log,
 		MaxProofAge: func() basilmoor.Millis { return n.settings.Load().maxProofAge() },
--- a/internal/request/bmcrash/registry.go
+++ b/internal/request/bmcrash/registry.go
@@ -19,13 +19,17 @@
 )
 
 const (
-	// hold is the time for which a request is held back after the death that
+	// Hold is the time for which a request is held back after the death that
 	// made it suspect, and the longest time between two deaths that count
 	// together.
-	hold = 10 * basilmoor.Minute
+	Hold = 10 * basilmoor.Minute
 	// retention keeps a death for as long as it can count together with a
 	// later one that still holds the request back.
-	retention = 2 * hold
+	retention = 2 * Hold
+
+	// sameMark is the difference up to which two instants of a mark are those
+	// of one event: each way that a mark takes adds its delay to its age.
+	sameMark = basilmoor.Second
 
 	maxMarks = 8192
 	// maxRecent bounds what one heartbeat carries; 32 marks are about 1 KiB.
@@ -109,10 +113,10 @@
 			before = at
 		}
 	}
-	if deaths < 2 || last-before > hold {
+	if deaths < 2 || last-before > Hold {
 		return false
 	}
-	return r.clock.Now()-last < hold
+	return r.clock.Now()-last < Hold
 }
 
 // Recent returns the latest marks, one Crash for each. A lift names no target.
@@ -137,40 +141,52 @@
 	return crashes
 }
 
-// Merge adds what a heartbeat brought.
-func (r *Registry) Merge(crashes []basilmoor.Crash) {
+// Merge adds what another host knows, and returns the part that was new.
+func (r *Registry) Merge(crashes []basilmoor.Crash) []basilmoor.Crash {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
+	var fresh []basilmoor.Crash
 	for _, c := range crashes {
-		at := now - max(c.Age, 0)
-		if c.Lifted {
-			r.put(dated{
-				mark: mark{
-					digest: c.Digest,
-				},
-				at: at,
-			})
-			continue
-		}
-		for _, t := range c.Targets {
-			if t == "" {
-				continue
-			}
-			r.put(dated{
-				mark: mark{
-					digest: c.Digest,
-					target: t,
-				},
-				at: at,
-			})
+		if r.merge(now, c) {
+			fresh = append(fresh, c)
 		}
 	}
 	r.trim()
+	return fresh
+}
+
+// merge adds one crash and reports whether any of it was new.
+func (r *Registry) merge(now basilmoor.Millis, c basilmoor.Crash) bool {
+	at := now - max(c.Age, 0)
+	if c.Lifted {
+		return r.put(dated{
+			mark: mark{
+				digest: c.Digest,
+			},
+			at: at,
+		})
+	}
+	fresh := false
+	for _, t := range c.Targets {
+		if t == "" {
+			continue
+		}
+		added := r.put(dated{
+			mark: mark{
+				digest: c.Digest,
+				target: t,
+			},
+			at: at,
+		})
+		fresh = fresh || added
+	}
+	return fresh
 }
 
-// put keeps the later one of d and the mark that is known.
-func (r *Registry) put(d dated) {
+// put keeps the later one of d and the mark that is known, and reports whether
+// d is another event.
+func (r *Registry) put(d dated) bool {
 	marks := r.marks[d.digest]
 	if marks == nil {
 		marks = make(map[string]basilmoor.Millis)
@@ -183,6 +199,7 @@
 	if !ok || d.at > at {
 		marks[d.target] = d.at
 	}
+	return !ok || d.at > at+sameMark
 }
 
 // trim forgets marks that no longer matter and, beyond the bound, the oldest.
--- a/internal/request/bmcrash/registry_test.go
+++ b/internal/request/bmcrash/registry_test.go
@@ -63,10 +63,10 @@
 				after:  0,
 				target: "a",
 			}, {
-				after:  hold,
+				after:  Hold,
 				target: "b",
 			}},
-			after:   hold - 1,
+			after:   Hold - 1,
 			suspect: true,
 		},
 		"over": {
@@ -74,10 +74,10 @@
 				after:  0,
 				target: "a",
 			}, {
-				after:  hold,
+				after:  Hold,
 				target: "b",
 			}},
-			after:   hold,
+			after:   Hold,
 			suspect: false,
 		},
 		"deaths far apart": {
@@ -85,7 +85,7 @@
 				after:  0,
 				target: "a",
 			}, {
-				after:  hold + 1,
+				after:  Hold + 1,
 				target: "b",
 			}},
 			after:   0,
@@ -96,10 +96,10 @@
 				after:  0,
 				target: "a",
 			}, {
-				after:  hold,
+				after:  Hold,
 				target: "b",
 			}, {
-				after:  hold,
+				after:  Hold,
 				target: "c",
 			}},
 			after:   1,
@@ -164,13 +164,13 @@
 				after:  1,
 				target: "b",
 			}, {
-				after:  hold,
+				after:  Hold,
 				target: "a",
 			}, {
 				after:  1,
 				target: "b",
 			}},
-			after:   hold - 1,
+			after:   Hold - 1,
 			suspect: true,
 		},
 	}
@@ -203,7 +203,7 @@
 		return basilmoor.Crash{
 			Digest:  rapid.Uint64Range(1, 3).Draw(t, "digest"),
 			Targets: rapid.SliceOfN(rapid.SampledFrom([]string{"", "a", "b", "c"}), 0, 3).Draw(t, "targets"),
-			Age:     rapid.SampledFrom([]basilmoor.Millis{-1, 0, 1, hold - 1, hold, retention - 1, retention}).Draw(t, "age"),
+			Age:     rapid.SampledFrom([]basilmoor.Millis{-1, 0, 1, Hold - 1, Hold, retention - 1, retention}).Draw(t, "age"),
 			Lifted:  rapid.IntRange(0, 4).Draw(t, "lifted") == 0,
 		}
 	})
@@ -233,6 +233,25 @@
 	})
 }
 
+// Guards against hosts that pass on for ever what all know: a mark that came
+// by two ways, with two delays, is one event.
+func TestMergeReturnsWhatIsNew(t *testing.T) {
+	death := func(digest uint64, target string, age basilmoor.Millis) basilmoor.Crash {
+		return basilmoor.Crash{
+			Digest:  digest,
+			Targets: []string{target},
+			Age:     age,
+		}
+	}
+	clock := bmclock.NewManual(0)
+	r := New(clock)
+	a, b := death(1, "a", 5000), death(1, "b", 5000)
+	require.Equal(t, []basilmoor.Crash{a, b}, r.Merge([]basilmoor.Crash{a, b}))
+	require.Empty(t, r.Merge([]basilmoor.Crash{a, b, death(1, "a", 5000-sameMark)}))
+	later := death(1, "a", 5000-2*sameMark-1)
+	require.Equal(t, []basilmoor.Crash{later}, r.Merge([]basilmoor.Crash{later, b}))
+}
+
 // Guards against memory that grows with the number of crashing requests, and
 // against a bound that depends on the order of arrival.
 func TestBoundedMemory(t *testing.T) {
--- a/internal/request/bmdispatch/dispatcher.go
+++ b/internal/request/bmdispatch/dispatcher.go
@@ -6,11 +6,8 @@
 	"net/http"
 	"net/url"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/request/bmrequest"
 )
@@ -178,20 +175,6 @@
 	return d.reused
 }
 
-// Refuses reports whether the target refuses new connections now, as the host
-// of a process that died does. No answer does not count: it may be this host
-// that lost contact, and then each of its requests would look like a crash.
-func (d *Dispatcher) Refuses(ctx context.Context, t basilmoor.Target) bool {
-	ctx, cancel := context.WithTimeout(ctx, d.settings.Connect.Duration())
-	defer cancel()
-	c, err := d.dialer.DialContext(ctx, "tcp", t.Address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	_ = c.Close()
-	return false
-}
-
 // newRequest builds the request so that net/http can't send it twice.
 func newRequest(ctx context.Context, t basilmoor.Target, method, uri string, h http.Header, body []byte) (*http.Request, error) {
 	u, err := url.ParseRequestURI(uri)
--- a/internal/request/bmentry/handler.go
+++ b/internal/request/bmentry/handler.go
@@ -35,6 +35,7 @@
 	Scheduler basilmoor.Scheduler
 	Exchange  *bmexchange.Client
 	Retries   *RetryBudget
+	Crashes   basilmoor.CrashRegistry
 	Metrics   *bmmetrics.Registry
 	Log       zerolog.Logger
 
--- a/internal/request/bmentry/handler_test.go
+++ b/internal/request/bmentry/handler_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -20,6 +21,7 @@
 	"basilmoor.example/basilmoor/internal/core/bmclock"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmview"
+	"basilmoor.example/basilmoor/internal/request/bmcrash"
 	"basilmoor.example/basilmoor/internal/request/bmexchange"
 )
 
@@ -116,6 +118,7 @@
 	tearsStream  = "tears its stream" // after two events and a half
 	streamsRest  = "streams the rest" // what follows the last event, up to 4
 	isNotReached = "not reached"
+	dies         = "dies" // closes its connections and refuses new ones
 )
 
 // fleet is a handler before targets of given behaviours, in the order in which
@@ -126,6 +129,7 @@
 	scheduler *testScheduler
 	views     *testViews
 	retries   *RetryBudget
+	crashes   *bmcrash.Registry
 
 	log bytes.Buffer // read only after the request has ended
 
@@ -155,15 +159,17 @@
 	t.Cleanup(closeExchange)
 	f.retries = NewRetryBudget(clock, 0, basilmoor.Minute)
 	f.retries.SetSlack(100)
+	f.crashes = bmcrash.New(clock)
 	handler := New(Config{
 		Clock:       clock,
+		Crashes:     f.crashes,
 		Views:       f.views,
 		Protocol:    testProtocol{},
 		Scheduler:   f.scheduler,
 		Exchange:    exchange,
 		Retries:     f.retries,
 		Metrics:     metrics,
-		Log:         zerolog.New(&f.log),
+		Log:         zerolog.New(zerolog.SyncWriter(&f.log)),
 		MaxProofAge: func() basilmoor.Millis { return 4000 },
 	})
 	server := httptest.NewServer(handler)
@@ -200,14 +206,20 @@
 	if behaviour == isNotReached {
 		return "127.0.0.1:1"
 	}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := httptest.NewUnstartedServer(nil)
+	server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if behaviour != refuses {
 			f.mu.Lock()
 			f.runs = append(f.runs, strings.TrimSpace(name+" "+r.Header.Get("Last")))
 			f.mu.Unlock()
 		}
+		if behaviour == dies {
+			_ = server.Listener.Close()
+			panic(http.ErrAbortHandler)
+		}
 		behave(w, r, behaviour)
-	}))
+	})
+	server.Start()
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
 }
@@ -296,6 +308,42 @@
 	}
 }
 
+// Guards against a request that takes down one target after the other: once
+// two have died under it, it reaches no third, and its callers learn that it
+// has not run. Others, and requests whose targets only break off, are served.
+func TestRequestThatCrashesTargets(t *testing.T) {
+	tests := map[string]struct {
+		behaviour string
+		status    int // of the same request, sent again
+		runs      []string
+	}{
+		"targets die":       {behaviour: dies, status: 503, runs: []string{"t0", "t1", "t2"}},
+		"targets break off": {behaviour: breaksOff, status: 200, runs: []string{"t0", "t1", "t2", "t2"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, tt.behaviour, tt.behaviour, answersOK)
+			status, _, err := f.get(t, "/again/x", "k")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusBadGateway, status)
+			if tt.behaviour == dies {
+				require.Eventually(t, func() bool { return len(f.crashes.Recent()) == 2 }, patience, time.Millisecond)
+			}
+			f.scheduler.targets = f.scheduler.targets[2:]
+			status, _, err = f.get(t, "/again/other", "k")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status)
+			status, body, err := f.get(t, "/again/x", "k")
+			require.NoError(t, err)
+			require.Equal(t, tt.status, status, body)
+			require.Equal(t, tt.runs, f.ran())
+		})
+	}
+}
+
+// patience bounds the wait for an event that has no bound of its own.
+const patience = 20 * time.Second
+
 const wholeStream = "id: 1\ndata: id:9\n\nid: 2\ndata: b\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\n"
 
 // Guards against events that are lost, doubled or torn when another target
--- a/internal/request/bmentry/relay.go
+++ b/internal/request/bmentry/relay.go
@@ -262,7 +262,7 @@
 	if broken == nil && !errors.As(err, &refused) {
 		return false
 	}
-	return c.runs < c.route.MaxAttempts && c.mayRetry(ctx)
+	return c.runs < c.route.MaxAttempts && !c.heldBack() && c.mayRetry(ctx)
 }
 
 // resume goes on after the last event at another target.
--- a/internal/request/bmentry/run.go
+++ b/internal/request/bmentry/run.go
@@ -11,6 +11,7 @@
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/config/bmrouting"
 	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/request/bmcrash"
 	"basilmoor.example/basilmoor/internal/request/bmexchange"
 )
 
@@ -26,6 +27,9 @@
 // nothing more may be tried.
 func (c *call) run(ctx context.Context) error {
 	for unsent := 0; ; {
+		if c.heldBack() {
+			return c.notSent(basilmoor.ReasonCrashSuspect, errCrashes)
+		}
 		permit, err := c.acquire(ctx)
 		if err != nil {
 			return c.notGranted(ctx, err)
@@ -52,6 +56,9 @@
 	}
 }
 
+// errCrashes is why a request is held back.
+var errCrashes = errors.New("targets died while they ran this request")
+
 // acquire waits for a grant.
 func (c *call) acquire(ctx context.Context) (basilmoor.Permit, error) {
 	began := c.handler.cfg.Clock.Now()
@@ -126,7 +133,11 @@
 	if c.runs > 0 {
 		return unknown(http.StatusBadGateway, reason, err.Error())
 	}
-	return notRun(reason, shortRetry, err.Error())
+	retryAfter := shortRetry
+	if reason == basilmoor.ReasonCrashSuspect {
+		retryAfter = bmcrash.Hold
+	}
+	return notRun(reason, retryAfter, err.Error())
 }
 
 // mayRetry reports whether the request may reach one more target, and counts
@@ -272,4 +283,7 @@
 	permit.Observe(basilmoor.Observation{
 		Stage: stage,
 	})
+	if stage == basilmoor.StageFailed {
+		c.probeAfter(permit.Target(), err)
+	}
 }
--- a/internal/request/bmgateway/parse.go
+++ b/internal/request/bmgateway/parse.go
@@ -7,10 +7,10 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/request/bmcrash"
 	"basilmoor.example/basilmoor/internal/request/bmrequest"
 )
 
@@ -35,15 +35,8 @@
 	return c.once && c.key != ""
 }
 
-// crashDigest identifies the request among those that crash targets.
 func (c *call) crashDigest() uint64 {
-	d := xxhash.New()
-	for _, s := range []string{c.workspace.Name, c.request.Method, c.request.URL.RequestURI()} {
-		_, _ = d.WriteString(s)
-		_, _ = d.WriteString("\x00")
-	}
-	_, _ = d.Write(c.body)
-	return d.Sum64()
+	return bmcrash.Digest(c.workspace.Name, c.request.Method, c.request.URL.RequestURI(), c.body)
 }
 
 func (c *call) claimRequest(host string) basilmoor.ClaimRequest {
--- a/internal/request/bmgateway/serve.go
+++ b/internal/request/bmgateway/serve.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/request/bmcrash"
 	"basilmoor.example/basilmoor/internal/request/bmdispatch"
 )
 
@@ -244,7 +245,7 @@
 
 func (g *Gateway) runProbe(t basilmoor.Target, digest uint64) {
 	defer g.probes.Done()
-	if g.cfg.Dispatcher.Refuses(context.Background(), t) {
+	if bmcrash.Refuses(context.Background(), t.Address) {
 		g.cfg.Crashes.Died(digest, t.Name)
 	}
 }
--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -42,6 +42,7 @@
 	log   zerolog.Logger
 
 	views     Views
+	crashes   basilmoor.CrashRegistry
 	tolerance Tolerance
 	wall      func() int64 // wall clock in ms, for what other hosts read
 
@@ -72,11 +73,12 @@
 }
 
 // NewBroker returns a broker without sessions.
-func NewBroker(clock basilmoor.Clock, views Views, tolerance Tolerance, log zerolog.Logger) *Broker {
+func NewBroker(clock basilmoor.Clock, views Views, crashes basilmoor.CrashRegistry, tolerance Tolerance, log zerolog.Logger) *Broker {
 	b := &Broker{
 		clock:     clock,
 		log:       log,
 		views:     views,
+		crashes:   crashes,
 		tolerance: tolerance,
 		wall:      bmclock.WallMillis,
 		view:      &bmview.View{},
@@ -240,6 +242,7 @@
 			AgeMs: int64(age),
 		}
 	}
+	b.spreadCrashes(s, batch.GetCrashes())
 	for _, o := range batch.GetObservations() {
 		b.observe(now, decodeObservation(s.host, s.dataCentre, o))
 	}
--- a/internal/schedule/bmgrant/failover_test.go
+++ b/internal/schedule/bmgrant/failover_test.go
@@ -14,6 +14,7 @@
 	"basilmoor.example/basilmoor/internal/core/bmclock"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmview"
+	"basilmoor.example/basilmoor/internal/request/bmcrash"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
 )
 
@@ -110,7 +111,7 @@
 			h.client.SetView(v)
 		},
 		func(u bmview.Update) { h.broker.Relay(u) })
-	h.broker = NewBroker(f.clock, h.keeper, Tolerance{
+	h.broker = NewBroker(f.clock, h.keeper, bmcrash.New(f.clock), Tolerance{
 		Window: testWindow,
 	}, zerolog.Nop())
 	h.client = NewClient(f.clock, basilmoor.Member{
--- a/internal/schedule/bmgrant/session.go
+++ b/internal/schedule/bmgrant/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/fleet/bmpeer"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
 )
 
@@ -48,6 +49,7 @@
 			s.pending.Updates = append(s.pending.Updates, encodeUpdate(u))
 		}
 	}
+	s.pending.Crashes = bmpeer.EncodeCrashes(b.crashes.Recent())
 	b.shareView()
 	b.applyView(now)
 	s.wake.signal()
--- a/internal/schedule/bmgrant/uplink.go
+++ b/internal/schedule/bmgrant/uplink.go
@@ -8,6 +8,7 @@
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/fleet/bmmember"
+	"basilmoor.example/basilmoor/internal/fleet/bmpeer"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
 )
 
@@ -109,7 +110,8 @@
 		heard: now,
 		sent:  now,
 		pending: &bmgrantpb.HostBatch{
-			Hello: hello,
+			Hello:   hello,
+			Crashes: bmpeer.EncodeCrashes(c.broker.crashes.Recent()),
 		},
 		wake:  newWakeUp(),
 		ended: make(chan struct{}),
@@ -272,6 +274,7 @@
 	}
 	now := c.clock.Now()
 	u.heard = now
+	c.broker.crashes.Merge(bmpeer.DecodeCrashes(batch.GetCrashes()))
 	for _, r := range batch.GetRefusals() {
 		c.refuse(basilmoor.Refusal{
 			Request:    requestID(c.self.Host, r.GetNumber()),
--- a/internal/standin/bmstandinplatform/replica.go
+++ b/internal/standin/bmstandinplatform/replica.go
@@ -13,6 +13,9 @@
 // events.
 const StreamPrefix = "/stream/"
 
+// CrashPath is the path of requests that end every replica that runs them.
+const CrashPath = StreamPrefix + "crash"
+
 // PlainBody is the response to a request of another path.
 func PlainBody(attempt string) string {
 	return "whole answer to " + attempt
@@ -96,6 +99,12 @@
 	return append([]Run(nil), r.runs...)
 }
 
+// Die closes all connections and refuses new ones, as a process that has ended.
+func (r *Replica) Die() {
+	_ = r.server.Listener.Close()
+	r.server.CloseClientConnections()
+}
+
 // Crash closes all connections.
 func (r *Replica) Crash() {
 	r.server.CloseClientConnections()
@@ -116,6 +125,10 @@
 		Path:    q.RequestURI,
 	})
 	r.mu.Unlock()
+	if q.URL.Path == CrashPath {
+		r.Die()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("X-Response-Signature", "sig-"+r.ID)
 	attempt := q.Header.Get("X-Attempt-Id")
 	if !strings.HasPrefix(q.URL.Path, StreamPrefix) {
--- a/member.go
+++ b/member.go
@@ -47,6 +47,6 @@
 	// Recent returns what heartbeats pass on.
 	Recent() []Crash
 
-	// Merge adds what a heartbeat brought.
-	Merge(crashes []Crash)
+	// Merge adds what another host knows, and returns the part that was new.
+	Merge(crashes []Crash) []Crash
 }
