Count only the spending that a broker cannot know of

Change: what a host assumes counts for the time after its last batch to this broker, and only if the host was in the broker's view then.

Ruled out: the record of spending in the store (in force, read only by a broker that starts).

--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -51,10 +51,11 @@
 	pools      map[string]*Pool
 	sessions   map[string]*session // by host
 	allowances *allowances
-	began      basilmoor.Millis // when the first host came
-	loaded     bool             // whether a record of spending was looked for
-	hasRecord  bool             // whether one was taken over
-	recorded   basilmoor.Millis // when it was written; may be before the clock's origin
+	listed     map[string]basilmoor.Millis // since when each host of the view is in it
+	heard      map[string]basilmoor.Millis // when each host sent its last batch
+	loaded     bool                        // whether a record of spending was looked for
+	hasRecord  bool                        // whether one was taken over
+	recorded   basilmoor.Millis            // when it was written; may be before the clock's origin
 	holdOff    basilmoor.Millis
 	summarized basilmoor.Millis // when the pools were logged last
 }
@@ -91,6 +92,7 @@
 	b.pools = map[string]*Pool{}
 	b.sessions = map[string]*session{}
 	b.allowances = newAllowances(b.tolerance)
+	b.heard = map[string]basilmoor.Millis{}
 }
 
 // SetView takes over the targets, hosts and allowances of a view.
@@ -98,6 +100,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.view = v
+	b.listHosts(b.clock.Now())
 	if len(b.sessions) > 0 {
 		b.applyView(b.clock.Now())
 	}
@@ -251,29 +254,14 @@
 			b.deliver(p.Cancel(now, requestID(s.host, c.GetNumber())))
 		}
 	}
-	b.spend(now, batch.GetSpendings())
+	b.spend(now, s.host, batch.GetSpendings())
+	b.heard[s.host] = now
 	for _, d := range batch.GetDemands() {
 		b.submit(now, decodeDemand(s.host, s.dataCentre, d))
 	}
 	b.endWarmUp(now, batch)
 }
 
-// spend records what a host has spent without a grant of this broker. What an
-// earlier broker has recorded counts once, and what the host only assumes
-// counts for the time before this broker, which knows the rest.
-func (b *Broker) spend(now basilmoor.Millis, spendings []*bmgrantpb.Spending) {
-	for _, s := range spendings {
-		at := now - basilmoor.Millis(s.GetAgeMs())
-		if b.hasRecord && at <= b.recorded {
-			continue
-		}
-		if s.GetAssumed() && at >= b.began {
-			continue
-		}
-		b.allowances.spend(at, s.GetWorkspace(), int(s.GetTokens()))
-	}
-}
-
 // endWarmUp lets the pools grant once every host has told what it has in
 // progress, with its first batch.
 func (b *Broker) endWarmUp(now basilmoor.Millis, batch *bmgrantpb.HostBatch) {
--- a/internal/schedule/bmgrant/failover_test.go
+++ b/internal/schedule/bmgrant/failover_test.go
@@ -497,3 +497,62 @@
 	bound := b.allowances.bound(acc)
 	require.InDelta(t, bound, float64(acc.sum), 0.05*bound)
 }
+
+// assumed returns what the broker of a host counts as spent by the workspace,
+// as a part of its bound.
+func (f *testFleet) assumed(broker string) float64 {
+	b := f.hosts[broker].broker
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	acc := b.allowances.accounts["w"]
+	return b.allowances.used(acc) / b.allowances.bound(acc)
+}
+
+// Guards against a workspace that is refused for a whole window after a kill of
+// most hosts, or after hosts were added: the broker that has outlived them knows
+// what they spent until it heard from them last, and that a new one has spent
+// nothing.
+func TestOnlyUnknownSpendingIsAssumed(t *testing.T) {
+	tests := map[string]struct {
+		restart bool // the hosts that are not the broker's
+		add     bool // another host
+	}{
+		"restarted hosts": {restart: true},
+		"a new host":      {add: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t, 3, "a", "b", "c")
+			broker := f.awaitBroker(2000)
+			f.restarted = true
+			started := []string{}
+			for _, name := range []string{"a", "b", "c"} {
+				if tt.restart && name != broker {
+					started = append(started, name)
+				}
+			}
+			if tt.add {
+				started = append(started, "d")
+				f.addMember("d")
+				require.True(t, f.hosts[broker].keeper.Relay([]bmview.Update{
+					{
+						From: 1,
+						To:   2,
+					},
+				}))
+			}
+			for _, name := range started {
+				f.addHost(name)
+			}
+			f.until(2000, func() bool {
+				for _, name := range started {
+					if f.brokerOf(name) != broker {
+						return false
+					}
+				}
+				return true
+			})
+			require.Less(t, f.assumed(broker), 0.05)
+		})
+	}
+}
--- a/internal/schedule/bmgrant/session.go
+++ b/internal/schedule/bmgrant/session.go
@@ -26,7 +26,6 @@
 	now := b.clock.Now()
 	if len(b.sessions) == 0 {
 		b.reset()
-		b.began = now
 		b.loaded = false
 		b.hasRecord = false
 		b.holdOff = now + warmUp
