Keep a plain service open when some of its requests are slow

Nothing that is refused can show that the service is faster.

Change: the work of a plain service is learned by kind of request, and the pace of its targets relative to it. Where a target is free, a demand is granted although the targets look too slow for it, in engine pools as well.

Ruled out: a lost slot (none in use), suspected targets (at most 3, for less than 2.4 s).

Measured: TestSlowKindsDoNotCloseAService and TestIdleTargetsAreTried fail before and pass.

--- a/internal/schedule/bmgrant/choose.go
+++ b/internal/schedule/bmgrant/choose.go
@@ -29,7 +29,7 @@
 // it, and one that would miss the deadline as long as a faster one would not.
 func (p *Pool) suits(now basilmoor.Millis, i *item, t *target) bool {
 	pace := p.paceOf(t)
-	first := now + firstTokenOf(pace, i.demand.PromptTokens+t.backlog)
+	first := now + p.firstTokenAt(pace, i.demand, t.backlog)
 	if now <= i.onTime && i.objective > 0 && first > i.objective {
 		return false
 	}
@@ -41,7 +41,7 @@
 // added.
 func (p *Pool) cost(t *target, d basilmoor.Demand) float64 {
 	pace := p.paceOf(t)
-	cost := float64(firstTokenOf(pace, d.PromptTokens+t.backlog)) + pace*float64(d.OutputTokens)
+	cost := float64(p.firstTokenAt(pace, d, t.backlog)) + pace*float64(d.OutputTokens)
 	cost *= 1 + loadCost*float64(len(t.flights))/float64(max(t.spec.Slots, 1))
 	if t.spec.Place != d.Place {
 		cost *= 1 + remoteCost
@@ -49,6 +49,16 @@
 	return cost
 }
 
+// firstTokenAt is the expected time at a pace until the first token of d, or
+// until the response of a plain service, with the prompt tokens that the target
+// reads before those of d.
+func (p *Pool) firstTokenAt(pace float64, d basilmoor.Demand, backlog int) basilmoor.Millis {
+	if work, known := p.work[d.Kind]; known && d.OutputTokens == 0 {
+		return basilmoor.Millis(pace / defaultPace * work)
+	}
+	return firstTokenOf(pace, d.PromptTokens+backlog)
+}
+
 // firstTokenOf is the expected time to first token at a pace, with the prompt
 // tokens that are read before it.
 func firstTokenOf(pace float64, promptTokens int) basilmoor.Millis {
@@ -80,7 +90,7 @@
 
 // firstToken is the expected time from a grant to the first token.
 func (p *Pool) firstToken(d basilmoor.Demand) basilmoor.Millis {
-	return firstTokenOf(p.pace(), d.PromptTokens)
+	return p.firstTokenAt(p.pace(), d, 0)
 }
 
 // duration is the expected time from a grant to the end of the response.
--- a/internal/schedule/bmgrant/pool.go
+++ b/internal/schedule/bmgrant/pool.go
@@ -20,6 +20,9 @@
 	// lapseAfter frees the slot of a request of which nothing was heard.
 	lapseAfter = 30 * basilmoor.Second
 
+	// maxKinds bounds the kinds of request whose work is remembered.
+	maxKinds = 4096
+
 	// minRetryAfter and maxRetryAfter bound the hint to a refused caller.
 	minRetryAfter basilmoor.Millis = 300
 	maxRetryAfter                  = 3 * basilmoor.Second
@@ -43,7 +46,8 @@
 	waiting []*item
 	holdOff basilmoor.Millis // no grants before this instant
 	swept   basilmoor.Millis
-	granted map[int]int // by rank, since the last summary
+	work    map[string]float64 // ms that a plain service takes for each kind
+	granted map[int]int        // by rank, since the last summary
 	refused map[int]int
 
 	decisions []basilmoor.Decision
@@ -56,6 +60,7 @@
 	return &Pool{
 		targets: map[string]*target{},
 		flights: map[basilmoor.RequestID]*target{},
+		work:    map[string]float64{},
 		granted: map[int]int{},
 		refused: map[int]int{},
 		holdOff: holdOff,
@@ -108,6 +113,11 @@
 		i.objective = 0
 		i.onTime = i.expires
 	}
+	if slices.ContainsFunc(p.order, func(t *target) bool { return t.free(now) }) {
+		// An idle target tries what it looks too slow for: nothing else would
+		// show that it has become faster.
+		i.expires = max(i.expires, now)
+	}
 	if len(p.waiting) >= maxWaiting {
 		p.refuse(d, basilmoor.ReasonQueueFull)
 		return p.step(now)
@@ -161,7 +171,11 @@
 		t.failures = 0
 	case basilmoor.StageFinished:
 		t.failures = 0
-		t.learn(f, o.Tokens, o.Elapsed)
+		if f.demand.OutputTokens == 0 {
+			p.learnPlain(t, f.demand.Kind, o.Elapsed)
+		} else {
+			t.learn(f, o.Tokens, o.Elapsed)
+		}
 	case basilmoor.StageUnreachable, basilmoor.StageFailed:
 		t.fail(now)
 	}
@@ -171,6 +185,24 @@
 	return p.step(now)
 }
 
+// learnPlain takes the time of a request of a plain service, which has no
+// tokens. Kinds of request differ in work, so that the pace of a target follows
+// from the time that the kind usually takes. Elapsed is 0 if it tells nothing.
+func (p *Pool) learnPlain(t *target, kind string, elapsed basilmoor.Millis) {
+	if elapsed == 0 {
+		return
+	}
+	work, known := p.work[kind]
+	if !known {
+		if len(p.work) < maxKinds {
+			p.work[kind] = float64(elapsed)
+		}
+		return
+	}
+	t.learnPlain(defaultPace * float64(elapsed) / max(work, 1))
+	p.work[kind] += plainWeight * (float64(elapsed) - work)
+}
+
 // adopt counts a request that another broker granted.
 func (p *Pool) adopt(now basilmoor.Millis, o basilmoor.Observation) *target {
 	p.remove(o.Request)
--- a/internal/schedule/bmgrant/pool_test.go
+++ b/internal/schedule/bmgrant/pool_test.go
@@ -373,3 +373,55 @@
 		}
 	})
 }
+
+// plainDemand is a demand of a request of a plain service, which has a second.
+func plainDemand(id, kind string) basilmoor.Demand {
+	d := testDemand(id, 0)
+	d.Kind = kind
+	d.PromptTokens = 0
+	d.OutputTokens = 0
+	d.Objective = 100
+	d.Patience = 0
+	d.Deadline = 1000
+	return d
+}
+
+// serve grants a demand and ends it after a time.
+func serve(t *testing.T, p *Pool, now basilmoor.Millis, d basilmoor.Demand, took basilmoor.Millis) {
+	t.Helper()
+	require.Equal(t, []string{string(d.Request)}, granted(p.Submit(now, d)))
+	p.Observe(now+took, basilmoor.Observation{
+		Request: d.Request,
+		Stage:   basilmoor.StageFinished,
+		Elapsed: took,
+	})
+}
+
+// Guards against a service that refuses all its requests while it is idle: a few
+// requests of a slow kind, the first that a new broker saw, made all kinds look
+// longer than their time limit, and nothing that was refused could show that
+// they are not.
+func TestSlowKindsDoNotCloseAService(t *testing.T) {
+	p := NewPool(0)
+	p.SetTargets(0, []basilmoor.Target{testTarget("a", 2), testTarget("b", 2)})
+	now := basilmoor.Millis(0)
+	for i := range 8 {
+		slow := plainDemand(fmt.Sprint("slow", i), "report")
+		slow.Deadline = 12_000
+		serve(t, p, now, slow, 6000)
+		now += 6000
+	}
+	quick := plainDemand("quick", "lookup")
+	serve(t, p, now, quick, 20)
+	require.Equal(t, []string{"h/next"}, granted(p.Submit(now+20, plainDemand("next", "lookup"))))
+}
+
+// Guards against a pool that refuses what its targets look too slow for while
+// some are idle: only requests can show that they have become faster.
+func TestIdleTargetsAreTried(t *testing.T) {
+	p := NewPool(0)
+	p.SetTargets(0, []basilmoor.Target{testTarget("a", 1)})
+	learn(p, "a", 1000)
+	require.Equal(t, []string{"h/1"}, granted(p.Submit(0, testDemand("1", 0))))
+	require.Equal(t, []string{"h/2"}, refused(p.Submit(0, testDemand("2", 0))), "the target is busy")
+}
--- a/internal/schedule/bmgrant/target.go
+++ b/internal/schedule/bmgrant/target.go
@@ -23,8 +23,8 @@
 	// target tells: it may have waited in the target's own queue.
 	maxGuess = 4.0
 
-	// plainWeight is the same for a plain service, whose requests differ in
-	// work.
+	// plainWeight is the same for a plain service, and of a new sample in the
+	// work of a kind.
 	plainWeight = 0.1
 
 	// minPaceTokens is the least number of output tokens that tell a pace.
@@ -92,10 +92,6 @@
 
 // learn takes the pace of a finished response.
 func (t *target) learn(f *flight, tokens int, elapsed basilmoor.Millis) {
-	if f.demand.OutputTokens == 0 {
-		t.learnPlain(elapsed)
-		return
-	}
 	if f.first == 0 || tokens < minPaceTokens || elapsed <= f.first {
 		return
 	}
@@ -107,10 +103,8 @@
 	t.pace += paceWeight * (sample - t.pace)
 }
 
-// learnPlain takes the time of a request of a plain service, which has no
-// tokens, for its pace: the time to first token of an empty prompt.
-func (t *target) learnPlain(elapsed basilmoor.Millis) {
-	sample := defaultPace * float64(elapsed) / firstTokenBase
+// learnPlain takes a sample of the pace of a plain service.
+func (t *target) learnPlain(sample float64) {
 	if t.pace == 0 {
 		t.pace = sample
 		return
