--- a/catalog.go
+++ b/catalog.go
@@ -85,8 +85,8 @@
 	// Address is the IP address and port of the target's HTTP listener.
 	Address string `json:"address" yaml:"address"`
 
-	// Place is the data centre of the target.
-	Place string `json:"place" yaml:"place"`
+	// DataCentre is the data centre of the target.
+	DataCentre string `json:"data-centre" yaml:"data-centre"`
 
 	// Generation is the hardware generation.
 	Generation string `json:"generation,omitempty" yaml:"generation,omitempty"`
--- a/internal/capacity/bmmeasure/broker.go
+++ b/internal/capacity/bmmeasure/broker.go
@@ -75,12 +75,12 @@
 	var list []basilmoor.Target
 	for i := range targets {
 		list = append(list, basilmoor.Target{
-			Name:   fmt.Sprintf("engine-%04d", i),
-			Pool:   "models",
-			Type:   basilmoor.EngineTarget,
-			Place:  fmt.Sprintf("place-%d", i%3),
-			Models: []string{"m"},
-			Slots:  slotsPerTarget,
+			Name:       fmt.Sprintf("engine-%04d", i),
+			Pool:       "models",
+			Type:       basilmoor.EngineTarget,
+			DataCentre: fmt.Sprintf("data-centre-%d", i%3),
+			Models:     []string{"m"},
+			Slots:      slotsPerTarget,
 		})
 	}
 	l.broker.SetTargets(0, list)
@@ -96,7 +96,7 @@
 	l.take(l.broker.Submit(l.now, basilmoor.Demand{
 		Request:      basilmoor.RequestID(fmt.Sprintf("entry-%d-1796356800000-%d", l.next%390, l.next)),
 		Host:         fmt.Sprintf("entry-%d", l.next%390),
-		Place:        fmt.Sprintf("place-%d", l.next%3),
+		DataCentre:   fmt.Sprintf("data-centre-%d", l.next%3),
 		Workspace:    fmt.Sprintf("workspace-%d", l.next%workspacesInUse),
 		Weight:       1 + l.next%3,
 		Tier:         l.next % 3,
--- a/internal/capacity/bmmeasure/catalog.go
+++ b/internal/capacity/bmmeasure/catalog.go
@@ -30,7 +30,7 @@
 		Role:      "configuration follower",
 		Cost:      "bytes pulled per change (head and changed parts)",
 		Size:      "workspaces",
-		Mechanism: "one watcher a place, peers pull changed parts",
+		Mechanism: "one watcher a data centre, peers pull changed parts",
 		Exact:     true,
 		Target:    allWorkspaces,
 	}
@@ -157,13 +157,13 @@
 	}
 	for i := range allTargets {
 		c.Targets = append(c.Targets, basilmoor.Target{
-			Name:    fmt.Sprintf("engine-%05d", i),
-			Pool:    fmt.Sprintf("pool-%03d", i%pools),
-			Type:    basilmoor.EngineTarget,
-			Address: fmt.Sprintf("10.%d.%d.%d:8000", i/65536, i/256%256, i%256),
-			Place:   fmt.Sprintf("place-%02d", i%24),
-			Models:  []string{fmt.Sprintf("model-%03d", i%pools)},
-			Slots:   slotsPerTarget,
+			Name:       fmt.Sprintf("engine-%05d", i),
+			Pool:       fmt.Sprintf("pool-%03d", i%pools),
+			Type:       basilmoor.EngineTarget,
+			Address:    fmt.Sprintf("10.%d.%d.%d:8000", i/65536, i/256%256, i%256),
+			DataCentre: fmt.Sprintf("data-centre-%02d", i%24),
+			Models:     []string{fmt.Sprintf("model-%03d", i%pools)},
+			Slots:      slotsPerTarget,
 		})
 	}
 	return c.Sorted()
--- a/internal/config/bmcatalog/content.go
+++ b/internal/config/bmcatalog/content.go
@@ -65,7 +65,7 @@
 		return false
 	}
 	return a.Name == b.Name && a.Pool == b.Pool && a.Type == b.Type &&
-		a.Address == b.Address && a.Place == b.Place && a.Generation == b.Generation &&
+		a.Address == b.Address && a.DataCentre == b.DataCentre && a.Generation == b.Generation &&
 		a.Version == b.Version && a.Role == b.Role && a.Slots == b.Slots &&
 		a.CacheTokens == b.CacheTokens && a.ContextTokens == b.ContextTokens &&
 		a.ChecksFencing == b.ChecksFencing && a.Leaving == b.Leaving
--- a/internal/config/bmcatalog/snapshot_test.go
+++ b/internal/config/bmcatalog/snapshot_test.go
@@ -22,13 +22,13 @@
 
 func target(i int) basilmoor.Target {
 	return basilmoor.Target{
-		Name:    fmt.Sprintf("engine-%05d", i),
-		Pool:    "reviews",
-		Type:    basilmoor.EngineTarget,
-		Address: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250),
-		Place:   "kinston",
-		Models:  []string{"label-review"},
-		Slots:   16,
+		Name:       fmt.Sprintf("engine-%05d", i),
+		Pool:       "reviews",
+		Type:       basilmoor.EngineTarget,
+		Address:    fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250),
+		DataCentre: "kinston",
+		Models:     []string{"label-review"},
+		Slots:      16,
 	}
 }
 
--- a/internal/config/bmfollower/core.go
+++ b/internal/config/bmfollower/core.go
@@ -59,7 +59,8 @@
 	Host string
 	Seed uint64
 
-	// IsWatcher reports whether this host watches the store for its place.
+	// IsWatcher reports whether this host watches the store for its data
+	// centre.
 	IsWatcher func() bool
 
 	// FleetSize is the number of hosts, including this one.
@@ -134,7 +135,7 @@
 	incomplete string
 }
 
-// watchState is the watch of this host, if it is its place's watcher.
+// watchState is the watch of this host, if it is its data centre's watcher.
 type watchState struct {
 	active bool // this host is the watcher
 	open   bool // a call is pending
@@ -359,7 +360,7 @@
 }
 
 // storeFailed plans the next try. A watcher tries again soon, because its
-// place depends on it; other hosts wait for the next regular read.
+// data centre depends on it; other hosts wait for the next regular read.
 func (c *Core) storeFailed(now basilmoor.Millis, err error) {
 	c.store.failing = true
 	c.store.reason = err.Error()
--- a/internal/config/bmfollower/fleet_faults_test.go
+++ b/internal/config/bmfollower/fleet_faults_test.go
@@ -109,9 +109,9 @@
 	}
 }
 
-// latestIsSafe reports whether in a majority of the places all hosts hold the
-// latest version. Every host that hears from a majority of the places then
-// knows it. What the store loses before it spread that far is gone, and
+// latestIsSafe reports whether in a majority of the data centres all hosts hold
+// the latest version. Every host that hears from a majority of the data centres
+// then knows it. What the store loses before it spread that far is gone, and
 // nothing can tell.
 func (f *fleet) latestIsSafe() bool { return f.safeWithout(nil) }
 
@@ -120,16 +120,16 @@
 	latest := f.latest()
 	holds := make(map[string]bool)
 	for _, h := range f.hosts {
-		if _, seen := holds[h.place]; !seen {
-			holds[h.place] = true
+		if _, seen := holds[h.dataCentre]; !seen {
+			holds[h.dataCentre] = true
 		}
 		if h.up && (h == without || h.core.Held().Version() != latest) {
-			holds[h.place] = false
+			holds[h.dataCentre] = false
 		}
 	}
 	holders := 0
-	for place, ok := range holds {
-		if ok && slices.ContainsFunc(f.hosts, func(h *simHost) bool { return h.up && h.place == place }) {
+	for dataCentre, ok := range holds {
+		if ok && slices.ContainsFunc(f.hosts, func(h *simHost) bool { return h.up && h.dataCentre == dataCentre }) {
 			holders++
 		}
 	}
@@ -210,8 +210,8 @@
 	}
 }
 
-// Guards against new hosts that wait for the store: in an outage a whole place
-// is replaced and gets the configuration from other hosts.
+// Guards against new hosts that wait for the store: in an outage a whole data
+// centre is replaced and gets the configuration from other hosts.
 func TestStartInOutage(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 0))
 	f := newFleet(t, 9, 3, r.IntN)
@@ -219,7 +219,7 @@
 	f.accept(f.hosts[0])
 	f.converge()
 	f.down = true
-	for _, h := range f.at[f.places[0]] {
+	for _, h := range f.at[f.dataCentres[0]] {
 		h.stop()
 		h.start()
 	}
@@ -228,16 +228,16 @@
 }
 
 // Guards against a load of the store that grows with the fleet: at 390 hosts
-// and 13,000 changes a day at most one watch a place and 0.05 reads a second
-// and host.
+// and 13,000 changes a day at most one watch a data centre and 0.05 reads a
+// second and host.
 func TestStoreCalls(t *testing.T) {
 	const (
-		hosts, places = 390, 24
-		changeEvery   = basilmoor.Millis(86_400_000 / 13_000)
-		duration      = 2 * basilmoor.Minute
+		hosts, dataCentres = 390, 24
+		changeEvery        = basilmoor.Millis(86_400_000 / 13_000)
+		duration           = 2 * basilmoor.Minute
 	)
 	r := rand.New(rand.NewPCG(1, 0))
-	f := newFleet(t, hosts, places, r.IntN)
+	f := newFleet(t, hosts, dataCentres, r.IntN)
 	f.converge()
 	f.reads, f.maxOpen = 0, 0
 	changes := 0
@@ -253,6 +253,6 @@
 	perHost := float64(f.reads) / hosts / float64((f.clock.Now()-start)/basilmoor.Second)
 	t.Logf("%d changes, %d pending watches at most, %d reads, %.4f reads a second and host", changes, f.maxOpen, f.reads, perHost)
 	require.Equal(t, int64(changes+1), f.latest())
-	require.LessOrEqual(t, f.maxOpen, places)
+	require.LessOrEqual(t, f.maxOpen, dataCentres)
 	require.LessOrEqual(t, perHost, 0.05)
 }
--- a/internal/config/bmfollower/fleet_test.go
+++ b/internal/config/bmfollower/fleet_test.go
@@ -18,20 +18,20 @@
 )
 
 // fleet runs the state machines of many hosts on one manual clock. Calls take
-// up to maxLatency, heartbeats go out once a second. Hosts of a place hear each
-// other; the first host of each place hears those of the other places and
-// passes on what they hold.
+// up to maxLatency, heartbeats go out once a second. Hosts of a data centre
+// hear each other; the first host of each data centre hears those of the other
+// data centres and passes on what they hold.
 type fleet struct {
 	t     require.TestingT
 	pick  func(n int) int // source of chance
 	clock *bmclock.Manual
 	store *bmconfigtest.Store
 	hosts []*simHost
-	at    map[string][]*simHost // by place
+	at    map[string][]*simHost // by data centre
 
-	byName map[string]*simHost
-	places []string
-	calls  []simCall // pending, in order of time
+	byName      map[string]*simHost
+	dataCentres []string
+	calls       []simCall // pending, in order of time
 
 	down    bool             // store outage
 	notes   map[int64]string // note of each version seen anywhere
@@ -46,16 +46,16 @@
 }
 
 type simHost struct {
-	name, place string
-	fleet       *fleet
-	core        *Core
-	up          bool
-	storeCut    bool
-	island      int // hosts hear each other if they are on one island
-	heard       map[string]basilmoor.Millis
-	checked     *bmcatalog.Snapshot
-	watchID     int // 0 for none
-	acceptor    *bmacceptance.Acceptor
+	name, dataCentre string
+	fleet            *fleet
+	core             *Core
+	up               bool
+	storeCut         bool
+	island           int // hosts hear each other if they are on one island
+	heard            map[string]basilmoor.Millis
+	checked          *bmcatalog.Snapshot
+	watchID          int // 0 for none
+	acceptor         *bmacceptance.Acceptor
 }
 
 type simCall struct {
@@ -69,7 +69,7 @@
 	suspect    = 3 * basilmoor.Second
 )
 
-func newFleet(t require.TestingT, size, places int, pick func(n int) int) *fleet {
+func newFleet(t require.TestingT, size, dataCentres int, pick func(n int) int) *fleet {
 	f := &fleet{
 		t:       t,
 		pick:    pick,
@@ -84,17 +84,17 @@
 	require.NoError(t, err)
 	_, err = bmacceptance.New(f.store, time.Now, nil).AcceptText(context.Background(), text, "ada")
 	require.NoError(t, err)
-	for i := range places {
-		f.places = append(f.places, fmt.Sprintf("place-%02d", i))
+	for i := range dataCentres {
+		f.dataCentres = append(f.dataCentres, fmt.Sprintf("data-centre-%02d", i))
 	}
 	for i := range size {
 		h := &simHost{
-			name:  fmt.Sprintf("host-%03d", i),
-			place: f.places[i%places],
-			fleet: f,
+			name:       fmt.Sprintf("host-%03d", i),
+			dataCentre: f.dataCentres[i%dataCentres],
+			fleet:      f,
 		}
 		f.hosts = append(f.hosts, h)
-		f.at[h.place] = append(f.at[h.place], h)
+		f.at[h.dataCentre] = append(f.at[h.dataCentre], h)
 		f.byName[h.name] = h
 	}
 	for _, h := range f.hosts {
@@ -132,9 +132,9 @@
 	}
 }
 
-// isFirst reports whether no earlier host of the place was heard lately.
+// isFirst reports whether no earlier host of the data centre was heard lately.
 func (h *simHost) isFirst() bool {
-	for _, o := range h.fleet.at[h.place] {
+	for _, o := range h.fleet.at[h.dataCentre] {
 		if o == h {
 			return true
 		}
@@ -150,17 +150,18 @@
 	return ok && h.fleet.clock.Now()-at < suspect
 }
 
-// hearsMajority counts places, since summaries stand for whole places.
+// hearsMajority counts data centres, since summaries stand for whole data
+// centres.
 func (h *simHost) hearsMajority() bool {
-	places := make(map[string]bool)
+	dataCentres := make(map[string]bool)
 	heard := make(map[string]bool)
 	for _, o := range h.fleet.hosts {
-		places[o.place] = true
+		dataCentres[o.dataCentre] = true
 		if o == h || h.hears(o) {
-			heard[o.place] = true
+			heard[o.dataCentre] = true
 		}
 	}
-	return 2*len(heard) > len(places)
+	return 2*len(heard) > len(dataCentres)
 }
 
 // simStore is the store as one host reaches it.
@@ -330,27 +331,28 @@
 
 func (f *fleet) beat(h *simHost, now basilmoor.Millis) {
 	first := h.isFirst()
-	for _, place := range f.places {
-		hosts := f.at[place]
-		if place != h.place && !first {
+	for _, dataCentre := range f.dataCentres {
+		hosts := f.at[dataCentre]
+		if dataCentre != h.dataCentre && !first {
 			continue
 		}
 		for _, o := range hosts {
-			if !o.reaches(h) || (place != h.place && !o.isFirst()) {
+			if !o.reaches(h) || (dataCentre != h.dataCentre && !o.isFirst()) {
 				continue
 			}
 			o.hear(h, now)
-			if place == h.place && first {
+			if dataCentre == h.dataCentre && first {
 				f.relay(h, o)
 			}
 		}
 	}
 }
 
-// relay passes on which other places the first host of a place hears.
+// relay passes on which other data centres the first host of a data centre
+// hears.
 func (f *fleet) relay(h, o *simHost) {
 	for name, at := range h.heard {
-		if x := f.host(name); x.place != h.place && o.reaches(x) {
+		if x := f.host(name); x.dataCentre != h.dataCentre && o.reaches(x) {
 			o.heard[name] = max(o.heard[name], at)
 		}
 	}
--- a/internal/config/bmnote/items.go
+++ b/internal/config/bmnote/items.go
@@ -149,8 +149,8 @@
 
 func (c *itemCheck) target(t basilmoor.Target) {
 	c.required("pool", t.Pool)
-	if c.required("place", t.Place) {
-		c.name("place", t.Place)
+	if c.required("data-centre", t.DataCentre) {
+		c.name("data-centre", t.DataCentre)
 	}
 	if c.required("address", t.Address) {
 		c.address(t.Address)
--- a/internal/config/bmnote/note_test.go
+++ b/internal/config/bmnote/note_test.go
@@ -85,7 +85,7 @@
 			text: header("added:\n  tiers:\n    - name: 7\n      rank: high\n    - rank: 8\n  pools: x\n  targets:\n    - name: a\n      leaving:\n"),
 			want: []string{
 				"5 added.tiers[0].name type", "6 added.tiers[0].rank type", "7 added.tiers[1].name missing",
-				"8 added.pools type", "10 added.targets[0].address missing", "10 added.targets[0].place missing",
+				"8 added.pools type", "10 added.targets[0].address missing", "10 added.targets[0].data-centre missing",
 				"10 added.targets[0].pool missing", "10 added.targets[0].slots missing", "10 added.targets[0].type missing",
 				"11 added.targets[0].leaving missing",
 			},
@@ -129,7 +129,7 @@
 		"values": {
 			text: header("added:\n  workspaces:\n    - {name: Bad_Name, weight: 0, token-digests: [secret], rate-per-second: -1}\n" +
 				"  kinds:\n    - {name: k, pool: orders-east, path-prefix: stock, model: m}\n" +
-				"  targets:\n    - {name: t, pool: orders-east, type: other, address: host:80, place: kinston, slots: 0}\n"),
+				"  targets:\n    - {name: t, pool: orders-east, type: other, address: host:80, data-centre: kinston, slots: 0}\n"),
 			want: []string{
 				"5 added.workspaces[0].default-tier missing", "5 added.workspaces[0].name value", "5 added.workspaces[0].rate-per-second value",
 				"5 added.workspaces[0].token-digests value", "5 added.workspaces[0].weight value",
--- a/internal/demo/bmdemo/fleet.go
+++ b/internal/demo/bmdemo/fleet.go
@@ -28,7 +28,7 @@
 	operatorToken = "demo-operator-token"
 	callerToken   = "demo-caller-token"
 	model         = "coconut-7b"
-	place         = "bole"
+	dataCentre    = "bole"
 	region        = "addis"
 	nodeCount     = 3
 )
@@ -91,10 +91,10 @@
 	var hosts []bmstandinhosts.Host
 	for i, n := range f.nodes {
 		hosts = append(hosts, bmstandinhosts.Host{
-			Host:    hostName(i),
-			Address: n.Addresses().Peers,
-			Place:   place,
-			Region:  region,
+			Host:       hostName(i),
+			Address:    n.Addresses().Peers,
+			DataCentre: dataCentre,
+			Region:     region,
 		})
 	}
 	list.SetHosts(hosts)
@@ -126,7 +126,7 @@
 		}
 		f.onClose(cleanup)
 		f.engines = append(f.engines, e)
-		fmt.Fprintf(&f.note, "    - {name: %s, pool: models, type: engine, address: %q, place: %s, models: [%s], slots: %d}\n", settings.Name, server.Address(), place, model, engineSlots)
+		fmt.Fprintf(&f.note, "    - {name: %s, pool: models, type: engine, address: %q, data-centre: %s, models: [%s], slots: %d}\n", settings.Name, server.Address(), dataCentre, model, engineSlots)
 	}
 	s, server, cleanup, err := bmstandinservice.Start(loopback, "", f.clock, bmstandinservice.Settings{
 		Name:    "ledger-1",
@@ -137,7 +137,7 @@
 	}
 	f.onClose(cleanup)
 	f.service = s
-	fmt.Fprintf(&f.note, "    - {name: ledger-1, pool: ledger, type: service, address: %q, place: %s, slots: 16}\n", server.Address(), place)
+	fmt.Fprintf(&f.note, "    - {name: ledger-1, pool: ledger, type: service, address: %q, data-centre: %s, slots: 16}\n", server.Address(), dataCentre)
 	return nil
 }
 
@@ -152,7 +152,7 @@
 	for i := range nodeCount {
 		_, settings := bmsettings.NodeSet()
 		settings.Host = hostName(i)
-		settings.Place = place
+		settings.DataCentre = dataCentre
 		settings.Region = region
 		settings.CallersAddress = loopback
 		settings.PeersAddress = loopback
--- a/internal/fleet/bmmember/beat.go
+++ b/internal/fleet/bmmember/beat.go
@@ -9,39 +9,39 @@
 	Age    basilmoor.Millis
 }
 
-// Summary identifies the members of a place without listing them.
+// Summary identifies the members of a data centre without listing them.
 type Summary struct {
-	Place  string
-	Digest uint64
-	Tick   uint64
+	DataCentre string
+	Digest     uint64
+	Tick       uint64
 }
 
-// Roster lists the live members of a place, ordered by host name, as one of
-// them vouched for them at the place's tick, Age ago.
+// Roster lists the live members of a data centre, ordered by host name, as one
+// of them vouched for them at the data centre's tick, Age ago.
 type Roster struct {
-	Place   string
-	Region  string
-	Tick    uint64
-	Age     basilmoor.Millis
-	Members []basilmoor.Member
+	DataCentre string
+	Region     string
+	Tick       uint64
+	Age        basilmoor.Millis
+	Members    []basilmoor.Member
 }
 
-// Beat is a heartbeat. Self lacks address, place and region if the receiver
-// holds them already.
+// Beat is a heartbeat. Self lacks address, data centre and region if the
+// receiver holds them already.
 type Beat struct {
 	Self     basilmoor.Member
 	Sequence uint64 // orders the heartbeats of one incarnation
 	Tick     uint64 // periods since the start of the incarnation
 
-	// Introduce asks for the address, place and region of the receiver.
+	// Introduce asks for the address, data centre and region of the receiver.
 	Introduce bool
 
 	// Large tells that the sender knows more hosts than one mesh holds.
 	Large bool
 
-	// PlaceTick is the tick of the place, if the receiver is in the same one
-	// and the fleet has rosters.
-	PlaceTick uint64
+	// DataCentreTick is the tick of the data centre, if the receiver is in the
+	// same one and the fleet has rosters.
+	DataCentreTick uint64
 
 	// MeshDigest covers the members of the sender's mesh and MeshTicks the
 	// low bytes of their ticks; 0 if the receiver is outside of that mesh.
@@ -49,8 +49,8 @@
 	MeshTicks  []byte
 	Known      []Sighting
 
-	// RosterDigest covers the rosters of all places and RosterTicks the low
-	// bytes of their ticks; 0 in a fleet without rosters.
+	// RosterDigest covers the rosters of all data centres and RosterTicks the
+	// low bytes of their ticks; 0 in a fleet without rosters.
 	RosterDigest uint64
 	RosterTicks  []byte
 	Summaries    []Summary
@@ -72,8 +72,8 @@
 // while digests differed, doesn't keep a dead host.
 const hearsaySlack = 2 * basilmoor.Second
 
-// timeline relates the ticks of a host or place, one a second, to this host's
-// time: origin is the earliest instant that tick 0 can have had.
+// timeline relates the ticks of a host or data centre, one a second, to this
+// host's time: origin is the earliest instant that tick 0 can have had.
 type timeline struct {
 	origin basilmoor.Millis
 }
--- a/internal/fleet/bmmember/candidates.go
+++ b/internal/fleet/bmmember/candidates.go
@@ -85,7 +85,7 @@
 		if _, ok := s.records[host]; ok || c.next > now {
 			continue
 		}
-		if c.member.Place == "" || s.inMesh(c.member.Place) {
+		if c.member.DataCentre == "" || s.inMesh(c.member.DataCentre) {
 			due = append(due, c)
 		}
 	}
@@ -108,12 +108,12 @@
 	c.next = now + backoff
 }
 
-// candidateOf returns the candidate of a place that was left alone the
+// candidateOf returns the candidate of a data centre that was left alone the
 // longest.
-func (s *State) candidateOf(now basilmoor.Millis, place string) (basilmoor.Member, bool) {
+func (s *State) candidateOf(now basilmoor.Millis, dataCentre string) (basilmoor.Member, bool) {
 	var best *candidate
 	for _, c := range s.candidates {
-		if c.member.Place != place || c.next > now {
+		if c.member.DataCentre != dataCentre || c.next > now {
 			continue
 		}
 		if best == nil || c.next < best.next || c.next == best.next && c.member.Host < best.member.Host {
--- a/internal/fleet/bmmember/driver_test.go
+++ b/internal/fleet/bmmember/driver_test.go
@@ -66,14 +66,14 @@
 		{
 			Host:        "host-a",
 			Address:     "127.0.0.1:1",
-			Place:       "bole",
+			DataCentre:  "bole",
 			Region:      "addis",
 			Incarnation: 1000,
 		},
 		{
 			Host:        "host-b",
 			Address:     "127.0.0.1:2",
-			Place:       "merkato",
+			DataCentre:  "merkato",
 			Region:      "addis",
 			Incarnation: 1000,
 		},
--- a/internal/fleet/bmmember/exchange.go
+++ b/internal/fleet/bmmember/exchange.go
@@ -27,7 +27,7 @@
 
 // peer is what the protocol remembers of an exchange partner.
 type peer struct {
-	introduced bool // the peer holds this host's address, place and region
+	introduced bool // the peer holds this host's address, data centre and region
 	introduce  bool // this host doesn't hold the peer's
 	differs    int  // exchanges in sequence after which the meshes differed
 	want       []string
@@ -122,7 +122,7 @@
 	}
 	p.want = nil
 	p.push = nil
-	if s.inMesh(to.Place) {
+	if s.inMesh(to.DataCentre) {
 		b.MeshDigest = v.meshDigest
 		b.MeshTicks = meshTicks(v.mesh)
 	}
@@ -130,9 +130,9 @@
 		b.Known = s.known(now, v.mesh, p, to.Host)
 	}
 	if v.rosterDigest != 0 {
-		b.PlaceTick = s.placeTickFor(now, to.Place)
+		b.DataCentreTick = s.dataCentreTickFor(now, to.DataCentre)
 		b.RosterDigest = v.rosterDigest
-		b.RosterTicks = s.rosterTicks(now, to.Place, v.rosters)
+		b.RosterTicks = s.rosterTicks(now, to.DataCentre, v.rosters)
 	}
 	return Outgoing{
 		Peer: to,
@@ -146,7 +146,7 @@
 	m := s.self
 	if introduced {
 		m.Address = ""
-		m.Place = ""
+		m.DataCentre = ""
 		m.Region = ""
 	}
 	return m
@@ -180,19 +180,19 @@
 	if in.RosterDigest == 0 || v.rosterDigest == 0 {
 		return out
 	}
-	place := ""
+	dataCentre := ""
 	if r, held := s.records[in.Self.Host]; held {
-		place = r.member.Place
+		dataCentre = r.member.DataCentre
 	}
-	out.PlaceTick = s.placeTickFor(now, place)
+	out.DataCentreTick = s.dataCentreTickFor(now, dataCentre)
 	out.RosterDigest = v.rosterDigest
 	if in.RosterDigest == v.rosterDigest {
-		out.RosterTicks = s.rosterTicks(now, place, v.rosters)
+		out.RosterTicks = s.rosterTicks(now, dataCentre, v.rosters)
 	} else {
 		out.Summaries = summaries(v.rosters)
 	}
 	for _, r := range v.rosters {
-		if slices.Contains(in.Want, r.place) {
+		if slices.Contains(in.Want, r.dataCentre) {
 			out.Rosters = append(out.Rosters, s.export(now, r))
 		}
 	}
@@ -217,7 +217,7 @@
 	p.compareMesh(in, v)
 	p.want, p.push = nil, nil
 	if v.rosterDigest != 0 && len(in.Summaries) > 0 {
-		p.want, p.push = s.compare(now, to.Place, in.Summaries)
+		p.want, p.push = s.compare(now, to.DataCentre, in.Summaries)
 	}
 	differ := len(p.want) > 0 || len(p.push) > 0
 	if !follow || !differ && known && !in.Introduce {
@@ -254,7 +254,7 @@
 			return false
 		}
 		m.Address = r.member.Address
-		m.Place = r.member.Place
+		m.DataCentre = r.member.DataCentre
 		m.Region = r.member.Region
 	}
 	if !s.accept(now, m, in.Tick) {
@@ -320,7 +320,7 @@
 // merge takes over what a heartbeat says of other hosts and returns the view
 // after that.
 func (s *State) merge(now basilmoor.Millis, in Beat) view {
-	s.placeClock = max(s.placeClock, basilmoor.Millis(in.PlaceTick)*basilmoor.Second-now)
+	s.dataCentreClock = max(s.dataCentreClock, basilmoor.Millis(in.DataCentreTick)*basilmoor.Second-now)
 	v := s.newView(now)
 	changes := s.changes
 	for _, k := range in.Known {
@@ -359,7 +359,7 @@
 
 func (s *State) advanceRosters(now basilmoor.Millis, all []*roster, ticks []byte) {
 	for i, r := range all {
-		if tick := advance(r.tick, ticks[i]); tick > r.tick && r.place != s.self.Place {
+		if tick := advance(r.tick, ticks[i]); tick > r.tick && r.dataCentre != s.self.DataCentre {
 			r.tick = tick
 			r.vouched = max(r.vouched, r.line.heard(now, tick))
 		}
@@ -369,7 +369,7 @@
 // sight takes over what a peer knows of another member of the mesh.
 func (s *State) sight(now basilmoor.Millis, k Sighting) {
 	m := k.Member
-	if k.Age >= RemoveAfter || m.Address == "" || !s.inMesh(m.Place) {
+	if k.Age >= RemoveAfter || m.Address == "" || !s.inMesh(m.DataCentre) {
 		return
 	}
 	before := s.highest[m.Host]
@@ -428,10 +428,10 @@
 	return ticks
 }
 
-// rosterTicks returns the low bytes of the ticks for a host of the place.
-// Another place isn't sent any before this host can vouch for its own.
-func (s *State) rosterTicks(now basilmoor.Millis, place string, all []*roster) []byte {
-	if place != s.self.Place && s.young(now) {
+// rosterTicks returns the low bytes of the ticks for a host of the data centre.
+// Another data centre isn't sent any before this host can vouch for its own.
+func (s *State) rosterTicks(now basilmoor.Millis, dataCentre string, all []*roster) []byte {
+	if dataCentre != s.self.DataCentre && s.young(now) {
 		return nil
 	}
 	ticks := make([]byte, len(all))
--- a/internal/fleet/bmmember/roster.go
+++ b/internal/fleet/bmmember/roster.go
@@ -10,33 +10,33 @@
 	"basilmoor.example/basilmoor"
 )
 
-// roster is what is known of a place. The own place's has no members; they are
-// in the records. It is never changed in place but
-// for tick and vouched, which only grow while the digest stays the same.
+// roster is what is known of a data centre. The own data centre's has no
+// members; they are in the records. It is never changed in place but for tick
+// and vouched, which only grow while the digest stays the same.
 type roster struct {
-	place   string
-	region  string
-	members []basilmoor.Member
-	digest  uint64
-	tick    uint64
-	vouched basilmoor.Millis // when the tick counts as heard
-	line    timeline
+	dataCentre string
+	region     string
+	members    []basilmoor.Member
+	digest     uint64
+	tick       uint64
+	vouched    basilmoor.Millis // when the tick counts as heard
+	line       timeline
 }
 
-func newRoster(place, region string, members []basilmoor.Member, tick uint64, vouched basilmoor.Millis) *roster {
+func newRoster(dataCentre, region string, members []basilmoor.Member, tick uint64, vouched basilmoor.Millis) *roster {
 	return &roster{
-		place:   place,
-		region:  region,
-		members: members,
-		digest:  digestMembers(members),
-		tick:    tick,
-		vouched: vouched,
-		line:    newTimeline(vouched, tick),
+		dataCentre: dataCentre,
+		region:     region,
+		members:    members,
+		digest:     digestMembers(members),
+		tick:       tick,
+		vouched:    vouched,
+		line:       newTimeline(vouched, tick),
 	}
 }
 
 // digestMembers covers what a change of has to be passed on. Load, shed level
-// and configuration version change too often for that; other places don't
+// and configuration version change too often for that; other data centres don't
 // learn them.
 func digestMembers(members []basilmoor.Member) uint64 {
 	var d xxhash.Digest
@@ -97,17 +97,17 @@
 	return false
 }
 
-// ownPlace returns the members of this host's place that aren't suspected,
-// ordered by name.
-func (s *State) ownPlace(now basilmoor.Millis) []*record {
+// ownDataCentre returns the members of this host's data centre that aren't
+// suspected, ordered by name.
+func (s *State) ownDataCentre(now basilmoor.Millis) []*record {
 	return slices.DeleteFunc(s.mesh(), func(r *record) bool {
 		suspected := r.member.Host != s.self.Host && now-r.heard >= SuspectAfter
-		return suspected || r.member.Place != s.self.Place
+		return suspected || r.member.DataCentre != s.self.DataCentre
 	})
 }
 
 func (s *State) ownMembers(now basilmoor.Millis) []basilmoor.Member {
-	records := s.ownPlace(now)
+	records := s.ownDataCentre(now)
 	members := make([]basilmoor.Member, 0, len(records))
 	for _, r := range records {
 		members = append(members, r.member)
@@ -116,7 +116,7 @@
 }
 
 // forRoster returns the members without what changes too often to be passed on
-// to other places.
+// to other data centres.
 func forRoster(members []basilmoor.Member) []basilmoor.Member {
 	out := make([]basilmoor.Member, 0, len(members))
 	for _, m := range members {
@@ -128,38 +128,38 @@
 	return out
 }
 
-func (s *State) deleteRoster(place string) {
-	delete(s.rosters, place)
-	s.places = nil
+func (s *State) deleteRoster(dataCentre string) {
+	delete(s.rosters, dataCentre)
+	s.dataCentres = nil
 	s.changes++
 }
 
 func (s *State) putRoster(r *roster) {
-	s.rosters[r.place] = r
-	delete(s.wanted, r.place)
-	s.places = nil
+	s.rosters[r.dataCentre] = r
+	delete(s.wanted, r.dataCentre)
+	s.dataCentres = nil
 	s.changes++
 }
 
-// orderedRosters returns the rosters of the other places by name.
+// orderedRosters returns the rosters of the other data centres by name.
 func (s *State) orderedRosters() []*roster {
-	if s.places == nil {
-		s.places = make([]*roster, 0, len(s.rosters))
+	if s.dataCentres == nil {
+		s.dataCentres = make([]*roster, 0, len(s.rosters))
 		for _, r := range s.rosters {
-			s.places = append(s.places, r)
+			s.dataCentres = append(s.dataCentres, r)
 		}
-		slices.SortFunc(s.places, func(a, b *roster) int { return strings.Compare(a.place, b.place) })
+		slices.SortFunc(s.dataCentres, func(a, b *roster) int { return strings.Compare(a.dataCentre, b.dataCentre) })
 	}
-	return s.places
+	return s.dataCentres
 }
 
 // vouchAfter is the time after its start from which a host vouches for the
-// members of its place. Before, it doesn't know them all.
+// members of its data centre. Before, it doesn't know them all.
 const vouchAfter = 5 * basilmoor.Second
 
 // tombFor is how long the tick of a removed roster is kept, so that the roster
-// isn't taken up again from hearsay. A place that is restarted with clocks
-// behind its former tick is known again after that.
+// isn't taken up again from hearsay. A data centre that is restarted with
+// clocks behind its former tick is known again after that.
 const tombFor = 2 * basilmoor.Minute
 
 // tombstone remembers a removed roster.
@@ -168,41 +168,41 @@
 	at   basilmoor.Millis
 }
 
-// placeTick returns the tick of this host's place.
-func (s *State) placeTick(now basilmoor.Millis) uint64 {
-	return uint64((now + s.placeClock) / basilmoor.Second)
+// dataCentreTick returns the tick of this host's data centre.
+func (s *State) dataCentreTick(now basilmoor.Millis) uint64 {
+	return uint64((now + s.dataCentreClock) / basilmoor.Second)
 }
 
-// placeTickFor returns what a heartbeat to a host of the place says.
-func (s *State) placeTickFor(now basilmoor.Millis, place string) uint64 {
-	if place != s.self.Place {
+// dataCentreTickFor returns what a heartbeat to a host of the data centre says.
+func (s *State) dataCentreTickFor(now basilmoor.Millis, dataCentre string) uint64 {
+	if dataCentre != s.self.DataCentre {
 		return 0
 	}
-	return s.placeTick(now)
+	return s.dataCentreTick(now)
 }
 
-// young reports whether this host can't vouch for its place yet.
+// young reports whether this host can't vouch for its data centre yet.
 func (s *State) young(now basilmoor.Millis) bool {
 	return now-s.started < vouchAfter
 }
 
-// allRosters returns the rosters of all places, ordered by place, and their
-// digest. This host's own has tick 0, which nobody takes over, until the host
-// can vouch for it. A fleet that is one mesh has none.
+// allRosters returns the rosters of all data centres, ordered by data centre,
+// and their digest. This host's own has tick 0, which nobody takes over, until
+// the host can vouch for it. A fleet that is one mesh has none.
 func (s *State) allRosters(now basilmoor.Millis) ([]*roster, uint64) {
 	if !s.large {
 		return nil, 0
 	}
 	others := s.orderedRosters()
-	at, _ := slices.BinarySearchFunc(others, s.self.Place, func(r *roster, place string) int {
-		return strings.Compare(r.place, place)
+	at, _ := slices.BinarySearchFunc(others, s.self.DataCentre, func(r *roster, dataCentre string) int {
+		return strings.Compare(r.dataCentre, dataCentre)
 	})
 	own := &roster{
-		place:   s.self.Place,
-		region:  s.self.Region,
-		digest:  digestRecords(s.ownPlace(now)),
-		tick:    s.placeTick(now),
-		vouched: now,
+		dataCentre: s.self.DataCentre,
+		region:     s.self.Region,
+		digest:     digestRecords(s.ownDataCentre(now)),
+		tick:       s.dataCentreTick(now),
+		vouched:    now,
 	}
 	if s.young(now) {
 		own.tick = 0
@@ -219,7 +219,7 @@
 	d.Reset()
 	var buf [8]byte
 	for _, r := range all {
-		writeField(&d, r.place)
+		writeField(&d, r.dataCentre)
 		binary.LittleEndian.PutUint64(buf[:], r.digest)
 		_, _ = d.Write(buf[:])
 	}
@@ -229,11 +229,11 @@
 // mergeRoster takes over a roster with a higher tick than the one held.
 func (s *State) mergeRoster(now basilmoor.Millis, in Roster) {
 	vouched := now - max(in.Age, 0)
-	if in.Place == "" || in.Place == s.self.Place {
+	if in.DataCentre == "" || in.DataCentre == s.self.DataCentre {
 		return
 	}
-	held, ok := s.rosters[in.Place]
-	if ok && held.tick >= in.Tick || !ok && s.tombs[in.Place].tick >= in.Tick {
+	held, ok := s.rosters[in.DataCentre]
+	if ok && held.tick >= in.Tick || !ok && s.tombs[in.DataCentre].tick >= in.Tick {
 		return
 	}
 	members := make([]basilmoor.Member, 0, len(in.Members))
@@ -243,7 +243,7 @@
 		}
 	}
 	sortMembers(members)
-	r := newRoster(in.Place, in.Region, members, in.Tick, vouched)
+	r := newRoster(in.DataCentre, in.Region, members, in.Tick, vouched)
 	if now-vouched >= s.rosterRemoveAfter(r) {
 		return
 	}
@@ -271,9 +271,9 @@
 	out := make([]Summary, 0, len(all))
 	for _, r := range all {
 		out = append(out, Summary{
-			Place:  r.place,
-			Digest: r.digest,
-			Tick:   r.tick,
+			DataCentre: r.dataCentre,
+			Digest:     r.digest,
+			Tick:       r.tick,
 		})
 	}
 	return out
@@ -286,31 +286,32 @@
 
 // compare finds the rosters of which the sender of the summaries holds a later
 // state, to ask for, and those of which this host does, to send. Hosts of one
-// place only ask, since each of them starts exchanges inside the place.
-func (s *State) compare(now basilmoor.Millis, place string, theirs []Summary) (want []string, push []Roster) {
+// data centre only ask, since each of them starts exchanges inside the data
+// centre.
+func (s *State) compare(now basilmoor.Millis, dataCentre string, theirs []Summary) (want []string, push []Roster) {
 	all, _ := s.allRosters(now)
-	byPlace := make(map[string]Summary, len(theirs))
+	byDataCentre := make(map[string]Summary, len(theirs))
 	for _, t := range theirs {
-		byPlace[t.Place] = t
-		if t.Place == s.self.Place {
+		byDataCentre[t.DataCentre] = t
+		if t.DataCentre == s.self.DataCentre {
 			continue
 		}
-		held, ok := s.rosters[t.Place]
-		missing := !ok && t.Tick > s.tombs[t.Place].tick
+		held, ok := s.rosters[t.DataCentre]
+		missing := !ok && t.Tick > s.tombs[t.DataCentre].tick
 		older := ok && held.digest != t.Digest && held.tick < t.Tick
-		asked, recently := s.wanted[t.Place]
+		asked, recently := s.wanted[t.DataCentre]
 		if recently && now-asked < wantAgain || !missing && !older {
 			continue
 		}
-		s.wanted[t.Place] = now
-		want = append(want, t.Place)
+		s.wanted[t.DataCentre] = now
+		want = append(want, t.DataCentre)
 	}
-	if place == s.self.Place {
+	if dataCentre == s.self.DataCentre {
 		return want, nil
 	}
 	for _, r := range all {
-		t, ok := byPlace[r.place]
-		if r.place != place && (!ok || t.Digest != r.digest && t.Tick < r.tick) {
+		t, ok := byDataCentre[r.dataCentre]
+		if r.dataCentre != dataCentre && (!ok || t.Digest != r.digest && t.Tick < r.tick) {
 			push = append(push, s.export(now, r))
 		}
 	}
@@ -320,15 +321,15 @@
 // export returns a roster with its members.
 func (s *State) export(now basilmoor.Millis, r *roster) Roster {
 	members := r.members
-	if r.place == s.self.Place {
+	if r.dataCentre == s.self.DataCentre {
 		members = forRoster(s.ownMembers(now))
 	}
 	return Roster{
-		Place:   r.place,
-		Region:  r.region,
-		Tick:    r.tick,
-		Age:     now - r.vouched,
-		Members: members,
+		DataCentre: r.dataCentre,
+		Region:     r.region,
+		Tick:       r.tick,
+		Age:        now - r.vouched,
+		Members:    members,
 	}
 }
 
--- a/internal/fleet/bmmember/sim_test.go
+++ b/internal/fleet/bmmember/sim_test.go
@@ -64,8 +64,9 @@
 	return e
 }
 
-// newSim makes hosts spread evenly over places, and places over regions.
-func newSim(seed uint64, hosts, places, regions int) *sim {
+// newSim makes hosts spread evenly over data centres, and data centres over
+// regions.
+func newSim(seed uint64, hosts, dataCentres, regions int) *sim {
 	s := &sim{
 		rng:      rand.New(rand.NewPCG(seed, 1)),
 		maxDelay: 5,
@@ -73,14 +74,15 @@
 		byHost:   make(map[string]*simNode),
 	}
 	for i := range hosts {
-		place := i % places
+		dataCentre := i % dataCentres
 		n := &simNode{
 			index: i,
 			member: basilmoor.Member{
-				Host:          fmt.Sprintf("10.%d.0.%d", place, i),
-				Address:       fmt.Sprintf("10.%d.0.%d:7070", place, i),
-				Place:         fmt.Sprintf("place-%02d", place),
-				Region:        fmt.Sprintf("region-%02d", place%regions),
+				Host:          fmt.Sprintf("10.%d.0.%d", dataCentre, i),
+				Address:       fmt.Sprintf("10.%d.0.%d:7070", dataCentre, i),
+				// The seeds on record depend on the names.
+				DataCentre:    fmt.Sprintf("place-%02d", dataCentre),
+				Region:        fmt.Sprintf("region-%02d", dataCentre%regions),
 				ConfigVersion: 13000,
 				ConfigNote:    "note-2026-12-04-0417",
 				Load:          150,
--- a/internal/fleet/bmmember/state.go
+++ b/internal/fleet/bmmember/state.go
@@ -19,12 +19,12 @@
 	// RemoveAfter is the silence after which a member of the mesh is removed.
 	RemoveAfter = 10 * basilmoor.Second
 
-	// RegionSuspectAfter is the silence after which a place of the same region
-	// no longer counts as live: one exchange between the places and two hops
-	// inside each place take up to 5 s.
+	// RegionSuspectAfter is the silence after which a data centre of the same
+	// region no longer counts as live: one exchange between the data centres
+	// and two hops inside each data centre take up to 5 s.
 	RegionSuspectAfter = 6 * basilmoor.Second
 
-	// DistantRemoveAfter is the silence after which the places of another
+	// DistantRemoveAfter is the silence after which the data centres of another
 	// region are removed. Their rosters pass through more hops, and a third of
 	// the exchanges.
 	DistantRemoveAfter = 30 * basilmoor.Second
@@ -41,7 +41,8 @@
 	// neighbour whose turn it is to send.
 	silentAfter = Period + Period/2
 
-	// linkSilentAfter is the same for the other place of a pair of places.
+	// linkSilentAfter is the same for the other data centre of a pair of data
+	// centres.
 	linkSilentAfter = 3 * basilmoor.Second
 
 	// formerFor is how long a removed host is still contacted. Regions lose
@@ -58,7 +59,7 @@
 }
 
 // record is what is known of a member of the mesh, or of a host of another
-// place that exchanged heartbeats with this one.
+// data centre that exchanged heartbeats with this one.
 type record struct {
 	member   basilmoor.Member
 	sequence uint64
@@ -79,27 +80,27 @@
 
 // State is the membership as one host knows it. Calls must not be concurrent.
 type State struct {
-	self       basilmoor.Member
-	sequence   uint64
-	tick       uint64
-	started    basilmoor.Millis
-	placeClock basilmoor.Millis // added to the time, gives the place's tick in ms
-	crashes    basilmoor.CrashRegistry
-	records    map[string]*record
-	rosters    map[string]*roster
-	candidates map[string]*candidate
-	peers      map[string]*peer
-	highest    map[string]highest
-	tombs      map[string]tombstone
-	wanted     map[string]basilmoor.Millis // places whose roster was asked for
-	order      []*record                   // records by host name; nil after a change
-	places     []*roster                   // rosters by place; nil after a change
-	changes    int                         // counts what a view depends on
-	large      bool                        // whether the fleet is larger than one mesh
-	counted    bool                        // whether this host knows so many hosts itself
-	toldLarge  basilmoor.Millis            // last time that a peer said so
-	told       bool
-	versions   []VersionNews
+	self            basilmoor.Member
+	sequence        uint64
+	tick            uint64
+	started         basilmoor.Millis
+	dataCentreClock basilmoor.Millis // added to the time, gives the data centre's tick in ms
+	crashes         basilmoor.CrashRegistry
+	records         map[string]*record
+	rosters         map[string]*roster
+	candidates      map[string]*candidate
+	peers           map[string]*peer
+	highest         map[string]highest
+	tombs           map[string]tombstone
+	wanted          map[string]basilmoor.Millis // data centres whose roster was asked for
+	order           []*record                   // records by host name; nil after a change
+	dataCentres     []*roster                   // rosters by data centre; nil after a change
+	changes         int                         // counts what a view depends on
+	large           bool                        // whether the fleet is larger than one mesh
+	counted         bool                        // whether this host knows so many hosts itself
+	toldLarge       basilmoor.Millis            // last time that a peer said so
+	told            bool
+	versions        []VersionNews
 }
 
 // VersionNews tells that a peer holds another configuration than this host.
@@ -112,22 +113,22 @@
 // NewState returns the state of a host that knows only itself. The crash
 // registry may be nil.
 //
-// The incarnation of self is the time of the process's start in milliseconds
-// of the wall clock. A place's tick starts there, so that it also grows when
-// all hosts of the place are restarted.
+// The incarnation of self is the time of the process's start in milliseconds of
+// the wall clock. A data centre's tick starts there, so that it also grows when
+// all hosts of the data centre are restarted.
 func NewState(now basilmoor.Millis, self basilmoor.Member, crashes basilmoor.CrashRegistry) *State {
 	return &State{
-		self:       self,
-		started:    now,
-		placeClock: basilmoor.Millis(self.Incarnation) - now,
-		crashes:    crashes,
-		records:    make(map[string]*record),
-		rosters:    make(map[string]*roster),
-		candidates: make(map[string]*candidate),
-		peers:      make(map[string]*peer),
-		highest:    make(map[string]highest),
-		tombs:      make(map[string]tombstone),
-		wanted:     make(map[string]basilmoor.Millis),
+		self:            self,
+		started:         now,
+		dataCentreClock: basilmoor.Millis(self.Incarnation) - now,
+		crashes:         crashes,
+		records:         make(map[string]*record),
+		rosters:         make(map[string]*roster),
+		candidates:      make(map[string]*candidate),
+		peers:           make(map[string]*peer),
+		highest:         make(map[string]highest),
+		tombs:           make(map[string]tombstone),
+		wanted:          make(map[string]basilmoor.Millis),
 	}
 }
 
@@ -146,7 +147,7 @@
 
 // Live returns the live members including this host, ordered by name, without
 // those that are leaving. In fleets of more than FullMeshHosts, members of
-// other places have no configuration version, load and shed level.
+// other data centres have no configuration version, load and shed level.
 func (s *State) Live(now basilmoor.Millis) []basilmoor.Member {
 	members := make([]basilmoor.Member, 0, 1+len(s.records))
 	if !s.self.Leaving {
@@ -182,20 +183,20 @@
 	return members
 }
 
-// rosterDecides reports whether the roster of the record's place tells whether
-// the host is alive. A host outside the mesh may have a record because it
-// exchanges rosters with this one; its own place knows better.
+// rosterDecides reports whether the roster of the record's data centre tells
+// whether the host is alive. A host outside the mesh may have a record because
+// it exchanges rosters with this one; its own data centre knows better.
 func (s *State) rosterDecides(now basilmoor.Millis, r *record) bool {
-	if s.inMesh(r.member.Place) {
+	if s.inMesh(r.member.DataCentre) {
 		return false
 	}
-	ro, ok := s.rosters[r.member.Place]
+	ro, ok := s.rosters[r.member.DataCentre]
 	return ok && now-ro.vouched < s.rosterSuspectAfter(ro)
 }
 
-// inMesh reports whether hosts of the place belong to this host's mesh.
-func (s *State) inMesh(place string) bool {
-	return !s.large || place == s.self.Place
+// inMesh reports whether hosts of the data centre belong to this host's mesh.
+func (s *State) inMesh(dataCentre string) bool {
+	return !s.large || dataCentre == s.self.DataCentre
 }
 
 // mesh returns the members of the mesh including this host, suspects and those
@@ -211,7 +212,7 @@
 			members = append(members, self)
 			self = nil
 		}
-		if s.inMesh(r.member.Place) {
+		if s.inMesh(r.member.DataCentre) {
 			members = append(members, r)
 		}
 	}
@@ -257,10 +258,10 @@
 			s.addFormer(now, r.member)
 		}
 	}
-	for place, r := range s.rosters {
+	for dataCentre, r := range s.rosters {
 		if now-r.vouched >= s.rosterRemoveAfter(r) {
-			s.deleteRoster(place)
-			s.tombs[place] = tombstone{
+			s.deleteRoster(dataCentre)
+			s.tombs[dataCentre] = tombstone{
 				tick: r.tick,
 				at:   now,
 			}
@@ -272,9 +273,9 @@
 			delete(s.highest, host)
 		}
 	}
-	for place, t := range s.tombs {
+	for dataCentre, t := range s.tombs {
 		if now-t.at >= tombFor {
-			delete(s.tombs, place)
+			delete(s.tombs, dataCentre)
 		}
 	}
 	s.expireCandidates(now)
--- a/internal/fleet/bmmember/state_test.go
+++ b/internal/fleet/bmmember/state_test.go
@@ -18,7 +18,8 @@
 	meshBound = 15 * basilmoor.Second
 
 	// largeBound is the bound across regions: the rosters of another region
-	// live for 30 s, after the members of the place have suspected the host.
+	// live for 30 s, after the members of the data centre have suspected the
+	// host.
 	largeBound = 45 * basilmoor.Second
 )
 
@@ -119,7 +120,7 @@
 // disturb makes one random change of the fleet or network.
 func disturb(t *rapid.T, s *sim) {
 	n := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "host")]
-	switch rapid.SampledFrom([]string{"stop", "restart", "partition", "heal", "place"}).Draw(t, "change") {
+	switch rapid.SampledFrom([]string{"stop", "restart", "partition", "heal", "data-centre"}).Draw(t, "change") {
 	case "stop":
 		s.stop(n)
 	case "restart":
@@ -128,9 +129,9 @@
 	case "partition":
 		n.group = rapid.IntRange(0, 2).Draw(t, "group")
 		n.moved = s.now
-	case "place":
+	case "data-centre":
 		for _, m := range s.nodes {
-			if m.member.Place == n.member.Place {
+			if m.member.DataCentre == n.member.DataCentre {
 				m.group = 1
 				m.moved = s.now
 			}
@@ -180,8 +181,8 @@
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		hosts := rapid.IntRange(2, 16).Draw(t, "hosts")
-		places := rapid.IntRange(1, 3).Draw(t, "places")
-		checkFleet(t, newSim(rapid.Uint64().Draw(t, "seed"), hosts, places, 1), meshBound)
+		dataCentres := rapid.IntRange(1, 3).Draw(t, "data-centres")
+		checkFleet(t, newSim(rapid.Uint64().Draw(t, "seed"), hosts, dataCentres, 1), meshBound)
 	})
 }
 
@@ -189,9 +190,9 @@
 func TestLargeFleet(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		places := rapid.IntRange(1, 6).Draw(t, "places")
+		dataCentres := rapid.IntRange(1, 6).Draw(t, "data-centres")
 		hosts := rapid.IntRange(17, 32).Draw(t, "hosts")
-		regions := rapid.IntRange(1, places).Draw(t, "regions")
-		checkFleet(t, newSim(rapid.Uint64().Draw(t, "seed"), hosts, places, regions), largeBound)
+		regions := rapid.IntRange(1, dataCentres).Draw(t, "regions")
+		checkFleet(t, newSim(rapid.Uint64().Draw(t, "seed"), hosts, dataCentres, regions), largeBound)
 	})
 }
--- a/internal/fleet/bmmember/targets.go
+++ b/internal/fleet/bmmember/targets.go
@@ -11,13 +11,13 @@
 	"basilmoor.example/basilmoor"
 )
 
-// sparseAbove is the size above which the hosts of a place in a large fleet
-// no longer all exchange heartbeats with each other: at 16 hosts a full mesh
-// costs 15 exchanges a second and node, the sparse one 8.
+// sparseAbove is the size above which the hosts of a data centre in a large
+// fleet no longer all exchange heartbeats with each other: at 16 hosts a full
+// mesh costs 15 exchanges a second and node, the sparse one 8.
 const sparseAbove = 9
 
 // failedFor is how long a host that didn't answer isn't chosen as the far end
-// of an exchange between places while others can be.
+// of an exchange between data centres while others can be.
 const failedFor = 5 * basilmoor.Second
 
 // ringOffsets returns the distances on a ring of n hosts at which a host sends
@@ -75,28 +75,28 @@
 	return ok && now-r.direct >= silentAfter
 }
 
-// linkTargets returns the hosts of other places that are due an exchange of
-// rosters with this host.
+// linkTargets returns the hosts of other data centres that are due an exchange
+// of rosters with this host.
 func (s *State) linkTargets(now basilmoor.Millis) []basilmoor.Member {
 	if !s.large {
 		return nil
 	}
 	own := staying(s.ownMembers(now))
 	var targets []basilmoor.Member
-	regions := s.placesByRegion()
-	for _, place := range regions[s.self.Region] {
-		if s.chosen("link/"+s.self.Place+"/"+place, own) && s.linkDue(now, place) {
-			targets = s.appendFarEnd(now, targets, place)
+	regions := s.dataCentresByRegion()
+	for _, dataCentre := range regions[s.self.Region] {
+		if s.chosen("link/"+s.self.DataCentre+"/"+dataCentre, own) && s.linkDue(now, dataCentre) {
+			targets = s.appendFarEnd(now, targets, dataCentre)
 		}
 	}
 	// In a fixed order, so that a simulated fleet does the same on each run.
 	for _, region := range slices.Sorted(maps.Keys(regions)) {
-		places := regions[region]
-		key := "link/" + s.self.Place + "/" + region
+		dataCentres := regions[region]
+		key := "link/" + s.self.DataCentre + "/" + region
 		if region == s.self.Region || !s.chosen(key, own) || !s.distantDue(key) {
 			continue
 		}
-		targets = s.appendFarEnd(now, targets, s.choosePlace(now, key, places))
+		targets = s.appendFarEnd(now, targets, s.chooseDataCentre(now, key, dataCentres))
 	}
 	return targets
 }
@@ -115,14 +115,14 @@
 	return rest
 }
 
-// linkDue reports whether this place is to start the exchange with another
-// place of its region: the one with the lower name does, and the other only
-// after a silence.
-func (s *State) linkDue(now basilmoor.Millis, place string) bool {
-	if s.self.Place < place {
+// linkDue reports whether this data centre is to start the exchange with
+// another data centre of its region: the one with the lower name does, and the
+// other only after a silence.
+func (s *State) linkDue(now basilmoor.Millis, dataCentre string) bool {
+	if s.self.DataCentre < dataCentre {
 		return true
 	}
-	r, ok := s.rosters[place]
+	r, ok := s.rosters[dataCentre]
 	return !ok || now-r.vouched >= linkSilentAfter
 }
 
@@ -130,37 +130,37 @@
 	return (s.tick+xxhash.Sum64String(key))%distantPeriods == 0
 }
 
-// placesByRegion returns the other places that are known, by region and
-// ordered by name.
-func (s *State) placesByRegion() map[string][]string {
+// dataCentresByRegion returns the other data centres that are known, by region
+// and ordered by name.
+func (s *State) dataCentresByRegion() map[string][]string {
 	region := make(map[string]string)
 	for _, c := range s.candidates {
-		region[c.member.Place] = c.member.Region
+		region[c.member.DataCentre] = c.member.Region
 	}
 	for _, r := range s.records {
-		region[r.member.Place] = r.member.Region
+		region[r.member.DataCentre] = r.member.Region
 	}
 	for _, r := range s.rosters {
-		region[r.place] = r.region
+		region[r.dataCentre] = r.region
 	}
-	delete(region, s.self.Place)
+	delete(region, s.self.DataCentre)
 	delete(region, "")
-	places := make(map[string][]string)
-	for place, r := range region {
-		places[r] = append(places[r], place)
+	dataCentres := make(map[string][]string)
+	for dataCentre, r := range region {
+		dataCentres[r] = append(dataCentres[r], dataCentre)
 	}
-	for _, p := range places {
+	for _, p := range dataCentres {
 		slices.Sort(p)
 	}
-	return places
+	return dataCentres
 }
 
-// choosePlace picks the place of another region to exchange rosters with: by
-// rendezvous among the places whose roster is known, or else another one at
-// each attempt.
-func (s *State) choosePlace(now basilmoor.Millis, key string, places []string) string {
+// chooseDataCentre picks the data centre of another region to exchange rosters
+// with: by rendezvous among the data centres whose roster is known, or else
+// another one at each attempt.
+func (s *State) chooseDataCentre(now basilmoor.Millis, key string, dataCentres []string) string {
 	var known []basilmoor.Member
-	for _, p := range places {
+	for _, p := range dataCentres {
 		if r, ok := s.rosters[p]; ok && now-r.vouched < s.rosterSuspectAfter(r)/2 {
 			known = append(known, basilmoor.Member{
 				Host: p,
@@ -170,14 +170,15 @@
 	if owner, ok := Owner(key, known); ok {
 		return owner.Host
 	}
-	return places[int(s.tick/distantPeriods%uint64(len(places)))]
+	return dataCentres[int(s.tick/distantPeriods%uint64(len(dataCentres)))]
 }
 
-// appendFarEnd adds the host of a place that this host exchanges rosters with.
-func (s *State) appendFarEnd(now basilmoor.Millis, targets []basilmoor.Member, place string) []basilmoor.Member {
-	r, ok := s.rosters[place]
+// appendFarEnd adds the host of a data centre that this host exchanges rosters
+// with.
+func (s *State) appendFarEnd(now basilmoor.Millis, targets []basilmoor.Member, dataCentre string) []basilmoor.Member {
+	r, ok := s.rosters[dataCentre]
 	if !ok {
-		if m, found := s.candidateOf(now, place); found {
+		if m, found := s.candidateOf(now, dataCentre); found {
 			targets = append(targets, m)
 		}
 		return targets
@@ -189,7 +190,7 @@
 	if len(members) == 0 {
 		members = r.members
 	}
-	if owner, found := Owner("link/"+s.self.Place+"/"+place, members); found {
+	if owner, found := Owner("link/"+s.self.DataCentre+"/"+dataCentre, members); found {
 		targets = append(targets, owner)
 	}
 	return targets
--- a/internal/fleet/bmmember/traffic_test.go
+++ b/internal/fleet/bmmember/traffic_test.go
@@ -36,39 +36,39 @@
 }
 
 type fleetSize struct {
-	hosts, places, regions int
+	hosts, dataCentres, regions int
 }
 
 var fleetSizes = []fleetSize{
 	{
-		hosts:   6,
-		places:  3,
-		regions: 1,
+		hosts:       6,
+		dataCentres: 3,
+		regions:     1,
 	},
 	{
-		hosts:   9,
-		places:  3,
-		regions: 1,
+		hosts:       9,
+		dataCentres: 3,
+		regions:     1,
 	},
 	{
-		hosts:   16,
-		places:  3,
-		regions: 1,
+		hosts:       16,
+		dataCentres: 3,
+		regions:     1,
 	},
 	{
-		hosts:   24,
-		places:  3,
-		regions: 1,
+		hosts:       24,
+		dataCentres: 3,
+		regions:     1,
 	},
 	{
-		hosts:   96,
-		places:  8,
-		regions: 4,
+		hosts:       96,
+		dataCentres: 8,
+		regions:     4,
 	},
 	{
-		hosts:   390,
-		places:  24,
-		regions: 11,
+		hosts:       390,
+		dataCentres: 24,
+		regions:     11,
 	},
 }
 
@@ -136,7 +136,7 @@
 	const window = 10 * basilmoor.Second
 	for _, size := range fleetSizes {
 		b.Run(fmt.Sprintf("hosts=%d", size.hosts), func(b *testing.B) {
-			s := newSim(1, size.hosts, size.places, size.regions)
+			s := newSim(1, size.hosts, size.dataCentres, size.regions)
 			s.advance(settle)
 			average, busiest, messages := rates(measure(s, window), window)
 			s.listed = false
--- a/internal/fleet/bmpeer/convert.go
+++ b/internal/fleet/bmpeer/convert.go
@@ -9,16 +9,16 @@
 // EncodeBeat returns the message of a heartbeat.
 func EncodeBeat(b bmmember.Beat) *bmpeerpb.Heartbeat {
 	out := &bmpeerpb.Heartbeat{
-		Self:         encodeMember(b.Self),
-		Sequence:     b.Sequence,
-		Introduce:    b.Introduce,
-		Large:        b.Large,
-		PlaceTick:    b.PlaceTick,
-		MeshDigest:   b.MeshDigest,
-		MeshTicks:    b.MeshTicks,
-		RosterDigest: b.RosterDigest,
-		RosterTicks:  b.RosterTicks,
-		Want:         b.Want,
+		Self:           encodeMember(b.Self),
+		Sequence:       b.Sequence,
+		Introduce:      b.Introduce,
+		Large:          b.Large,
+		DataCentreTick: b.DataCentreTick,
+		MeshDigest:     b.MeshDigest,
+		MeshTicks:      b.MeshTicks,
+		RosterDigest:   b.RosterDigest,
+		RosterTicks:    b.RosterTicks,
+		Want:           b.Want,
 	}
 	out.Self.Tick = b.Tick
 	for _, k := range b.Known {
@@ -29,9 +29,9 @@
 	}
 	for _, s := range b.Summaries {
 		out.Summaries = append(out.Summaries, &bmpeerpb.Summary{
-			Place:  s.Place,
-			Digest: s.Digest,
-			Tick:   s.Tick,
+			DataCentre: s.DataCentre,
+			Digest:     s.Digest,
+			Tick:       s.Tick,
 		})
 	}
 	for _, r := range b.Rosters {
@@ -72,17 +72,17 @@
 // DecodeBeat returns the heartbeat of a message.
 func DecodeBeat(in *bmpeerpb.Heartbeat) bmmember.Beat {
 	b := bmmember.Beat{
-		Self:         decodeMember(in.GetSelf()),
-		Sequence:     in.GetSequence(),
-		Tick:         in.GetSelf().GetTick(),
-		Introduce:    in.GetIntroduce(),
-		Large:        in.GetLarge(),
-		PlaceTick:    in.GetPlaceTick(),
-		MeshDigest:   in.GetMeshDigest(),
-		MeshTicks:    in.GetMeshTicks(),
-		RosterDigest: in.GetRosterDigest(),
-		RosterTicks:  in.GetRosterTicks(),
-		Want:         in.GetWant(),
+		Self:           decodeMember(in.GetSelf()),
+		Sequence:       in.GetSequence(),
+		Tick:           in.GetSelf().GetTick(),
+		Introduce:      in.GetIntroduce(),
+		Large:          in.GetLarge(),
+		DataCentreTick: in.GetDataCentreTick(),
+		MeshDigest:     in.GetMeshDigest(),
+		MeshTicks:      in.GetMeshTicks(),
+		RosterDigest:   in.GetRosterDigest(),
+		RosterTicks:    in.GetRosterTicks(),
+		Want:           in.GetWant(),
 	}
 	for _, m := range in.GetKnown() {
 		b.Known = append(b.Known, bmmember.Sighting{
@@ -93,9 +93,9 @@
 	}
 	for _, s := range in.GetSummaries() {
 		b.Summaries = append(b.Summaries, bmmember.Summary{
-			Place:  s.GetPlace(),
-			Digest: s.GetDigest(),
-			Tick:   s.GetTick(),
+			DataCentre: s.GetDataCentre(),
+			Digest:     s.GetDigest(),
+			Tick:       s.GetTick(),
 		})
 	}
 	for _, r := range in.GetRosters() {
@@ -107,31 +107,31 @@
 
 func encodeRoster(r bmmember.Roster) *bmpeerpb.Roster {
 	out := &bmpeerpb.Roster{
-		Place:  r.Place,
-		Region: r.Region,
-		Tick:   r.Tick,
-		AgeMs:  int64(r.Age),
+		DataCentre: r.DataCentre,
+		Region:     r.Region,
+		Tick:       r.Tick,
+		AgeMs:      int64(r.Age),
 	}
 	for _, m := range r.Members {
 		e := encodeMember(m)
-		e.Place = ""
+		e.DataCentre = ""
 		e.Region = ""
 		out.Members = append(out.Members, e)
 	}
 	return out
 }
 
-// decodeRoster fills in the place and region that all members share.
+// decodeRoster fills in the data centre and region that all members share.
 func decodeRoster(in *bmpeerpb.Roster) bmmember.Roster {
 	r := bmmember.Roster{
-		Place:  in.GetPlace(),
-		Region: in.GetRegion(),
-		Tick:   in.GetTick(),
-		Age:    basilmoor.Millis(in.GetAgeMs()),
+		DataCentre: in.GetDataCentre(),
+		Region:     in.GetRegion(),
+		Tick:       in.GetTick(),
+		Age:        basilmoor.Millis(in.GetAgeMs()),
 	}
 	for _, e := range in.GetMembers() {
 		m := decodeMember(e)
-		m.Place = r.Place
+		m.DataCentre = r.DataCentre
 		m.Region = r.Region
 		r.Members = append(r.Members, m)
 	}
@@ -142,7 +142,7 @@
 	return &bmpeerpb.Member{
 		Host:          m.Host,
 		Address:       m.Address,
-		Place:         m.Place,
+		DataCentre:    m.DataCentre,
 		Region:        m.Region,
 		Incarnation:   m.Incarnation,
 		ConfigVersion: m.ConfigVersion,
@@ -156,7 +156,7 @@
 	return basilmoor.Member{
 		Host:          in.GetHost(),
 		Address:       in.GetAddress(),
-		Place:         in.GetPlace(),
+		DataCentre:    in.GetDataCentre(),
 		Region:        in.GetRegion(),
 		Incarnation:   in.GetIncarnation(),
 		ConfigVersion: in.GetConfigVersion(),
--- a/internal/fleet/bmpeer/server.go
+++ b/internal/fleet/bmpeer/server.go
@@ -117,12 +117,15 @@
 		return errors.Wrap(err, "serve peers")
 	case <-ctx.Done():
 	}
-	stopped := make(chan struct{})
-	go s.runStop(stopped)
+	stop := &gracefulStop{
+		grpc: s.grpc,
+		done: make(chan struct{}),
+	}
+	go stop.run()
 	timer := s.clock.NewTimer(stopBound)
 	defer timer.Stop()
 	select {
-	case <-stopped:
+	case <-stop.done:
 	case <-timer.C():
 		s.grpc.Stop()
 	}
@@ -136,7 +139,13 @@
 	done <- s.grpc.Serve(s.listener)
 }
 
-func (s *Server) runStop(stopped chan<- struct{}) {
-	s.grpc.GracefulStop()
-	close(stopped)
+// gracefulStop ends a gRPC server once its calls in progress have ended.
+type gracefulStop struct {
+	grpc *grpc.Server
+	done chan struct{} // closed at the end
+}
+
+func (g *gracefulStop) run() {
+	g.grpc.GracefulStop()
+	close(g.done)
 }
--- a/internal/node/bmadmin/types.go
+++ b/internal/node/bmadmin/types.go
@@ -10,7 +10,7 @@
 type HostStatus struct {
 	Host          string `json:"host"`
 	Address       string `json:"address"`
-	Place         string `json:"place"`
+	DataCentre    string `json:"data-centre"`
 	ConfigVersion int64  `json:"config-version"`
 	ConfigNote    string `json:"config-note"`
 	Load          int    `json:"load"`
@@ -19,10 +19,10 @@
 
 // TargetStatus is one target as configured and as the host list marks it.
 type TargetStatus struct {
-	Name    string `json:"name"`
-	Pool    string `json:"pool"`
-	Place   string `json:"place"`
-	Leaving bool   `json:"leaving"`
+	Name       string `json:"name"`
+	Pool       string `json:"pool"`
+	DataCentre string `json:"data-centre"`
+	Leaving    bool   `json:"leaving"`
 }
 
 // Status is the state of the node and of the fleet as the node sees it.
--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -95,10 +95,10 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	debug.SetGCPercent(collectPercent)
 	self := basilmoor.Member{
-		Host:    s.Host,
-		Address: s.port(portPeers),
-		Place:   s.DataCentre,
-		Region:  s.Region,
+		Host:       s.Host,
+		Address:    s.port(portPeers),
+		DataCentre: s.DataCentre,
+		Region:     s.Region,
 		// Only the starts of one host are compared.
 		Incarnation: uint64(bmclock.WallMillis()),
 		Capacity:    s.capacity(),
--- a/internal/node/bmnode/backend.go
+++ b/internal/node/bmnode/backend.go
@@ -36,7 +36,7 @@
 		s.Hosts = append(s.Hosts, bmadmin.HostStatus{
 			Host:          m.Host,
 			Address:       m.Address,
-			Place:         m.Place,
+			DataCentre:    m.DataCentre,
 			ConfigVersion: m.ConfigVersion,
 			ConfigNote:    m.ConfigNote,
 			Load:          m.Load,
@@ -54,10 +54,10 @@
 	for _, p := range c.Pools() {
 		for _, t := range c.Targets(p.Name) {
 			list = append(list, bmadmin.TargetStatus{
-				Name:    t.Name,
-				Pool:    p.Name,
-				Place:   t.Place,
-				Leaving: t.Leaving || n.marks.leaving(t.Name),
+				Name:       t.Name,
+				Pool:       p.Name,
+				DataCentre: t.DataCentre,
+				Leaving:    t.Leaving || n.marks.leaving(t.Name),
 			})
 		}
 	}
--- a/internal/node/bmnode/build.go
+++ b/internal/node/bmnode/build.go
@@ -96,10 +96,10 @@
 	members, wait := bmmember.NewDriver(bmmember.Config{
 		Clock: n.clock,
 		Self: basilmoor.Member{
-			Host:    n.settings.Host,
-			Address: address,
-			Place:   n.settings.Place,
-			Region:  n.settings.Region,
+			Host:       n.settings.Host,
+			Address:    address,
+			DataCentre: n.settings.DataCentre,
+			Region:     n.settings.Region,
 			// Hosts keep nothing, so that only the wall clock orders the
 			// starts of a host. It is read once and never compared with
 			// another host's.
@@ -126,11 +126,11 @@
 	members := make([]basilmoor.Member, 0, len(hosts))
 	for _, h := range hosts {
 		members = append(members, basilmoor.Member{
-			Host:    h.Host,
-			Address: h.Address,
-			Place:   h.Place,
-			Region:  h.Region,
-			Leaving: h.Leaving,
+			Host:       h.Host,
+			Address:    h.Address,
+			DataCentre: h.DataCentre,
+			Region:     h.Region,
+			Leaving:    h.Leaving,
 		})
 	}
 	return members, nil
@@ -212,7 +212,7 @@
 	n.onClose(closeDispatcher)
 	gateway, closeGateway := bmgateway.New(bmgateway.Config{
 		Host:        n.settings.Host,
-		Place:       n.settings.Place,
+		DataCentre:  n.settings.DataCentre,
 		Incarnation: n.members.Self().Incarnation,
 		Clock:       n.clock,
 		Catalogs:    n.config,
--- a/internal/node/bmnode/configuration.go
+++ b/internal/node/bmnode/configuration.go
@@ -29,15 +29,15 @@
 	return nil
 }
 
-// isWatcher is true for one live host of each place.
+// isWatcher is true for one live host of each data centre.
 func (n *Node) isWatcher() bool {
-	var place []basilmoor.Member
+	var dataCentre []basilmoor.Member
 	for _, m := range n.members.Live() {
-		if m.Place == n.settings.Place {
-			place = append(place, m)
+		if m.DataCentre == n.settings.DataCentre {
+			dataCentre = append(dataCentre, m)
 		}
 	}
-	owner, ok := bmmember.Owner("watch/"+n.settings.Place, place)
+	owner, ok := bmmember.Owner("watch/"+n.settings.DataCentre, dataCentre)
 	return ok && owner.Host == n.settings.Host
 }
 
--- a/internal/node/bmnode/serve.go
+++ b/internal/node/bmnode/serve.go
@@ -74,7 +74,12 @@
 func (n *Node) stop(cut context.Context) error {
 	limited, cancel := context.WithCancel(cut)
 	defer cancel()
-	go n.runStopLimit(limited, cancel)
+	limit := &stopLimit{
+		clock:  n.clock,
+		limit:  n.settings.StopLimit,
+		cancel: cancel,
+	}
+	go limit.run(limited)
 	n.stopping.Store(true)
 	n.members.Announce()
 	n.log.Info().Int("in-progress", n.gateway.InProgress()).Msg("stopping")
@@ -89,8 +94,15 @@
 	return nil
 }
 
-func (n *Node) runStopLimit(ctx context.Context, cancel context.CancelFunc) {
-	if n.clock.Sleep(ctx, n.settings.StopLimit) == nil {
-		cancel()
+// stopLimit bounds the time that requests in progress get at a stop.
+type stopLimit struct {
+	clock  basilmoor.Clock
+	limit  basilmoor.Millis
+	cancel context.CancelFunc // of what is bounded
+}
+
+func (l *stopLimit) run(ctx context.Context) {
+	if l.clock.Sleep(ctx, l.limit) == nil {
+		l.cancel()
 	}
 }
--- a/internal/node/bmsettings/node.go
+++ b/internal/node/bmsettings/node.go
@@ -4,9 +4,9 @@
 
 // Node is the settings of a node.
 type Node struct {
-	Host   string
-	Place  string
-	Region string
+	Host       string
+	DataCentre string
+	Region     string
 
 	CallersAddress string
 	PeersAddress   string
@@ -43,8 +43,8 @@
 	n := &Node{}
 	s := NewSet("node", "Runs the process of one entry host: callers' listener, broker, claims and configuration.")
 	s.Name(&n.Host, "host", "", "name of this host, unique in the fleet")
-	s.Name(&n.Place, "place", "", "data centre of this host")
-	s.Name(&n.Region, "region", "", "region of the place")
+	s.Name(&n.DataCentre, "data-centre", "", "data centre of this host")
+	s.Name(&n.Region, "region", "", "region of the data centre")
 	s.Address(&n.CallersAddress, "callers-address", "127.0.0.1:8080", "listener for callers")
 	s.Address(&n.PeersAddress, "peers-address", "127.0.0.1:8081", "listener for the other nodes")
 	s.Address(&n.AdminAddress, "admin-address", "127.0.0.1:8082", "listener for operators")
--- a/internal/node/bmsettings/set_test.go
+++ b/internal/node/bmsettings/set_test.go
@@ -15,7 +15,7 @@
 func valid() map[string]string {
 	return map[string]string{
 		"host":            "entry-1",
-		"place":           "bole",
+		"data-centre":     "bole",
 		"region":          "addis",
 		"store-url":       "http://127.0.0.1:7000",
 		"host-list-url":   "http://127.0.0.1:7001",
@@ -43,7 +43,7 @@
 func TestWrongSettingIsNamed(t *testing.T) {
 	tests := map[string]string{
 		"host":                    "Entry 1",
-		"place":                   "",
+		"data-centre":             "",
 		"region":                  "-x",
 		"callers-address":         "localhost:80",
 		"peers-address":           "127.0.0.1",
--- a/internal/operator/bmcli/status.go
+++ b/internal/operator/bmcli/status.go
@@ -59,12 +59,12 @@
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(t, "HOST\tPLACE\tVERSION\tNOTE\tLOAD\tLEAVING")
 	for _, h := range s.Hosts {
-		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%d\t%t\n", h.Host, h.Place, h.ConfigVersion, h.ConfigNote, h.Load, h.Leaving)
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%d\t%t\n", h.Host, h.DataCentre, h.ConfigVersion, h.ConfigNote, h.Load, h.Leaving)
 	}
 	fmt.Fprintln(t, "\t\t\t\t\t")
 	fmt.Fprintln(t, "TARGET\tPOOL\tPLACE\tLEAVING")
 	for _, g := range s.Targets {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%t\n", g.Name, g.Pool, g.Place, g.Leaving)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%t\n", g.Name, g.Pool, g.DataCentre, g.Leaving)
 	}
 	_ = t.Flush()
 	if len(s.Lagging) > 0 {
--- a/internal/platform/bmhostlist/client_test.go
+++ b/internal/platform/bmhostlist/client_test.go
@@ -22,10 +22,10 @@
 		Lag: basilmoor.Second,
 		Hosts: []bmstandinhosts.Host{
 			{
-				Host:    "h1",
-				Address: "127.0.0.1:1",
-				Place:   "Kinston",
-				Region:  "carolina-east",
+				Host:       "h1",
+				Address:    "127.0.0.1:1",
+				DataCentre: "Kinston",
+				Region:     "carolina-east",
 			},
 		},
 	})
@@ -39,10 +39,10 @@
 	hosts, err := c.Hosts(ctx)
 	require.NoError(t, err)
 	want := Host{
-		Host:    "h1",
-		Address: "127.0.0.1:1",
-		Place:   "Kinston",
-		Region:  "carolina-east",
+		Host:       "h1",
+		Address:    "127.0.0.1:1",
+		DataCentre: "Kinston",
+		Region:     "carolina-east",
 	}
 	require.Equal(t, []Host{want}, hosts)
 
--- a/internal/proof/bmprocess/fleet_test.go
+++ b/internal/proof/bmprocess/fleet_test.go
@@ -160,7 +160,7 @@
 	digest := sha256.Sum256([]byte(operatorToken))
 	n := start(f.t, host, "basilmoor", "node",
 		"-host", host,
-		"-place", "bole",
+		"-data-centre", "bole",
 		"-region", "addis",
 		"-callers-address", "127.0.0.1:0",
 		"-peers-address", "127.0.0.1:0",
@@ -177,19 +177,19 @@
 // publishHosts tells the platform's list about the running nodes.
 func (f *fleet) publishHosts() {
 	type host struct {
-		Host    string `json:"host"`
-		Address string `json:"address"`
-		Place   string `json:"place"`
-		Region  string `json:"region"`
-		Leaving bool   `json:"leaving"`
+		Host       string `json:"host"`
+		Address    string `json:"address"`
+		DataCentre string `json:"data-centre"`
+		Region     string `json:"region"`
+		Leaving    bool   `json:"leaving"`
 	}
 	list := []host{}
 	for _, n := range f.nodes {
 		list = append(list, host{
-			Host:    n.name,
-			Address: n.ready["peers"],
-			Place:   "bole",
-			Region:  "addis",
+			Host:       n.name,
+			Address:    n.ready["peers"],
+			DataCentre: "bole",
+			Region:     "addis",
 		})
 	}
 	b, err := json.Marshal(list)
@@ -220,9 +220,9 @@
 	digest := sha256.Sum256([]byte(callerToken))
 	var targets strings.Builder
 	for _, e := range f.engines {
-		fmt.Fprintf(&targets, "    - {name: %s, pool: models, type: engine, address: %q, place: bole, models: [%s], slots: %d}\n", e.name, e.ready["listening"], model, engineSlots)
+		fmt.Fprintf(&targets, "    - {name: %s, pool: models, type: engine, address: %q, data-centre: bole, models: [%s], slots: %d}\n", e.name, e.ready["listening"], model, engineSlots)
 	}
-	fmt.Fprintf(&targets, "    - {name: ledger-1, pool: ledger, type: service, address: %q, place: bole, slots: 8}\n", f.service.ready["listening"])
+	fmt.Fprintf(&targets, "    - {name: ledger-1, pool: ledger, type: service, address: %q, data-centre: bole, slots: 8}\n", f.service.ready["listening"])
 	return fmt.Sprintf(`schema: 1
 note: first
 added:
--- a/internal/request/bmdispatch/stream.go
+++ b/internal/request/bmdispatch/stream.go
@@ -164,16 +164,29 @@
 		return
 	}
 	d.wg.Add(1)
-	go d.runCancel(t, id)
+	c := &streamCancel{
+		dispatcher: d,
+		target:     t,
+		id:         id,
+	}
+	go c.run()
+}
+
+// streamCancel is the call that ends a stream at its target.
+type streamCancel struct {
+	dispatcher *Dispatcher
+	target     basilmoor.Target
+	id         string
 }
 
-func (d *Dispatcher) runCancel(t basilmoor.Target, id string) {
+func (c *streamCancel) run() {
+	d := c.dispatcher
 	defer d.wg.Done()
 	ctx, cancel := context.WithTimeout(d.ctx, dialTimeout)
 	defer cancel()
 	a := d.beginControl(ctx)
 	defer a.end()
-	res, err := d.control(a, t, http.MethodDelete, "/v1/streams/"+url.PathEscape(id))
+	res, err := d.control(a, c.target, http.MethodDelete, "/v1/streams/"+url.PathEscape(c.id))
 	if err == nil {
 		_ = res.Body.Close()
 	}
--- a/internal/request/bmgateway/gateway.go
+++ b/internal/request/bmgateway/gateway.go
@@ -33,7 +33,7 @@
 // Limiter, Retries and Isolated may be nil.
 type Config struct {
 	Host        string
-	Place       string
+	DataCentre  string
 	Incarnation uint64
 
 	Clock      basilmoor.Clock
--- a/internal/request/bmgateway/parse.go
+++ b/internal/request/bmgateway/parse.go
@@ -273,7 +273,7 @@
 	d := &c.demand
 	d.Request = c.aggregate.ID()
 	d.Host = g.cfg.Host
-	d.Place = g.cfg.Place
+	d.DataCentre = g.cfg.DataCentre
 	d.Workspace = c.workspace.Name
 	d.Weight = max(c.workspace.Weight, 1)
 	d.Kind = c.kind.Name
--- a/internal/request/bmgateway/serve.go
+++ b/internal/request/bmgateway/serve.go
@@ -240,12 +240,24 @@
 		return
 	}
 	g.probes.Add(1)
-	go g.runProbe(t, digest)
+	p := &crashProbe{
+		gateway: g,
+		target:  t,
+		digest:  digest,
+	}
+	go p.run()
+}
+
+// crashProbe asks whether a target died under a request.
+type crashProbe struct {
+	gateway *Gateway
+	target  basilmoor.Target
+	digest  uint64
 }
 
-func (g *Gateway) runProbe(t basilmoor.Target, digest uint64) {
-	defer g.probes.Done()
-	if bmcrash.Refuses(context.Background(), t.Address) {
-		g.cfg.Crashes.Died(digest, t.Name)
+func (p *crashProbe) run() {
+	defer p.gateway.probes.Done()
+	if bmcrash.Refuses(context.Background(), p.target.Address) {
+		p.gateway.cfg.Crashes.Died(p.digest, p.target.Name)
 	}
 }
--- a/internal/schedule/bmbench/deployments.go
+++ b/internal/schedule/bmbench/deployments.go
@@ -37,22 +37,22 @@
 
 // Seedleaf is the deployment of Piedmont Seedleaf.
 func Seedleaf() *Deployment {
-	places := []string{"kinston", "wilson", "goldsboro"}
+	dataCentres := []string{"kinston", "wilson", "goldsboro"}
 	return newDeployment(Deployment{
-		Name:    "Seedleaf",
-		Latency: millisecond / 2,
-		places:  places,
-		hosts:   9,
+		Name:        "Seedleaf",
+		Latency:     millisecond / 2,
+		dataCentres: dataCentres,
+		hosts:       9,
 		pools: []poolSpec{
 			{
 				name:    "labels",
 				rate:    81,
-				engines: modelEngines("labels", places, []int{6, 8, 6}),
+				engines: modelEngines("labels", dataCentres, []int{6, 8, 6}),
 			},
 			{
 				name:    "orders",
 				rate:    36,
-				engines: services("orders", places, 20*millisecond),
+				engines: services("orders", dataCentres, 20*millisecond),
 			},
 		},
 		kinds: append(serviceKinds("orders", "confirmation", "stock-lookup"), []kindSpec{
@@ -135,22 +135,22 @@
 
 // Gonder is the deployment of Gonder Coconut Carts.
 func Gonder() *Deployment {
-	places := []string{"bole", "merkato", "piassa"}
+	dataCentres := []string{"bole", "merkato", "piassa"}
 	return newDeployment(Deployment{
-		Name:    "Gonder",
-		Latency: millisecond,
-		places:  places,
-		hosts:   6,
+		Name:        "Gonder",
+		Latency:     millisecond,
+		dataCentres: dataCentres,
+		hosts:       6,
 		pools: []poolSpec{
 			{
 				name:    "plans",
 				rate:    40,
-				engines: modelEngines("plans", places, []int{3, 4, 3}),
+				engines: modelEngines("plans", dataCentres, []int{3, 4, 3}),
 			},
 			{
 				name:    "ledger",
 				rate:    36,
-				engines: services("ledger", places, 20*millisecond),
+				engines: services("ledger", dataCentres, 20*millisecond),
 			},
 		},
 		kinds: append(serviceKinds("ledger", "payout", "stock-transfer"), []kindSpec{
--- a/internal/schedule/bmbench/engine_test.go
+++ b/internal/schedule/bmbench/engine_test.go
@@ -24,7 +24,7 @@
 	d := Seedleaf()
 	spec := &poolSpec{
 		name:    "labels",
-		engines: modelEngines("labels", d.places, []int{1}),
+		engines: modelEngines("labels", d.dataCentres, []int{1}),
 	}
 	spec.engines[0].batch = 2
 	sim := &simulation{}
--- a/internal/schedule/bmbench/fleet.go
+++ b/internal/schedule/bmbench/fleet.go
@@ -49,18 +49,18 @@
 // top-tier goodput fell. The other policies are insensitive to it.
 const engineQueue = 16
 
-func modelEngines(pool string, places []string, perGeneration []int) []engineSpec {
+func modelEngines(pool string, dataCentres []string, perGeneration []int) []engineSpec {
 	var engines []engineSpec
 	for i, n := range perGeneration {
 		g := generations[i]
 		for range n {
-			place := places[len(engines)%len(places)]
+			dataCentre := dataCentres[len(engines)%len(dataCentres)]
 			engines = append(engines, engineSpec{
 				target: basilmoor.Target{
 					Name:          fmt.Sprintf("%s-%s-%02d", pool, g.name, len(engines)),
 					Pool:          pool,
 					Type:          basilmoor.EngineTarget,
-					Place:         place,
+					DataCentre:    dataCentre,
 					Generation:    g.name,
 					Models:        []string{pool},
 					Slots:         g.batch,
@@ -84,17 +84,17 @@
 // does not idle for a whole step while the news of a finished request travels.
 // For engines, whose requests are longer, that costs more first-token time than
 // it gains.
-func services(pool string, places []string, step micros) []engineSpec {
+func services(pool string, dataCentres []string, step micros) []engineSpec {
 	const workers = 4
 	var engines []engineSpec
-	for i, place := range places {
+	for i, dataCentre := range dataCentres {
 		engines = append(engines, engineSpec{
 			target: basilmoor.Target{
-				Name:  fmt.Sprintf("%s-%d", pool, i),
-				Pool:  pool,
-				Type:  basilmoor.ServiceTarget,
-				Place: place,
-				Slots: workers + 1,
+				Name:       fmt.Sprintf("%s-%d", pool, i),
+				Pool:       pool,
+				Type:       basilmoor.ServiceTarget,
+				DataCentre: dataCentre,
+				Slots:      workers + 1,
 			},
 			base:     step,
 			batch:    workers,
--- a/internal/schedule/bmbench/host.go
+++ b/internal/schedule/bmbench/host.go
@@ -42,7 +42,7 @@
 	return basilmoor.Demand{
 		Request:       r.id,
 		Host:          hostName(r.host),
-		Place:         p.d.places[r.host%len(p.d.places)],
+		DataCentre:    p.d.dataCentres[r.host%len(p.d.dataCentres)],
 		Workspace:     r.workspace.name,
 		Weight:        r.workspace.weight,
 		Tier:          r.kind.tier,
--- a/internal/schedule/bmbench/workload.go
+++ b/internal/schedule/bmbench/workload.go
@@ -41,17 +41,17 @@
 
 // Deployment describes one user's fleet and demand.
 type Deployment struct {
-	Name       string
-	Latency    micros // one way between data centres
-	places     []string
-	hosts      int
-	pools      []poolSpec
-	kinds      []kindSpec
-	workspaces []workspaceSpec
-	length     micros   // arrivals end
-	measured   micros   // requests that arrive earlier only warm the caches
-	crests     []window // factor is the demand in parts of the capacity
-	slow       []window
+	Name        string
+	Latency     micros // one way between data centres
+	dataCentres []string
+	hosts       int
+	pools       []poolSpec
+	kinds       []kindSpec
+	workspaces  []workspaceSpec
+	length      micros   // arrivals end
+	measured    micros   // requests that arrive earlier only warm the caches
+	crests      []window // factor is the demand in parts of the capacity
+	slow        []window
 }
 
 // baseLoad is the demand outside of crests in parts of the capacity.
--- a/internal/schedule/bmcapacity/choose_test.go
+++ b/internal/schedule/bmcapacity/choose_test.go
@@ -12,8 +12,8 @@
 	return true
 }
 
-// Guards the choice between place, cached prefix and waiting.
-func TestChooseWeighsPlacePrefixAndBacklog(t *testing.T) {
+// Guards the choice between data centre, cached prefix and waiting.
+func TestChooseWeighsDataCentrePrefixAndBacklog(t *testing.T) {
 	prefix := []uint64{1, 2, 3, 4, 5}
 	tests := map[string]struct {
 		prepare func(p *Pool)
@@ -27,7 +27,7 @@
 			prepare: func(p *Pool) { reserve(p, 0, "x", "t1") },
 			want:    "t0",
 		},
-		"cached prefix in another place": {
+		"cached prefix in another data centre": {
 			prepare: func(p *Pool) {
 				reserve(p, 0, "x", "t0", prefix...)
 				see(p, 0, "x", "t0", basilmoor.StageFinished, 1, 1)
@@ -64,13 +64,13 @@
 		t.Run(name, func(t *testing.T) {
 			p := NewPool(DefaultConfig())
 			specs := engines(2, 8)
-			specs[0].Place = "far"
-			specs[1].Place = "near"
+			specs[0].DataCentre = "far"
+			specs[1].DataCentre = "near"
 			p.SetTargets(specs)
 			test.prepare(p)
 			p.CollectFree(0)
 			chosen, _, ok := p.Choose(0, basilmoor.Demand{
-				Place:         "near",
+				DataCentre:    "near",
 				PrefixDigests: prefix,
 				PromptTokens:  320,
 				OutputTokens:  10,
--- a/internal/schedule/bmcapacity/config.go
+++ b/internal/schedule/bmcapacity/config.go
@@ -42,22 +42,22 @@
 	// which a target is taken for a straggler.
 	StalledAfter basilmoor.Millis
 
-	// OtherPlacePenalty is added to the expected time of a target in another
-	// place than the request's entry host.
-	OtherPlacePenalty float64
+	// OtherDataCentrePenalty is added to the expected time of a target in another
+	// data centre than the request's entry host.
+	OtherDataCentrePenalty float64
 }
 
 // DefaultConfig returns the values that the benchmark was run with.
 func DefaultConfig() Config {
 	return Config{
-		GrantTTL:          basilmoor.Second,
-		GrantMargin:       basilmoor.Second / 2,
-		SilentAfter:       basilmoor.Minute,
-		StragglerFactor:   2.5,
-		RecoveredFactor:   1.75,
-		ReducedSlotsShare: 0.2,
-		ForgetAfter:       10 * basilmoor.Second,
-		StalledAfter:      6 * basilmoor.Second,
-		OtherPlacePenalty: 4,
+		GrantTTL:               basilmoor.Second,
+		GrantMargin:            basilmoor.Second / 2,
+		SilentAfter:            basilmoor.Minute,
+		StragglerFactor:        2.5,
+		RecoveredFactor:        1.75,
+		ReducedSlotsShare:      0.2,
+		ForgetAfter:            10 * basilmoor.Second,
+		StalledAfter:           6 * basilmoor.Second,
+		OtherDataCentrePenalty: 4,
 	}
 }
--- a/internal/schedule/bmcapacity/estimate.go
+++ b/internal/schedule/bmcapacity/estimate.go
@@ -58,8 +58,8 @@
 	}
 	uncached := t.uncached(d)
 	first := pace*(1+t.foreign(now)) + prefill*float64(t.backlog+uncached)
-	if d.Place != t.spec.Place {
-		first += p.cfg.OtherPlacePenalty
+	if d.DataCentre != t.spec.DataCentre {
+		first += p.cfg.OtherDataCentrePenalty
 	}
 	return Estimate{
 		FirstToken: first,
--- a/internal/schedule/bmcapacity/observe.go
+++ b/internal/schedule/bmcapacity/observe.go
@@ -82,16 +82,16 @@
 		f.target.remove(f)
 		delete(p.flights, o.Request)
 		p.drop(f.target)
-		return p.place(now, d, p.named(o.Target), true)
+		return p.dataCentre(now, d, p.named(o.Target), true)
 	}
 	e, remembered := p.history.ended[o.Request]
 	switch {
 	case remembered && e.ending != endedLapsed:
 		return nil
 	case o.Demand != nil:
-		return p.place(now, *o.Demand, p.named(o.Target), true)
+		return p.dataCentre(now, *o.Demand, p.named(o.Target), true)
 	case remembered:
-		return p.place(now, e.demand, p.named(o.Target), true)
+		return p.dataCentre(now, e.demand, p.named(o.Target), true)
 	default:
 		return nil
 	}
--- a/internal/schedule/bmcapacity/pool.go
+++ b/internal/schedule/bmcapacity/pool.go
@@ -96,14 +96,14 @@
 // capacity yet.
 func (p *Pool) Reserve(now basilmoor.Millis, d basilmoor.Demand, targetName string) {
 	t := p.targets[targetName]
-	p.place(now, d, t, false)
+	p.dataCentre(now, d, t, false)
 	p.grants = append(p.grants, historyEntry{
 		id: d.Request,
 		at: now,
 	})
 }
 
-func (p *Pool) place(now basilmoor.Millis, d basilmoor.Demand, t *target, dispatched bool) *flight {
+func (p *Pool) dataCentre(now basilmoor.Millis, d basilmoor.Demand, t *target, dispatched bool) *flight {
 	uncached := t.uncached(d)
 	f := &flight{
 		demand:     d,
--- a/internal/schedule/bmgrant/choose.go
+++ b/internal/schedule/bmgrant/choose.go
@@ -43,7 +43,7 @@
 	pace := p.paceOf(t)
 	cost := float64(p.firstTokenAt(pace, d, t.backlog)) + pace*float64(d.OutputTokens)
 	cost *= 1 + loadCost*float64(len(t.flights))/float64(max(t.spec.Slots, 1))
-	if t.spec.Place != d.Place {
+	if t.spec.DataCentre != d.DataCentre {
 		cost *= 1 + remoteCost
 	}
 	return cost
--- a/internal/schedule/bmgrant/client.go
+++ b/internal/schedule/bmgrant/client.go
@@ -225,7 +225,7 @@
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	d.Host = c.self.Host
-	d.Place = c.self.Place
+	d.DataCentre = c.self.DataCentre
 	e := &entry{
 		demand:    d,
 		submitted: now,
--- a/internal/schedule/bmgrant/codec.go
+++ b/internal/schedule/bmgrant/codec.go
@@ -54,7 +54,7 @@
 	return basilmoor.Demand{
 		Request:      requestID(host, d.GetNumber()),
 		Host:         host,
-		Place:        dataCentre,
+		DataCentre:   dataCentre,
 		Pool:         d.GetPool(),
 		Kind:         d.GetKind(),
 		Workspace:    d.GetWorkspace(),
--- a/internal/schedule/bmgrant/pool_test.go
+++ b/internal/schedule/bmgrant/pool_test.go
@@ -12,11 +12,11 @@
 
 func testTarget(name string, slots int) basilmoor.Target {
 	return basilmoor.Target{
-		Name:    name,
-		Pool:    "p",
-		Address: "10.0.0.1:80",
-		Place:   "a",
-		Slots:   slots,
+		Name:       name,
+		Pool:       "p",
+		Address:    "10.0.0.1:80",
+		DataCentre: "a",
+		Slots:      slots,
 	}
 }
 
@@ -25,7 +25,7 @@
 	return basilmoor.Demand{
 		Request:      basilmoor.RequestID("h/" + id),
 		Host:         "h",
-		Place:        "a",
+		DataCentre:   "a",
 		Pool:         "p",
 		Tier:         rank,
 		PromptTokens: 1000,
--- a/internal/schedule/bmgrant/uplink.go
+++ b/internal/schedule/bmgrant/uplink.go
@@ -86,7 +86,7 @@
 func (c *Client) hello() *bmgrantpb.Hello {
 	return &bmgrantpb.Hello{
 		Host:        c.self.Host,
-		DataCentre:  c.self.Place,
+		DataCentre:  c.self.DataCentre,
 		Incarnation: c.self.Incarnation,
 		Revision:    c.broker.views.Revision(),
 	}
@@ -131,13 +131,21 @@
 	}
 	close(c.up.ended)
 	c.broker.views.SetRelayed(false)
-	go c.up.runClose()
+	closing := &linkClose{
+		link: c.up.link,
+	}
+	go closing.run()
 	c.up = nil
 }
 
-// runClose closes the link, which may take the broker's mutex.
-func (u *uplink) runClose() {
-	u.link.close()
+// linkClose closes a link apart from the client, because that may take the
+// broker's mutex.
+type linkClose struct {
+	link link
+}
+
+func (l *linkClose) run() {
+	l.link.close()
 }
 
 // drop ends the session. This host serves its waiting demands itself.
--- a/internal/schedule/bmscheduler/broker.go
+++ b/internal/schedule/bmscheduler/broker.go
@@ -47,7 +47,7 @@
 
 // brokerHost is what a broker knows of an entry host.
 type brokerHost struct {
-	place       string
+	dataCentre  string
 	session     session // nil if detached
 	lastSeen    basilmoor.Millis
 	lastSent    basilmoor.Millis
@@ -116,7 +116,7 @@
 }
 
 // attach begins a session of a host and ends the one before.
-func (b *broker) attach(now basilmoor.Millis, host, place string, s session) {
+func (b *broker) attach(now basilmoor.Millis, host, dataCentre string, s session) {
 	if b.hold && !b.connected() {
 		b.holding = true
 		b.holdUntil = now + holdBound
@@ -133,7 +133,7 @@
 		h.session.end()
 		b.withdraw(now, h)
 	}
-	h.place = place
+	h.dataCentre = dataCentre
 	h.session = s
 	h.lastSeen = now
 	h.lastSent = now
@@ -185,7 +185,7 @@
 		return
 	}
 	d.Host = host
-	d.Place = h.place
+	d.DataCentre = h.dataCentre
 	d.Pool = b.pool
 	h.mentioned[d.Request] = true
 	b.takeBack(now, h, d.Request)
@@ -287,7 +287,7 @@
 	d := *o.Demand
 	d.Request = o.Request
 	d.Host = host
-	d.Place = h.place
+	d.DataCentre = h.dataCentre
 	d.Pool = b.pool
 	o.Demand = &d
 	g := &openGrant{
--- a/internal/schedule/bmscheduler/broker_test.go
+++ b/internal/schedule/bmscheduler/broker_test.go
@@ -122,26 +122,26 @@
 func TestLimitTargets(t *testing.T) {
 	live := []basilmoor.Member{
 		{
-			Host:   "host-a",
-			Place:  "bole",
-			Region: "addis",
+			Host:       "host-a",
+			DataCentre: "bole",
+			Region:     "addis",
 		},
 		{
-			Host:   "host-b",
-			Place:  "merkato",
-			Region: "addis",
+			Host:       "host-b",
+			DataCentre: "merkato",
+			Region:     "addis",
 		},
 		{
-			Host:   "host-c",
-			Place:  "kinston",
-			Region: "carolina-east",
+			Host:       "host-c",
+			DataCentre: "kinston",
+			Region:     "carolina-east",
 		},
 	}
-	target := func(name, place string, slots int) basilmoor.Target {
+	target := func(name, dataCentre string, slots int) basilmoor.Target {
 		return basilmoor.Target{
-			Name:  name,
-			Place: place,
-			Slots: slots,
+			Name:       name,
+			DataCentre: dataCentre,
+			Slots:      slots,
 		}
 	}
 	tests := map[string]struct {
@@ -154,7 +154,7 @@
 			targets: []basilmoor.Target{target("t1", "merkato", 8)},
 			want:    map[string]int{"t1": 2},
 		},
-		"one slot in the own place": {
+		"one slot in the own data centre": {
 			self:    live[0],
 			targets: []basilmoor.Target{target("t1", "bole", 2), target("t2", "merkato", 2)},
 			want:    map[string]int{"t1": 1},
--- a/internal/schedule/bmscheduler/client.go
+++ b/internal/schedule/bmscheduler/client.go
@@ -83,7 +83,7 @@
 	p := c.pool(d.Pool)
 	self := c.cfg.Membership.Self()
 	d.Host = self.Host
-	d.Place = self.Place
+	d.DataCentre = self.DataCentre
 	e := p.ledger.add(c.cfg.Clock.Now(), d)
 	p.wake()
 	select {
--- a/internal/schedule/bmscheduler/convert.go
+++ b/internal/schedule/bmscheduler/convert.go
@@ -70,7 +70,8 @@
 	}
 }
 
-// decodeDemand leaves out host, place and pool, which belong to the stream.
+// decodeDemand leaves out host, data centre and pool, which belong to the
+// stream.
 func (c codec) decodeDemand(in *bmpeerpb.Demand) basilmoor.Demand {
 	return basilmoor.Demand{
 		Request:       c.id(in.GetNumber()),
--- a/internal/schedule/bmscheduler/nodes_test.go
+++ b/internal/schedule/bmscheduler/nodes_test.go
@@ -38,11 +38,11 @@
 func oneTarget(slots int) fakeCatalog {
 	return fakeCatalog{
 		targets: []basilmoor.Target{{
-			Name:    "engine-1",
-			Pool:    "models",
-			Address: "127.0.0.1:1",
-			Place:   "bole",
-			Slots:   slots,
+			Name:       "engine-1",
+			Pool:       "models",
+			Address:    "127.0.0.1:1",
+			DataCentre: "bole",
+			Slots:      slots,
 		}},
 	}
 }
@@ -127,9 +127,9 @@
 		metrics: bmmetrics.NewRegistry(),
 	}
 	n.member = basilmoor.Member{
-		Host:   host,
-		Place:  "bole",
-		Region: "addis",
+		Host:       host,
+		DataCentre: "bole",
+		Region:     "addis",
 	}
 	self := &selfView{
 		view: view{
--- a/internal/schedule/bmscheduler/pool_client.go
+++ b/internal/schedule/bmscheduler/pool_client.go
@@ -64,6 +64,7 @@
 type fallback struct {
 	loop   *poolLoop
 	cancel context.CancelFunc
+	done   *sync.WaitGroup
 }
 
 func newPoolClient(cfg ClientConfig, pool string) *poolClient {
@@ -182,7 +183,7 @@
 	go p.loop(ctx, broker, &bmpeerpb.Hello{
 		Pool:        p.pool,
 		Host:        self.Host,
-		Place:       self.Place,
+		DataCentre:  self.DataCentre,
 		Incarnation: self.Incarnation,
 	})
 }
@@ -197,7 +198,7 @@
 		epoch:  epoch,
 		lost:   p.lost,
 	}
-	loop, err := p.cfg.Local.attach(p.pool, self.Host, self.Place, &localSession{
+	loop, err := p.cfg.Local.attach(p.pool, self.Host, self.DataCentre, &localSession{
 		up: up,
 	})
 	if err != nil {
@@ -301,14 +302,24 @@
 	up.wg.Add(2)
 	go up.run()
 	go up.loop()
-	go p.runWait(up)
+	end := &uplinkEnd{
+		uplink: up,
+		done:   &p.wg,
+	}
+	go end.run()
 	p.begin(now, epoch, up, o.owner, grantsRemote)
 }
 
-// runWait keeps stop from returning before the goroutines of a stream.
-func (p *poolClient) runWait(up *streamUplink) {
-	defer p.wg.Done()
-	up.wg.Wait()
+// uplinkEnd keeps the client's stop from returning before the goroutines of a
+// stream.
+type uplinkEnd struct {
+	uplink *streamUplink
+	done   *sync.WaitGroup
+}
+
+func (e *uplinkEnd) run() {
+	defer e.done.Done()
+	e.uplink.wg.Wait()
 }
 
 // startFallback serves the host's own queue with its share of the targets.
@@ -328,9 +339,10 @@
 	p.fallback = &fallback{
 		loop:   loop,
 		cancel: cancel,
+		done:   &p.wg,
 	}
 	p.wg.Add(1)
-	go p.runFallback(ctx, loop)
+	go p.fallback.run(ctx)
 	epoch := p.ledger.detach()
 	up := &localUplink{
 		loop:   loop,
@@ -343,14 +355,14 @@
 	sess := &localSession{
 		up: up,
 	}
-	loop.do(func(b *broker, now basilmoor.Millis) { b.attach(now, self.Host, self.Place, sess) })
+	loop.do(func(b *broker, now basilmoor.Millis) { b.attach(now, self.Host, self.DataCentre, sess) })
 	p.ledger.attach(now, epoch, up, grantsFallback)
 	p.cfg.Logger.Warn().Str("pool", p.pool).Msg("no broker reachable, serving the own queue")
 }
 
-func (p *poolClient) runFallback(ctx context.Context, loop *poolLoop) {
-	defer p.wg.Done()
-	loop.run(ctx)
+func (f *fallback) run(ctx context.Context) {
+	defer f.done.Done()
+	f.loop.run(ctx)
 }
 
 func (p *poolClient) stopFallback() {
--- a/internal/schedule/bmscheduler/service.go
+++ b/internal/schedule/bmscheduler/service.go
@@ -88,13 +88,13 @@
 }
 
 // attach begins a session with the pool's broker.
-func (s *Service) attach(pool, host, place string, sess session) (*poolLoop, error) {
+func (s *Service) attach(pool, host, dataCentre string, sess session) (*poolLoop, error) {
 	for {
 		l, err := s.loop(pool)
 		if err != nil {
 			return nil, err
 		}
-		if l.do(func(b *broker, now basilmoor.Millis) { b.attach(now, host, place, sess) }) {
+		if l.do(func(b *broker, now basilmoor.Millis) { b.attach(now, host, dataCentre, sess) }) {
 			return l, nil
 		}
 		<-l.done
--- a/internal/schedule/bmscheduler/stream_server.go
+++ b/internal/schedule/bmscheduler/stream_server.go
@@ -45,7 +45,7 @@
 		outbox: newMailbox[*bmpeerpb.ScheduleResponse](),
 		over:   make(chan struct{}),
 	}
-	loop, err := s.attach(hello.GetPool(), hello.GetHost(), hello.GetPlace(), sess)
+	loop, err := s.attach(hello.GetPool(), hello.GetHost(), hello.GetDataCentre(), sess)
 	if err != nil {
 		return status.Error(codes.Unavailable, err.Error())
 	}
--- a/internal/schedule/bmscheduler/targets.go
+++ b/internal/schedule/bmscheduler/targets.go
@@ -45,7 +45,7 @@
 		a.Pool == b.Pool &&
 		a.Type == b.Type &&
 		a.Address == b.Address &&
-		a.Place == b.Place &&
+		a.DataCentre == b.DataCentre &&
 		a.Generation == b.Generation &&
 		a.Version == b.Version &&
 		a.Role == b.Role &&
@@ -80,19 +80,20 @@
 	return limited
 }
 
-// nearest tells the targets of the host's place, else of its region, else all.
+// nearest tells the targets of the host's data centre, else of its region, else
+// all.
 func nearest(targets []basilmoor.Target, self basilmoor.Member, live []basilmoor.Member) func(basilmoor.Target) bool {
-	inPlace := func(t basilmoor.Target) bool { return t.Place == self.Place }
-	if slices.ContainsFunc(targets, inPlace) {
-		return inPlace
+	inDataCentre := func(t basilmoor.Target) bool { return t.DataCentre == self.DataCentre }
+	if slices.ContainsFunc(targets, inDataCentre) {
+		return inDataCentre
 	}
 	region := make(map[string]bool)
 	for _, m := range live {
 		if m.Region == self.Region {
-			region[m.Place] = true
+			region[m.DataCentre] = true
 		}
 	}
-	inRegion := func(t basilmoor.Target) bool { return region[t.Place] }
+	inRegion := func(t basilmoor.Target) bool { return region[t.DataCentre] }
 	if slices.ContainsFunc(targets, inRegion) {
 		return inRegion
 	}
--- a/internal/standin/bmstandinhosts/hosts.go
+++ b/internal/standin/bmstandinhosts/hosts.go
@@ -15,11 +15,11 @@
 
 // Host is one entry host in the list.
 type Host struct {
-	Host    string `json:"host"`
-	Address string `json:"address"` // of the listener for peers
-	Place   string `json:"place"`
-	Region  string `json:"region"`
-	Leaving bool   `json:"leaving"`
+	Host       string `json:"host"`
+	Address    string `json:"address"` // of the listener for peers
+	DataCentre string `json:"data-centre"`
+	Region     string `json:"region"`
+	Leaving    bool   `json:"leaving"`
 }
 
 // Target is one target in the list.
--- a/member.go
+++ b/member.go
@@ -4,7 +4,7 @@
 type Member struct {
 	Host          string
 	Address       string // IP address and port of the listener for peers
-	Place         string
+	DataCentre    string
 	Region        string
 	Incarnation   uint64 // grows with each start of the host's process
 	ConfigVersion int64
--- a/schedule.go
+++ b/schedule.go
@@ -9,15 +9,15 @@
 // Demand describes a waiting request to the broker of its pool. It carries no
 // body.
 type Demand struct {
-	Request   RequestID
-	Host      string // entry host that holds the request
-	Place     string // place of the entry host
-	Workspace string
-	Weight    int // weight of the workspace, at least 1
-	Tier      int // rank of the tier, 0 first
-	Kind      string
-	Pool      string
-	Model     string
+	Request    RequestID
+	Host       string // entry host that holds the request
+	DataCentre string // data centre of the entry host
+	Workspace  string
+	Weight     int // weight of the workspace, at least 1
+	Tier       int // rank of the tier, 0 first
+	Kind       string
+	Pool       string
+	Model      string
 
 	// PrefixDigests are digests of the growing prefixes of the prompt, the
 	// shortest first, one for each block of PrefixBlockTokens tokens.
