Let hosts that follow a broker ask a failing store less often

Change: a host that follows another doubles the time between two failed calls up to 1.6 s; the first one is made at once, so that a broker that alone has lost the store is still noticed. The pause counts from the start of a call, so that one that was silent until its time limit is repeated at once.

Measured: TestCallsDuringAnOutage, TestSilentCallIsRepeatedAtOnce.

--- a/internal/fleet/bmmember/sim_test.go
+++ b/internal/fleet/bmmember/sim_test.go
@@ -78,8 +78,8 @@
 		n := &simNode{
 			index: i,
 			member: basilmoor.Member{
-				Host:          fmt.Sprintf("10.%d.0.%d", dataCentre, i),
-				Address:       fmt.Sprintf("10.%d.0.%d:7070", dataCentre, i),
+				Host:    fmt.Sprintf("10.%d.0.%d", dataCentre, i),
+				Address: fmt.Sprintf("10.%d.0.%d:7070", dataCentre, i),
 				// The seeds on record depend on the names.
 				DataCentre:    fmt.Sprintf("place-%02d", dataCentre),
 				Region:        fmt.Sprintf("region-%02d", dataCentre%regions),
--- a/internal/fleet/bmview/keeper.go
+++ b/internal/fleet/bmview/keeper.go
@@ -31,8 +31,11 @@
 	// changes in quick succession share a call.
 	gatherPause basilmoor.Millis = 50
 
-	// retryPause is the time between calls to a store that fails.
-	retryPause basilmoor.Millis = 200
+	// retryPause is the time between the starts of two calls to a store that
+	// fails. It doubles up to relayedRetryMost for a host that follows
+	// another: that one asks as well, and passes on what it learns.
+	retryPause       basilmoor.Millis = 200
+	relayedRetryMost basilmoor.Millis = 1600
 
 	// outageAfter is the time without a confirmed view after which entries of
 	// targets may have lapsed although the targets live.
@@ -74,6 +77,7 @@
 	shared    atomic.Bool  // whether others follow this view
 	spending  atomic.Pointer[[]byte]
 	history   *history
+	failures  int // of calls in a row; belongs to Serve
 
 	mu          sync.Mutex // guards what follows, and orders the callbacks
 	state       *state
@@ -177,15 +181,7 @@
 // Serve follows the platform's state until ctx ends.
 func (k *Keeper) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause := basilmoor.Millis(0)
-		if k.followsRelay() {
-			pause = relayPoll
-		} else if changed, err := k.step(ctx); err != nil && ctx.Err() == nil {
-			k.fail(err)
-			pause = retryPause
-		} else if changed {
-			pause = gatherPause
-		}
+		pause := k.turn(ctx)
 		if pause == 0 {
 			continue
 		}
@@ -196,6 +192,36 @@
 	return ctx.Err()
 }
 
+// turn makes a call unless another host's proof makes it needless, and returns
+// the time until the next turn.
+func (k *Keeper) turn(ctx context.Context) basilmoor.Millis {
+	if k.followsRelay() {
+		k.failures = 0
+		return relayPoll
+	}
+	began := k.clock.Now()
+	changed, err := k.step(ctx)
+	if err != nil && ctx.Err() == nil {
+		k.fail(err)
+		return max(k.backOff()-(k.clock.Now()-began), 1)
+	}
+	k.failures = 0
+	if changed {
+		return gatherPause
+	}
+	return 0
+}
+
+// backOff is the time between the starts of a call that failed and the next.
+func (k *Keeper) backOff() basilmoor.Millis {
+	pause := retryPause
+	if k.relayed.Load() {
+		pause = min(retryPause<<min(k.failures, 8), relayedRetryMost)
+	}
+	k.failures++
+	return pause
+}
+
 // followsRelay reports whether another host's proof makes calls to the store
 // needless.
 func (k *Keeper) followsRelay() bool {
--- a/internal/fleet/bmview/keeper_test.go
+++ b/internal/fleet/bmview/keeper_test.go
@@ -216,3 +216,51 @@
 	k.SetRelayed(false)
 	require.False(t, k.followsRelay())
 }
+
+// outageCalls runs turns against a store that fails for the given time, each
+// call after takes, and returns the number of calls.
+func outageCalls(k *Keeper, f *scriptedFeed, length, takes basilmoor.Millis) int {
+	end := f.clock.Now() + length
+	calls := 0
+	for f.clock.Now() < end {
+		f.answers = []feedAnswer{
+			{
+				takes: takes,
+				err:   errors.New("store is down"),
+			},
+		}
+		pause := k.turn(context.Background())
+		calls += 1 - len(f.answers)
+		f.clock.Advance(pause)
+	}
+	f.answers = nil
+	return calls
+}
+
+// Guards against a fleet that all asks a store that is down, five times a second
+// a host: the host that the others follow does, and they rarely. One that
+// follows nobody asks on, because nobody tells it when the store is back.
+func TestCallsDuringAnOutage(t *testing.T) {
+	const outage = 6 * basilmoor.Second
+	for _, relayed := range []bool{false, true} {
+		k, f := newTestKeeper(feedAnswer{events: []basilmoor.Event{put("config", "1")}, to: 1})
+		steps(t, k, f)
+		k.SetRelayed(relayed)
+		calls := outageCalls(k, f, outage, 1)
+		if relayed {
+			require.LessOrEqual(t, calls, 6)
+		} else {
+			require.InDelta(t, float64(outage/retryPause), calls, 1)
+		}
+	}
+}
+
+// Guards against a pause after a call that was silent until its time limit: the
+// proof of the view ages meanwhile, on all hosts that follow.
+func TestSilentCallIsRepeatedAtOnce(t *testing.T) {
+	k, f := newTestKeeper(
+		feedAnswer{events: []basilmoor.Event{put("config", "1")}, to: 1},
+	)
+	steps(t, k, f)
+	require.Equal(t, 4, outageCalls(k, f, 4*1200, 1200))
+}
