Refuse early what a pool can't serve before its caller leaves

Change: every 50 ms a pool adds up the work that waits ahead of each demand, in the order of grants, against its slots, those of slow targets counted by their pace, and refuses what would not get a slot before it expires. Retry-After is the wait that it would have had.

The forecast doesn't know what will arrive, so that most still wait for a part of their patience.

--- a/internal/schedule/bmgrant/pool.go
+++ b/internal/schedule/bmgrant/pool.go
@@ -40,15 +40,16 @@
 // Pool is the policy of one pool of targets. It is not safe for concurrent
 // use.
 type Pool struct {
-	targets map[string]*target
-	order   []*target // listed targets by name
-	flights map[basilmoor.RequestID]*target
-	waiting []*item
-	holdOff basilmoor.Millis // no grants before this instant
-	swept   basilmoor.Millis
-	work    map[string]float64 // ms that a plain service takes for each kind
-	granted map[int]int        // by rank, since the last summary
-	refused map[int]int
+	targets  map[string]*target
+	order    []*target // listed targets by name
+	flights  map[basilmoor.RequestID]*target
+	waiting  []*item
+	holdOff  basilmoor.Millis // no grants before this instant
+	swept    basilmoor.Millis
+	forecast basilmoor.Millis   // when it was made last
+	work     map[string]float64 // ms that a plain service takes for each kind
+	granted  map[int]int        // by rank, since the last summary
+	refused  map[int]int
 
 	decisions []basilmoor.Decision
 }
@@ -119,11 +120,11 @@
 		i.expires = max(i.expires, now)
 	}
 	if len(p.waiting) >= maxWaiting {
-		p.refuse(d, basilmoor.ReasonQueueFull)
+		p.refuse(d, basilmoor.ReasonQueueFull, p.drainTime())
 		return p.step(now)
 	}
 	if p.excludesAll(d) {
-		p.refuse(d, basilmoor.ReasonNoTarget)
+		p.refuse(d, basilmoor.ReasonNoTarget, p.drainTime())
 		return p.step(now)
 	}
 	p.waiting = append(p.waiting, i)
@@ -285,6 +286,7 @@
 	p.expire(now)
 	if now >= p.holdOff {
 		p.match(now)
+		p.shed(now)
 	}
 	decisions := p.decisions
 	p.decisions = nil
@@ -314,7 +316,7 @@
 		if now <= i.expires {
 			return false
 		}
-		p.refuse(i.demand, basilmoor.ReasonDeadline)
+		p.refuse(i.demand, basilmoor.ReasonDeadline, p.drainTime())
 		return true
 	})
 }
@@ -383,29 +385,25 @@
 	})
 }
 
-func (p *Pool) refuse(d basilmoor.Demand, reason basilmoor.Reason) {
+// refuse answers a demand that can come back after a wait.
+func (p *Pool) refuse(d basilmoor.Demand, reason basilmoor.Reason, wait basilmoor.Millis) {
 	p.refused[d.Tier]++
 	p.decisions = append(p.decisions, basilmoor.Decision{
 		Refusal: &basilmoor.Refusal{
 			Request:    d.Request,
 			Reason:     reason,
-			RetryAfter: p.retryAfter(),
+			RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter),
 			Workspace:  d.Workspace,
 			Charge:     d.Charge,
 		},
 	})
 }
 
-// retryAfter is the expected time until the demands that wait now are served.
-func (p *Pool) retryAfter() basilmoor.Millis {
-	slots := 0
-	for _, t := range p.order {
-		slots += t.spec.Slots
-	}
+// drainTime is the expected time until the demands that wait now are served.
+func (p *Pool) drainTime() basilmoor.Millis {
 	work := 0.0
 	for _, i := range p.waiting {
 		work += float64(p.duration(i.demand))
 	}
-	wait := basilmoor.Millis(work / float64(max(slots, 1)))
-	return min(max(wait, minRetryAfter), maxRetryAfter)
+	return basilmoor.Millis(work / max(p.capacity(), 1))
 }
