--- a/internal/request/bmentry/handler.go
+++ b/internal/request/bmentry/handler.go
@@ -16,6 +16,7 @@
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmview"
 	"basilmoor.example/basilmoor/internal/request/bmexchange"
+	"basilmoor.example/basilmoor/internal/request/bmlimit"
 )
 
 // defaultTimeLimit bounds requests whose caller and route give no limit.
@@ -180,6 +181,9 @@
 		return rejected(http.StatusBadRequest, basilmoor.ReasonMalformed, err.Error())
 	}
 	c.attempt = attempt
+	if limit := table.Limits().HeaderBytes; limit > 0 && bmlimit.HeaderBytes(c.r) > limit {
+		return rejected(http.StatusRequestHeaderFieldsTooLarge, basilmoor.ReasonTooLarge, "header over the limit")
+	}
 	if err := c.readBody(table.Limits()); err != nil {
 		return err
 	}
--- a/internal/request/bmentry/handler_test.go
+++ b/internal/request/bmentry/handler_test.go
@@ -130,6 +130,7 @@
 	views     *testViews
 	retries   *RetryBudget
 	crashes   *bmcrash.Registry
+	metrics   *bmmetrics.Registry
 
 	log bytes.Buffer // read only after the request has ended
 
@@ -155,6 +156,7 @@
 	}
 	clock := bmclock.NewSystem()
 	metrics := bmmetrics.NewRegistry()
+	f.metrics = metrics
 	exchange, closeExchange := bmexchange.New(clock, testProtocol{}, metrics)
 	t.Cleanup(closeExchange)
 	f.retries = NewRetryBudget(clock, 0, basilmoor.Minute)
@@ -188,7 +190,8 @@
 	}
 	return bmrouting.NewTable(bmrouting.Content{
 		Limits: bmrouting.Limits{
-			BodyBytes: 100,
+			BodyBytes:   100,
+			HeaderBytes: 1000,
 		},
 		Routes: []bmrouting.Route{
 			{Host: "127.0.0.1", Prefix: "/once/", MaxAttempts: 3, Pools: pools},
@@ -398,6 +401,9 @@
 			require.Equal(t, tt.body, body)
 			require.Equal(t, tt.whole, err == nil, "%v", err)
 			require.Equal(t, tt.runs, f.ran())
+			var text strings.Builder
+			require.NoError(t, f.metrics.WriteText(&text))
+			require.Equal(t, tt.whole, strings.Contains(text.String(), "longest_pause_ms_p_rank_0_count 1"), text.String())
 		})
 	}
 }
@@ -413,6 +419,7 @@
 		status int
 	}{
 		"known key":             {path: "/once/x", key: "k", status: 200},
+		"header over the limit": {path: "/once/x?" + strings.Repeat("x", 1000), key: "k", status: 431},
 		"unknown key":           {path: "/once/x", key: "other", status: 401},
 		"no key":                {path: "/once/x", status: 401},
 		"public":                {path: "/public/x", status: 200},
--- a/internal/request/bmentry/relay.go
+++ b/internal/request/bmentry/relay.go
@@ -144,8 +144,10 @@
 	started bool   // the head was relayed
 	last    string // id of the last event that was relayed
 	events  int
-	unsent  int    // continuations that reached no target
-	buffer  []byte // part of an event
+	arrived basilmoor.Millis // when the last events came; 0 before the first
+	longest basilmoor.Millis // pause between events
+	unsent  int              // continuations that reached no target
+	buffer  []byte           // part of an event
 }
 
 // relay relays one target's part of the stream. Only whole events are relayed,
@@ -207,10 +209,20 @@
 		return err
 	}
 	s.note(whole)
+	s.timePause()
 	s.buffer = append(s.buffer[:0], s.buffer[n:]...)
 	return nil
 }
 
+// timePause takes the time since the events before the last ones.
+func (s *stream) timePause() {
+	now := s.call.handler.cfg.Clock.Now()
+	if s.arrived > 0 {
+		s.longest = max(s.longest, now-s.arrived)
+	}
+	s.arrived = now
+}
+
 // note counts whole events and remembers the id of the last one.
 func (s *stream) note(events []byte) {
 	s.events += bytes.Count(events, eventEnd)
@@ -236,6 +248,7 @@
 			}
 		}
 	}
+	s.call.handler.cfg.Metrics.Observe("longest-pause-ms."+s.call.series(), s.longest)
 	s.call.handler.expected.learn(s.call.route.Name, s.call.outputTokens(s.events))
 	s.call.observeFinished(permit, sent, s.call.outputTokens(events))
 	return nil
--- a/internal/request/bmgateway/parse.go
+++ b/internal/request/bmgateway/parse.go
@@ -11,6 +11,7 @@
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/request/bmcrash"
+	"basilmoor.example/basilmoor/internal/request/bmlimit"
 	"basilmoor.example/basilmoor/internal/request/bmrequest"
 )
 
@@ -62,7 +63,7 @@
 	if g.cfg.Isolated != nil && g.cfg.Isolated() {
 		return nil, refusal(basilmoor.ReasonIsolated, "neither store nor peers can be reached")
 	}
-	if headerBytes(r) > MaxHeaderBytes {
+	if bmlimit.HeaderBytes(r) > MaxHeaderBytes {
 		p := notRun(basilmoor.ReasonTooLarge, "headers exceed 64 KiB")
 		p.status = http.StatusRequestHeaderFieldsTooLarge
 		return nil, &p
@@ -102,16 +103,6 @@
 	return &p
 }
 
-func headerBytes(r *http.Request) int {
-	n := len(r.RequestURI)
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + len(": \r\n")
-		}
-	}
-	return n
-}
-
 func bearer(r *http.Request) string {
 	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 	if !strings.EqualFold(scheme, "Bearer") {
--- a/internal/request/bmlimit/limiter.go
+++ b/internal/request/bmlimit/limiter.go
@@ -1,5 +1,5 @@
-// Package bmlimit bounds the rate and the concurrency of workspaces, and the
-// share of requests that are retried.
+// Package bmlimit bounds the rate and the concurrency of workspaces, the share
+// of requests that are retried, and the size of headers.
 //
 // Invariants: a host enforces its share of a workspace's limits, which is the
 // limit divided by the number of live members, rounded up; a refused request
