Model the interleavings of broker changes, cuts and restarts

The client starts its goroutines through a field, so that a model can hold them; each has an owner type with run.

A request larger than a host's part of an allowance is served when nothing else was spent, on every cut-off host; with many hosts and small allowances that adds up, and is not bounded.

--- a/internal/schedule/bmgrant/client.go
+++ b/internal/schedule/bmgrant/client.go
@@ -26,6 +26,7 @@
 	log     zerolog.Logger
 	broker  *Broker // of this host
 	dial    dialer  // nil: never use a broker
+	start   func(runner)
 
 	mu      sync.Mutex
 	view    *bmview.View
@@ -97,6 +98,7 @@
 		entries:    map[basilmoor.RequestID]*entry{},
 		own:        map[string]*Pool{},
 		allowances: newAllowances(broker.tolerance),
+		start:      startGoroutine,
 		suspects:   map[string]basilmoor.Millis{},
 		restarted:  o.Restarted,
 	}
--- a/internal/schedule/bmgrant/uplink.go
+++ b/internal/schedule/bmgrant/uplink.go
@@ -54,7 +54,11 @@
 		return
 	}
 	c.opening = true
-	go c.run(ctx, preferred)
+	c.start(&opener{
+		client: c,
+		ctx:    ctx,
+		to:     preferred,
+	})
 }
 
 // preferred is the registered host that all hosts choose as the broker, as
@@ -73,16 +77,6 @@
 	return bmmember.Owner(brokerKey, able)
 }
 
-// run opens a session and moves to it.
-func (c *Client) run(ctx context.Context, to basilmoor.Member) {
-	if to.Host == c.self.Host {
-		c.opened(newLocalLink(c.broker, c.hello()), nil, to)
-		return
-	}
-	l, err := c.dial(ctx, to)
-	c.opened(l, err, to)
-}
-
 func (c *Client) hello() *bmgrantpb.Hello {
 	return &bmgrantpb.Hello{
 		Host:        c.self.Host,
@@ -120,8 +114,14 @@
 	c.log.Info().Str("broker", to.Host).Int("waiting", len(c.entries)).Msg("broker chosen")
 	c.resubmit(now)
 	c.up.wake.signal()
-	go c.up.run(c)
-	go c.up.loop(c)
+	c.start(&uplinkSender{
+		client: c,
+		uplink: c.up,
+	})
+	c.start(&uplinkReceiver{
+		client: c,
+		uplink: c.up,
+	})
 }
 
 // release ends the session without serving the waiting demands.
@@ -131,23 +131,12 @@
 	}
 	close(c.up.ended)
 	c.broker.views.SetRelayed(false)
-	closing := &linkClose{
+	c.start(&linkClose{
 		link: c.up.link,
-	}
-	go closing.run()
+	})
 	c.up = nil
 }
 
-// linkClose closes a link apart from the client, because that may take the
-// broker's mutex.
-type linkClose struct {
-	link link
-}
-
-func (l *linkClose) run() {
-	l.link.close()
-}
-
 // drop ends the session. This host serves its waiting demands itself.
 func (c *Client) drop(now basilmoor.Millis) {
 	c.release()
@@ -175,33 +164,6 @@
 	}
 }
 
-// run sends what is pending.
-func (u *uplink) run(c *Client) {
-	for {
-		select {
-		case <-u.ended:
-			return
-		case <-u.wake:
-		}
-		if err := u.link.send(c.take(u)); err != nil {
-			c.lost(u, err)
-			return
-		}
-	}
-}
-
-// loop receives the broker's batches.
-func (u *uplink) loop(c *Client) {
-	for {
-		batch, err := u.link.recv()
-		if err != nil {
-			c.lost(u, err)
-			return
-		}
-		c.receive(u, batch)
-	}
-}
-
 // take removes what is to be sent.
 func (c *Client) take(u *uplink) *bmgrantpb.HostBatch {
 	c.mu.Lock()
