Name the retry limiter of entry hosts; one constructor for final answers

Cause: two types were named RetryBudget (bmlimit counts a balance, bmentry a sliding window by pool), and rejected and unknown built the same answer.

Change: bmentry's is RetryLimiter, and finalAnswer takes the place of both.

Conclusion: no change of behaviour; the tests of bmentry pass.

--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -69,7 +69,7 @@
 	scheduler *bmgrant.Client
 	peers     *peerServer
 	exchange  *bmexchange.Client
-	retries   *bmentry.RetryBudget
+	retries   *bmentry.RetryLimiter
 	handler   *bmentry.Handler
 	registrar *registrar
 	recorder  *bmgrant.Recorder
@@ -112,7 +112,7 @@
 	exchange, closeExchange := bmexchange.New(n.clock, parts.Contract, n.metrics)
 	n.exchange = exchange
 	n.onClose(closeExchange)
-	n.retries = bmentry.NewRetryBudget(n.clock, s.RetryRatio, s.RetryWindow)
+	n.retries = bmentry.NewRetryLimiter(n.clock, s.RetryRatio, s.RetryWindow)
 	n.handler = bmentry.New(bmentry.Config{
 		Clock:       n.clock,
 		Views:       n.keeper,
--- a/internal/request/bmentry/handler.go
+++ b/internal/request/bmentry/handler.go
@@ -35,7 +35,7 @@
 	Protocol  Protocol
 	Scheduler basilmoor.Scheduler
 	Exchange  *bmexchange.Client
-	Retries   *RetryBudget
+	Retries   *RetryLimiter
 	Crashes   basilmoor.CrashRegistry
 	Metrics   *bmmetrics.Registry
 	Log       zerolog.Logger
@@ -178,11 +178,11 @@
 	c.version = table.Version()
 	attempt, err := cfg.Protocol.Decode(c.r.Header)
 	if err != nil {
-		return rejected(http.StatusBadRequest, basilmoor.ReasonMalformed, err.Error())
+		return finalAnswer(http.StatusBadRequest, basilmoor.ReasonMalformed, err.Error())
 	}
 	c.attempt = attempt
 	if limit := table.Limits().HeaderBytes; limit > 0 && bmlimit.HeaderBytes(c.r) > limit {
-		return rejected(http.StatusRequestHeaderFieldsTooLarge, basilmoor.ReasonTooLarge, "header over the limit")
+		return finalAnswer(http.StatusRequestHeaderFieldsTooLarge, basilmoor.ReasonTooLarge, "header over the limit")
 	}
 	if err := c.readBody(table.Limits()); err != nil {
 		return err
@@ -194,7 +194,7 @@
 		if stale {
 			return notRun(basilmoor.ReasonIsolated, shortRetry, "no route, and the view is too old to be sure")
 		}
-		return rejected(http.StatusNotFound, basilmoor.ReasonUnknownKind, "no route")
+		return finalAnswer(http.StatusNotFound, basilmoor.ReasonUnknownKind, "no route")
 	}
 	c.route = route
 	if err := c.authenticate(table, stale); err != nil {
@@ -230,7 +230,7 @@
 		return notRun(basilmoor.ReasonIsolated, shortRetry, "the key may have been taken away")
 	}
 	if !ok && !c.route.Public {
-		return rejected(http.StatusUnauthorized, basilmoor.ReasonUnauthorized, "unknown key")
+		return finalAnswer(http.StatusUnauthorized, basilmoor.ReasonUnauthorized, "unknown key")
 	}
 	if !stale {
 		c.workspace = w
@@ -245,7 +245,7 @@
 		return nil
 	}
 	if c.r.ContentLength > limits.BodyBytes {
-		return rejected(http.StatusRequestEntityTooLarge, basilmoor.ReasonTooLarge, "body over the limit")
+		return finalAnswer(http.StatusRequestEntityTooLarge, basilmoor.ReasonTooLarge, "body over the limit")
 	}
 	controller := http.NewResponseController(c.w)
 	if limits.HeaderTimeout > 0 {
@@ -263,7 +263,7 @@
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return rejected(http.StatusRequestEntityTooLarge, basilmoor.ReasonTooLarge, "body over the limit")
+		return finalAnswer(http.StatusRequestEntityTooLarge, basilmoor.ReasonTooLarge, "body over the limit")
 	}
 	if err != nil {
 		return &callerLeftError{
--- a/internal/request/bmentry/handler_test.go
+++ b/internal/request/bmentry/handler_test.go
@@ -128,7 +128,7 @@
 	close     func() // ends the handler's server with its requests
 	scheduler *testScheduler
 	views     *testViews
-	retries   *RetryBudget
+	retries   *RetryLimiter
 	crashes   *bmcrash.Registry
 	metrics   *bmmetrics.Registry
 
@@ -159,7 +159,7 @@
 	f.metrics = metrics
 	exchange, closeExchange := bmexchange.New(clock, testProtocol{}, metrics)
 	t.Cleanup(closeExchange)
-	f.retries = NewRetryBudget(clock, 0, basilmoor.Minute)
+	f.retries = NewRetryLimiter(clock, 0, basilmoor.Minute)
 	f.retries.SetSlack(100)
 	f.crashes = bmcrash.New(clock)
 	handler := New(Config{
--- a/internal/request/bmentry/refusal.go
+++ b/internal/request/bmentry/refusal.go
@@ -39,17 +39,9 @@
 	}
 }
 
-// rejected is the answer to a request that is wrong.
-func rejected(status int, reason basilmoor.Reason, detail string) *answerError {
-	return &answerError{
-		Status: status,
-		Reason: reason,
-		Detail: detail,
-	}
-}
-
-// unknown is the answer to a request that may have run.
-func unknown(status int, reason basilmoor.Reason, detail string) *answerError {
+// finalAnswer is an answer that says nothing about whether a target ran the
+// request: it is wrong, or it may have run.
+func finalAnswer(status int, reason basilmoor.Reason, detail string) *answerError {
 	return &answerError{
 		Status: status,
 		Reason: reason,
--- a/internal/request/bmentry/retry.go
+++ b/internal/request/bmentry/retry.go
@@ -6,71 +6,71 @@
 	"basilmoor.example/basilmoor"
 )
 
-// RetryBudget bounds the requests that this host sends more than once, by
+// RetryLimiter bounds the requests that this host sends more than once, by
 // pool: a share of the requests of a sliding window, and this host's part of
 // the slack that all hosts have together. It is safe for concurrent use.
-type RetryBudget struct {
+type RetryLimiter struct {
 	clock  basilmoor.Clock
 	ratio  float64
 	window basilmoor.Millis
 
 	mu    sync.Mutex
 	slack float64
-	pools map[string]*retryWindow
+	pools map[string]*poolRetries
 }
 
-// retryWindow holds the instants of the last window.
-type retryWindow struct {
+// poolRetries holds the instants of the last window.
+type poolRetries struct {
 	requests []basilmoor.Millis
 	retries  []basilmoor.Millis
 }
 
-// NewRetryBudget returns a budget that allows ratio retries for each request
+// NewRetryLimiter returns a limiter that allows ratio retries for each request
 // of a window.
-func NewRetryBudget(clock basilmoor.Clock, ratio float64, window basilmoor.Millis) *RetryBudget {
-	return &RetryBudget{
+func NewRetryLimiter(clock basilmoor.Clock, ratio float64, window basilmoor.Millis) *RetryLimiter {
+	return &RetryLimiter{
 		clock:  clock,
 		ratio:  ratio,
 		window: window,
-		pools:  map[string]*retryWindow{},
+		pools:  map[string]*poolRetries{},
 	}
 }
 
 // SetSlack sets this host's part of the slack.
-func (b *RetryBudget) SetSlack(slack float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.slack = slack
+func (l *RetryLimiter) SetSlack(slack float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.slack = slack
 }
 
 // Request counts the first send of a request.
-func (b *RetryBudget) Request(pool string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	w := b.pool(pool)
-	w.requests = append(w.requests, b.clock.Now())
+func (l *RetryLimiter) Request(pool string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := l.pool(pool)
+	w.requests = append(w.requests, l.clock.Now())
 }
 
 // Retry reports whether a request may be sent once more, and counts that.
-func (b *RetryBudget) Retry(pool string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	w := b.pool(pool)
-	if float64(len(w.retries))+1 > b.ratio*float64(len(w.requests))+b.slack {
+func (l *RetryLimiter) Retry(pool string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := l.pool(pool)
+	if float64(len(w.retries))+1 > l.ratio*float64(len(w.requests))+l.slack {
 		return false
 	}
-	w.retries = append(w.retries, b.clock.Now())
+	w.retries = append(w.retries, l.clock.Now())
 	return true
 }
 
 // pool returns the window of a pool without what is over.
-func (b *RetryBudget) pool(name string) *retryWindow {
-	w, ok := b.pools[name]
+func (l *RetryLimiter) pool(name string) *poolRetries {
+	w, ok := l.pools[name]
 	if !ok {
-		w = &retryWindow{}
-		b.pools[name] = w
+		w = &poolRetries{}
+		l.pools[name] = w
 	}
-	since := b.clock.Now() - b.window
+	since := l.clock.Now() - l.window
 	w.requests = after(w.requests, since)
 	w.retries = after(w.retries, since)
 	return w
--- a/internal/request/bmentry/run.go
+++ b/internal/request/bmentry/run.go
@@ -82,7 +82,7 @@
 		}
 	}
 	if c.runs > 0 {
-		return unknown(http.StatusBadGateway, basilmoor.ReasonTargetFailed, "the first target failed and no other took the request")
+		return finalAnswer(http.StatusBadGateway, basilmoor.ReasonTargetFailed, "the first target failed and no other took the request")
 	}
 	if ctx.Err() != nil {
 		return notRun(basilmoor.ReasonDeadline, 0, "time limit passed before a grant")
@@ -122,16 +122,16 @@
 		return false, failed.relay()
 	}
 	if errors.Is(context.Cause(ctx), bmclock.ErrTimeout) {
-		return false, unknown(http.StatusGatewayTimeout, basilmoor.ReasonTargetSilent, err.Error())
+		return false, finalAnswer(http.StatusGatewayTimeout, basilmoor.ReasonTargetSilent, err.Error())
 	}
-	return false, unknown(http.StatusBadGateway, reasonOf(err), err.Error())
+	return false, finalAnswer(http.StatusBadGateway, reasonOf(err), err.Error())
 }
 
 // notSent is the answer to a request whose last send reached no target that
 // ran it. An earlier one may have.
 func (c *call) notSent(reason basilmoor.Reason, err error) error {
 	if c.runs > 0 {
-		return unknown(http.StatusBadGateway, reason, err.Error())
+		return finalAnswer(http.StatusBadGateway, reason, err.Error())
 	}
 	retryAfter := shortRetry
 	if reason == basilmoor.ReasonCrashSuspect {
