Order requests of one rank by the rank of their workspace

Change: demands carry the workspace's rank; inside a class of the order (rank, late or not) the higher workspace goes first, then the earlier objective.

Measured: TestOrderInAShortage has two cases more, of which the first fails before.

--- a/internal/request/bmentry/run.go
+++ b/internal/request/bmentry/run.go
@@ -185,6 +185,7 @@
 	}
 	if c.workspace != nil {
 		d.Workspace = c.workspace.Name
+		d.WorkspaceRank = c.workspace.Rank
 	}
 	return d.WithWait(c.handler.cfg.Clock.Now() - c.arrived)
 }
--- a/internal/schedule/bmgrant/pool.go
+++ b/internal/schedule/bmgrant/pool.go
@@ -358,6 +358,9 @@
 	if a, b := i.class(now), other.class(now); a != b {
 		return a < b
 	}
+	if a, b := i.demand.WorkspaceRank, other.demand.WorkspaceRank; a != b {
+		return a < b
+	}
 	return i.onTime < other.onTime
 }
 
--- a/internal/schedule/bmgrant/pool_test.go
+++ b/internal/schedule/bmgrant/pool_test.go
@@ -92,6 +92,16 @@
 			now:     100,
 			want:    "h/sooner",
 		},
+		"the workspace of the higher rank first inside a rank": {
+			waiting: []basilmoor.Demand{withObjective(ofWorkspaceRank(testDemand("second", 0), 2), 500), ofWorkspaceRank(testDemand("first-rank", 0), 1)},
+			now:     100,
+			want:    "h/first-rank",
+		},
+		"the rank of the request before that of its workspace": {
+			waiting: []basilmoor.Demand{ofWorkspaceRank(testDemand("low", 1), 0), ofWorkspaceRank(testDemand("high", 0), 3)},
+			now:     100,
+			want:    "h/high",
+		},
 		"a late one yields to the next rank": {
 			waiting: []basilmoor.Demand{withObjective(testDemand("late", 0), 300), testDemand("next", 1)},
 			now:     600,
@@ -114,6 +124,11 @@
 	}
 }
 
+func ofWorkspaceRank(d basilmoor.Demand, rank int) basilmoor.Demand {
+	d.WorkspaceRank = rank
+	return d
+}
+
 func withObjective(d basilmoor.Demand, objective basilmoor.Millis) basilmoor.Demand {
 	d.Objective = objective
 	return d
--- a/schedule.go
+++ b/schedule.go
@@ -14,10 +14,14 @@
 	DataCentre string // data centre of the entry host
 	Workspace  string
 	Weight     int // weight of the workspace, at least 1
-	Tier       int // rank of the tier, 0 first
-	Kind       string
-	Pool       string
-	Model      string
+
+	// WorkspaceRank orders the workspaces inside a tier, 0 first.
+	WorkspaceRank int
+
+	Tier  int // rank of the tier, 0 first
+	Kind  string
+	Pool  string
+	Model string
 
 	// PrefixDigests are digests of the growing prefixes of the prompt, the
 	// shortest first, one for each block of PrefixBlockTokens tokens.
