--- a/internal/request/bmentry/crash.go
+++ b/internal/request/bmentry/crash.go
@@ -10,6 +10,7 @@
 	"basilmoor.example/basilmoor/internal/request/bmexchange"
 )
 
+// crashDigest is the same for the request when its caller sends it again.
 func (c *call) crashDigest() uint64 {
 	workspace := ""
 	if c.workspace != nil {
--- a/internal/schedule/bmgrant/forecast.go
+++ b/internal/schedule/bmgrant/forecast.go
@@ -33,25 +33,25 @@
 		}
 		return 0
 	})
-	ahead := 0.0                         // ms of slots
-	late := map[*item]basilmoor.Millis{} // with the wait for a slot
+	ahead := 0.0                             // ms of slots
+	hopeless := map[*item]basilmoor.Millis{} // with the wait for a slot
 	for _, i := range order {
 		wait := basilmoor.Millis(ahead / capacity)
 		if now+wait > i.expires {
-			late[i] = wait
+			hopeless[i] = wait
 			continue
 		}
 		ahead += float64(p.duration(i.demand))
 	}
-	if len(late) == 0 {
+	if len(hopeless) == 0 {
 		return
 	}
 	p.waiting = slices.DeleteFunc(p.waiting, func(i *item) bool {
-		wait, hopeless := late[i]
-		if hopeless {
+		wait, found := hopeless[i]
+		if found {
 			p.refuse(i.demand, basilmoor.ReasonDeadline, wait)
 		}
-		return hopeless
+		return found
 	})
 }
 
@@ -68,3 +68,12 @@
 	}
 	return sum
 }
+
+// drainTime is the expected time until the demands that wait now are served.
+func (p *Pool) drainTime() basilmoor.Millis {
+	work := 0.0
+	for _, i := range p.waiting {
+		work += float64(p.duration(i.demand))
+	}
+	return basilmoor.Millis(work / max(p.capacity(), 1))
+}
--- a/internal/schedule/bmgrant/pool.go
+++ b/internal/schedule/bmgrant/pool.go
@@ -401,12 +401,3 @@
 		},
 	})
 }
-
-// drainTime is the expected time until the demands that wait now are served.
-func (p *Pool) drainTime() basilmoor.Millis {
-	work := 0.0
-	for _, i := range p.waiting {
-		work += float64(p.duration(i.demand))
-	}
-	return basilmoor.Millis(work / max(p.capacity(), 1))
-}
