Share what the change had written twice

- bmgrant: a forecast scans the targets for the fastest pace once instead of twice a waiting demand, and a step that refuses several demands computes the hint once.
It was computed for each while the list of waiting demands was being compacted, so hints after the first could count a demand twice; they are equal now.
Crashes are encoded once for all sessions.
- Tests: the hosts of the failover tests and of the model come from one function and one feed.
Assertions are as before.

--- a/internal/schedule/bmgrant/choose.go
+++ b/internal/schedule/bmgrant/choose.go
@@ -95,5 +95,10 @@
 
 // duration is the expected time from a grant to the end of the response.
 func (p *Pool) duration(d basilmoor.Demand) basilmoor.Millis {
-	return p.firstToken(d) + basilmoor.Millis(p.pace()*float64(d.OutputTokens))
+	return p.durationAt(p.pace(), d)
+}
+
+// durationAt is the same for a target of a pace without a backlog.
+func (p *Pool) durationAt(pace float64, d basilmoor.Demand) basilmoor.Millis {
+	return p.firstTokenAt(pace, d, 0) + basilmoor.Millis(pace*float64(d.OutputTokens))
 }
--- a/internal/schedule/bmgrant/crashes.go
+++ b/internal/schedule/bmgrant/crashes.go
@@ -46,18 +46,17 @@
 // spreadCrashes passes what a host told and this one did not know on to the
 // others.
 func (b *Broker) spreadCrashes(from *session, encoded []*bmpeerpb.Crash) {
-	crashes := bmpeer.DecodeCrashes(encoded)
 	if !from.local {
-		crashes = b.crashes.Merge(crashes)
+		encoded = bmpeer.EncodeCrashes(b.crashes.Merge(bmpeer.DecodeCrashes(encoded)))
 	}
-	if len(crashes) == 0 {
+	if len(encoded) == 0 {
 		return
 	}
 	for _, s := range b.sessions {
 		if s == from || s.local {
 			continue
 		}
-		s.pending.Crashes = append(s.pending.Crashes, bmpeer.EncodeCrashes(crashes)...)
+		s.pending.Crashes = append(s.pending.Crashes, encoded...)
 		s.wake.signal()
 	}
 }
--- a/internal/schedule/bmgrant/failover_test.go
+++ b/internal/schedule/bmgrant/failover_test.go
@@ -34,6 +34,35 @@
 
 func (f *fixedFeed) Decode([]basilmoor.Event) bmview.Changes { return f.changes }
 
+// newFixedFeed has one engine with the given slots and one plain service.
+func newFixedFeed(slots int, workspaces []bmrouting.Workspace) *fixedFeed {
+	target := testTarget("t", slots)
+	plain := testTarget("s", 2)
+	plain.Pool = "plain"
+	return &fixedFeed{
+		changes: bmview.Changes{
+			Table: bmrouting.NewTable(bmrouting.Content{
+				Version:    1,
+				Workspaces: workspaces,
+				Pools: []bmrouting.Pool{
+					{
+						Name:   "p",
+						Engine: &bmrouting.Engine{},
+					},
+					{
+						Name: "plain",
+					},
+				},
+			}),
+			Targets: map[string]*basilmoor.Target{
+				"t": &target,
+				"s": &plain,
+			},
+			Hosts: map[string]*basilmoor.Member{},
+		},
+	}
+}
+
 // testHost is one host with its broker and client.
 type testHost struct {
 	keeper *bmview.Keeper
@@ -41,6 +70,29 @@
 	client *Client
 }
 
+func newTestHost(t require.TestingT, clock basilmoor.Clock, feed *fixedFeed, name string, tolerance Tolerance, restarted bool) *testHost {
+	metrics := bmmetrics.NewRegistry()
+	h := &testHost{}
+	h.keeper = bmview.NewKeeper(clock, feed, zerolog.Nop(), metrics,
+		func(v *bmview.View) {
+			h.broker.SetView(v)
+			h.client.SetView(v)
+		},
+		func(u bmview.Update) { h.broker.Relay(u) })
+	h.broker = NewBroker(clock, h.keeper, bmcrash.New(clock), tolerance, zerolog.Nop())
+	h.client = NewClient(clock, basilmoor.Member{
+		Host: name,
+	}, h.broker, Options{
+		Restarted: restarted,
+	}, metrics, zerolog.Nop())
+	require.True(t, h.keeper.Relay([]bmview.Update{
+		{
+			To: 1,
+		},
+	}))
+	return h
+}
+
 // testFleet is several hosts on one manual clock, whose sessions pass through
 // memory and can be made to go silent.
 type testFleet struct {
@@ -61,31 +113,7 @@
 		clock:  bmclock.NewManual(0), // as in a process that has just started
 		hosts:  map[string]*testHost{},
 		silent: map[string]bool{},
-	}
-	target := testTarget("t", slots)
-	plain := testTarget("s", 2)
-	plain.Pool = "plain"
-	f.feed = &fixedFeed{
-		changes: bmview.Changes{
-			Table: bmrouting.NewTable(bmrouting.Content{
-				Version:    1,
-				Workspaces: limited(100, 1_000_000),
-				Pools: []bmrouting.Pool{
-					{
-						Name:   "p",
-						Engine: &bmrouting.Engine{},
-					},
-					{
-						Name: "plain",
-					},
-				},
-			}),
-			Targets: map[string]*basilmoor.Target{
-				"t": &target,
-				"s": &plain,
-			},
-			Hosts: map[string]*basilmoor.Member{},
-		},
+		feed:   newFixedFeed(slots, limited(100, 1_000_000)),
 	}
 	for _, name := range names {
 		f.addMember(name)
@@ -103,31 +131,13 @@
 }
 
 func (f *testFleet) addHost(name string) {
-	metrics := bmmetrics.NewRegistry()
-	h := &testHost{}
-	h.keeper = bmview.NewKeeper(f.clock, f.feed, zerolog.Nop(), metrics,
-		func(v *bmview.View) {
-			h.broker.SetView(v)
-			h.client.SetView(v)
-		},
-		func(u bmview.Update) { h.broker.Relay(u) })
-	h.broker = NewBroker(f.clock, h.keeper, bmcrash.New(f.clock), Tolerance{
+	h := newTestHost(f.t, f.clock, f.feed, name, Tolerance{
 		Window: testWindow,
-	}, zerolog.Nop())
-	h.client = NewClient(f.clock, basilmoor.Member{
-		Host: name,
-	}, h.broker, Options{
-		Restarted: f.restarted,
-	}, metrics, zerolog.Nop())
+	}, f.restarted)
 	h.client.dial = func(_ context.Context, to basilmoor.Member) (link, error) {
 		return f.dial(name, to.Host)
 	}
 	f.hosts[name] = h
-	require.True(f.t, h.keeper.Relay([]bmview.Update{
-		{
-			To: 1,
-		},
-	}))
 }
 
 func (f *testFleet) reachable(a, b string) bool {
--- a/internal/schedule/bmgrant/forecast.go
+++ b/internal/schedule/bmgrant/forecast.go
@@ -19,7 +19,8 @@
 		return
 	}
 	p.forecast = now
-	capacity := p.capacity()
+	pace := p.pace()
+	capacity := p.capacity(pace)
 	if capacity == 0 {
 		return
 	}
@@ -41,7 +42,7 @@
 			hopeless[i] = wait
 			continue
 		}
-		ahead += float64(p.duration(i.demand))
+		ahead += float64(p.durationAt(pace, i.demand))
 	}
 	if len(hopeless) == 0 {
 		return
@@ -57,8 +58,7 @@
 
 // capacity is the number of slots, those of slow targets counted by their pace
 // against the fastest one.
-func (p *Pool) capacity() float64 {
-	fastest := p.pace()
+func (p *Pool) capacity(fastest float64) float64 {
 	sum := 0.0
 	for _, t := range p.order {
 		if t.spec.Leaving || t.failures > 0 {
@@ -71,9 +71,10 @@
 
 // drainTime is the expected time until the demands that wait now are served.
 func (p *Pool) drainTime() basilmoor.Millis {
+	pace := p.pace()
 	work := 0.0
 	for _, i := range p.waiting {
-		work += float64(p.duration(i.demand))
+		work += float64(p.durationAt(pace, i.demand))
 	}
-	return basilmoor.Millis(work / max(p.capacity(), 1))
+	return basilmoor.Millis(work / max(p.capacity(pace), 1))
 }
--- a/internal/schedule/bmgrant/interleaving_test.go
+++ b/internal/schedule/bmgrant/interleaving_test.go
@@ -7,16 +7,11 @@
 	"testing"
 
 	"github.com/pkg/errors"
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"basilmoor.example/basilmoor"
-	"basilmoor.example/basilmoor/internal/config/bmrouting"
 	"basilmoor.example/basilmoor/internal/core/bmclock"
-	"basilmoor.example/basilmoor/internal/core/bmmetrics"
-	"basilmoor.example/basilmoor/internal/fleet/bmview"
-	"basilmoor.example/basilmoor/internal/request/bmcrash"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
 )
 
@@ -37,10 +32,8 @@
 // modelHost is a host of the model. Nothing in it runs by itself: the model
 // moves each batch.
 type modelHost struct {
+	*testHost
 	name    string
-	keeper  *bmview.Keeper
-	broker  *Broker
-	client  *Client
 	started []runner // goroutines that the model runs when it chooses
 	cut     bool     // nothing reaches it or leaves it
 	entries []*modelEntry
@@ -83,28 +76,10 @@
 }
 
 func newModel(t require.TestingT) *model {
-	target := testTarget("t", modelSlots)
 	m := &model{
 		t:     t,
 		clock: bmclock.NewManual(0),
-		feed: &fixedFeed{
-			changes: bmview.Changes{
-				Table: bmrouting.NewTable(bmrouting.Content{
-					Version:    1,
-					Workspaces: limited(modelRate, modelBurst),
-					Pools: []bmrouting.Pool{
-						{
-							Name:   "p",
-							Engine: &bmrouting.Engine{},
-						},
-					},
-				}),
-				Targets: map[string]*basilmoor.Target{
-					"t": &target,
-				},
-				Hosts: map[string]*basilmoor.Member{},
-			},
-		},
+		feed:  newFixedFeed(modelSlots, limited(modelRate, modelBurst)),
 	}
 	for _, name := range []string{"a", "b", "c"} {
 		m.feed.changes.Hosts[name] = &basilmoor.Member{
@@ -125,29 +100,13 @@
 func (m *model) boot(h *modelHost, again bool) {
 	h.started = nil
 	h.entries = nil
-	h.keeper = bmview.NewKeeper(m.clock, m.feed, zerolog.Nop(), bmmetrics.NewRegistry(),
-		func(v *bmview.View) {
-			h.broker.SetView(v)
-			h.client.SetView(v)
-		},
-		func(u bmview.Update) { h.broker.Relay(u) })
-	h.broker = NewBroker(m.clock, h.keeper, bmcrash.New(m.clock), Tolerance{
+	h.testHost = newTestHost(m.t, m.clock, m.feed, h.name, Tolerance{
 		Window: testWindow,
 		Excess: modelExcess,
 		Slack:  modelSlack,
-	}, zerolog.Nop())
-	h.client = NewClient(m.clock, basilmoor.Member{
-		Host: h.name,
-	}, h.broker, Options{
-		Restarted: again,
-	}, bmmetrics.NewRegistry(), zerolog.Nop())
+	}, again)
 	h.client.start = func(r runner) { h.started = append(h.started, r) }
 	h.client.dial = func(_ context.Context, to basilmoor.Member) (link, error) { return m.dial(h, to.Host) }
-	require.True(m.t, h.keeper.Relay([]bmview.Update{
-		{
-			To: 1,
-		},
-	}))
 }
 
 func (m *model) host(name string) *modelHost {
--- a/internal/schedule/bmgrant/pool.go
+++ b/internal/schedule/bmgrant/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 
 	"basilmoor.example/basilmoor"
 )
@@ -312,11 +313,12 @@
 }
 
 func (p *Pool) expire(now basilmoor.Millis) {
+	wait := sync.OnceValue(p.drainTime)
 	p.waiting = slices.DeleteFunc(p.waiting, func(i *item) bool {
 		if now <= i.expires {
 			return false
 		}
-		p.refuse(i.demand, basilmoor.ReasonDeadline, p.drainTime())
+		p.refuse(i.demand, basilmoor.ReasonDeadline, wait())
 		return true
 	})
 }
