Hold one broker by an election that hosts agree on

Cause: each host left its broker on evidence of its own. One watch of the store that hung for 2.5 s at the broker's host made hosts scatter over two or three brokers, which each granted every slot of every target.

Change: the choice of the broker is a state machine without I/O (bmelection). A host keeps its broker while the session lasts. It becomes the broker itself only if the peers that it asks follow no other one; other hosts redirect to theirs. A broker looks for another one and the one with fewer sessions yields. A broker that stops, or whose host is too small, names a successor and grants nothing more. A broker that has lost the store keeps its role: hosts that still reach the store lend it their updates and proof; four hosts read the store first, the others later by rank. A new broker leaves the slots of hosts that it has not heard from for 3 s. A host that lost the store's history relays the difference to its own state, not all entries. Local pools charge waiting demands to the host's own part of the quota when they are rebuilt.

TestBrokerThatLostTheStore asked hosts to leave such a broker; it now asks for the same age of every host's view without a change of the broker, and for more than one pattern. Without lending it fails, without the share of slots TestNewBrokerLeavesTheSlotsOfUnknownHosts, without asking peers TestLeadsOnlyWithoutAnotherBroker and the interleavings, without yielding TestOneOfTwoBrokersYields and the interleavings.

--- a/internal/fleet/bmmember/rendezvous.go
+++ b/internal/fleet/bmmember/rendezvous.go
@@ -1,6 +1,9 @@
 package bmmember
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"basilmoor.example/basilmoor"
@@ -39,3 +42,17 @@
 	_, _ = d.WriteString(s)
 	_, _ = d.WriteString("\x00")
 }
+
+// Rank returns the members in the order of their scores for a key, so that the
+// owner comes first.
+func Rank(key string, members []basilmoor.Member) []basilmoor.Member {
+	scores := make(map[string]uint64, len(members))
+	for _, m := range members {
+		scores[m.Host] = rendezvousScore(key, m.Host)
+	}
+	ranked := slices.Clone(members)
+	slices.SortFunc(ranked, func(a, b basilmoor.Member) int {
+		return cmp.Or(cmp.Compare(scores[b.Host], scores[a.Host]), cmp.Compare(a.Host, b.Host))
+	})
+	return ranked
+}
--- a/internal/fleet/bmview/history.go
+++ b/internal/fleet/bmview/history.go
@@ -75,6 +75,40 @@
 	}
 }
 
+// difference returns the changes that lead from the recorded state to the
+// complete state u. Hosts that follow this one get only these when the store has
+// lost its history.
+func (h *history) difference(u Update) Update {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	changes := Update{
+		From: h.revision,
+		To:   u.To,
+	}
+	listed := make(map[string]bool, len(u.Events))
+	for _, e := range u.Events {
+		listed[e.Entry.Key] = true
+		known, ok := h.entries[e.Entry.Key]
+		if !ok || known.Entry.Revision != e.Entry.Revision {
+			changes.Events = append(changes.Events, e)
+		}
+	}
+	for key := range h.entries {
+		if listed[key] {
+			continue
+		}
+		changes.Events = append(changes.Events, basilmoor.Event{
+			Entry: basilmoor.Entry{
+				Key:      key,
+				Version:  u.To,
+				Revision: u.To,
+			},
+			Deleted: true,
+		})
+	}
+	return changes
+}
+
 // since returns the updates after a revision, or one update with all entries if
 // those updates are no longer kept.
 func (h *history) since(revision int64) []Update {
--- a/internal/fleet/bmview/keeper.go
+++ b/internal/fleet/bmview/keeper.go
@@ -15,15 +15,16 @@
 const (
 	// unsharedWatchWait is the wait time of a watch on a host that reads the
 	// store only for itself, and sharedWatchWait on a host that relays its
-	// view to others. Each watch that returns confirms the view as of the
+	// view to others or lends it to the one that does. Each watch that returns confirms the view as of the
 	// watch's start, so the age of the view stays below twice the wait time
 	// while the store responds.
 	unsharedWatchWait basilmoor.Millis = 1500
 	sharedWatchWait   basilmoor.Millis = 500
 
-	// maxRelayedAge is the age of a relayed view from which a host reads the
-	// store itself.
-	maxRelayedAge = 2 * basilmoor.Second
+	// maxRelayedAge is the age of a relayed view from which a host that is not
+	// on standby reads the store itself. While the store answers, a relayed
+	// view is younger than 1.2 s.
+	maxRelayedAge basilmoor.Millis = 1300
 
 	// relayPollPeriod is the period at which the age of a relayed view is
 	// checked.
@@ -79,6 +80,7 @@
 	hasConfirmation     atomic.Bool  // whether the view has ever been confirmed
 	relayed             atomic.Bool  // whether another host relays its view
 	shared              atomic.Bool  // whether other hosts follow this view
+	standbyAge          atomic.Int64 // added to maxRelayedAge, in ms
 	spending            atomic.Pointer[[]byte]
 	history             *history
 	consecutiveFailures int // of calls; accessed only by Serve
@@ -152,6 +154,12 @@
 	k.shared.Store(shared)
 }
 
+// SetStandbyAge sets how much older than maxRelayedAge a relayed view has to be
+// before this host reads the store itself.
+func (k *Keeper) SetStandbyAge(extra basilmoor.Millis) {
+	k.standbyAge.Store(int64(extra))
+}
+
 // ApplyRelayed applies updates of the state from another host and skips those
 // that are already applied. It returns false if updates are missing in between.
 func (k *Keeper) ApplyRelayed(updates []Update) bool {
@@ -232,7 +240,7 @@
 // store need not be read.
 func (k *Keeper) hasFreshRelay() bool {
 	age, known := k.Age()
-	return k.relayed.Load() && known && age < maxRelayedAge
+	return k.relayed.Load() && known && age < maxRelayedAge+basilmoor.Millis(k.standbyAge.Load())
 }
 
 // fetch makes one call to the store, or a second one if the history was
@@ -263,7 +271,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.recordRecovery()
-	if u.To > k.revision || u.From == 0 && u.To == k.revision {
+	if u.From == 0 && k.revision > 0 {
+		u = k.history.difference(u)
+	}
+	if u.To > k.revision {
 		k.applyUpdate(u)
 	}
 	k.confirm(sent)
@@ -277,7 +288,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	wait := unsharedWatchWait
-	if k.shared.Load() {
+	if k.shared.Load() || k.relayed.Load() {
 		wait = sharedWatchWait
 	}
 	for _, until := range k.state.retained {
--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -163,7 +163,7 @@
 		return errors.Wrap(err, "listener for metrics")
 	}
 	n.addCleanup(n.metricsListener.close)
-	if n.peerServer, err = newPeerServer(s.port(portPeers), n.broker); err != nil {
+	if n.peerServer, err = newPeerServer(s.port(portPeers), n.scheduler); err != nil {
 		return errors.Wrap(err, "listener for peers")
 	}
 	n.addCleanup(n.peerServer.close)
--- a/internal/node/bmentrynode/peers.go
+++ b/internal/node/bmentrynode/peers.go
@@ -18,7 +18,7 @@
 	netListener net.Listener
 }
 
-func newPeerServer(address string, broker *bmgrant.Broker) (*peerServer, error) {
+func newPeerServer(address string, scheduler *bmgrant.Client) (*peerServer, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
@@ -27,7 +27,7 @@
 		server:      grpc.NewServer(bmgrant.ServerOptions()...),
 		netListener: l,
 	}
-	bmgrantpb.RegisterBrokerServer(p.server, bmgrant.NewServer(broker))
+	bmgrantpb.RegisterBrokerServer(p.server, bmgrant.NewServer(scheduler))
 	return p, nil
 }
 
--- a/internal/node/bmentrynode/serve.go
+++ b/internal/node/bmentrynode/serve.go
@@ -63,6 +63,7 @@
 	n.log.Info().Int("requests", n.handler.Active()).Msg("stopping")
 	close(n.stopping)
 	n.handler.Close()
+	n.scheduler.Drain()
 	n.registrar.deregister()
 	closed := false
 	for {
--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -21,11 +21,6 @@
 	// ended. It is short because the objectives of requests start at 100 ms.
 	sessionTimeout basilmoor.Millis = 350
 
-	// staleProofAge is the age of the broker's proof that its view is current
-	// from which hosts with a younger proof choose another broker. While the
-	// store answers, a broker's proof stays under 1.1 s.
-	staleProofAge basilmoor.Millis = 2500
-
 	// summaryPeriod is the time between two log lines about a pool.
 	summaryPeriod = basilmoor.Second
 
@@ -36,7 +31,8 @@
 )
 
 // Broker grants slots to the hosts that have a session with it. Every host runs
-// a broker; it is idle unless hosts choose it. It is safe for concurrent use.
+// a broker; it is idle but in a term, which the host's [Client] begins and ends.
+// It is safe for concurrent use.
 type Broker struct {
 	clock basilmoor.Clock
 	log   zerolog.Logger
@@ -58,6 +54,11 @@
 	recordWritten basilmoor.Millis            // when the loaded spending was written; may be negative
 	holdOff       basilmoor.Millis
 	lastSummary   basilmoor.Millis // when the pools were last logged
+
+	active      bool             // in a term
+	activeSince basilmoor.Millis // start of the latest term
+	retiredAt   basilmoor.Millis // when the latest term ended with a successor
+	slotsShared float64          // fraction of the slots that the pools were given
 }
 
 // ViewSource gives access to this host's view of the platform's state. The
@@ -70,6 +71,7 @@
 	Confirm(at basilmoor.Millis)
 	SetRelayed(relayed bool)
 	SetShared(shared bool)
+	SetStandbyAge(extra basilmoor.Millis)
 	Spending() []byte
 }
 
@@ -112,6 +114,7 @@
 		return
 	}
 	b.setShare()
+	b.slotsShared = b.slotShare(now)
 	b.quotas.set(b.view.Table.Workspaces())
 	if !b.recordChecked {
 		b.recordChecked = true
@@ -127,7 +130,7 @@
 		if spec.Engine == nil {
 			targets = withQueue(targets)
 		}
-		b.deliver(p.SetTargets(now, targets))
+		b.deliver(p.SetTargets(now, shareSlots(targets, b.slotsShared)))
 	}
 }
 
@@ -194,21 +197,28 @@
 		}
 	}
 	b.logPools(now)
-	leaving := b.shouldStepDown()
+	if !b.active {
+		b.endRetirement(now)
+		return
+	}
+	if b.slotShare(now) != b.slotsShared {
+		b.applyView(now)
+	}
 	for _, s := range b.sessions {
-		s.pending.Leaving = leaving
 		if now-s.lastSent >= keepalivePeriod {
 			s.wake.signal()
 		}
 	}
 }
 
-// shouldStepDown reports whether this host has lost the platform's store and
-// fewer than half of the hosts have a session here. The remaining ones are told
-// to choose the broker that the others follow.
-func (b *Broker) shouldStepDown() bool {
-	age, known := b.views.Age()
-	return known && age >= staleProofAge && 2*len(b.sessions) < len(b.view.Hosts())
+// endRetirement ends the sessions of hosts that have not moved to the successor
+// in time.
+func (b *Broker) endRetirement(now basilmoor.Millis) {
+	if len(b.sessions) == 0 || now-b.retiredAt < retireTimeout {
+		return
+	}
+	b.log.Warn().Int("sessions", len(b.sessions)).Msg("hosts did not move to the successor")
+	b.endAllSessions()
 }
 
 // logPools logs, once per summaryPeriod, the pools in which demands wait or were
@@ -238,6 +248,7 @@
 // handleBatch processes a batch from a host. A batch of an ended session is
 // ignored.
 func (b *Broker) handleBatch(s *session, batch *bmgrantpb.HostBatch) {
+	b.applyLentView(s, batch)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.sessions[s.host] != s {
@@ -271,12 +282,12 @@
 // endWarmUp ends the warm-up once every host has sent its first batch, which
 // lists its requests in progress.
 func (b *Broker) endWarmUp(now basilmoor.Millis, batch *bmgrantpb.HostBatch) {
-	if batch.GetHello() == nil || now >= b.holdOff || len(b.sessions) < len(b.view.Hosts()) {
+	if batch.GetHello() == nil || !b.active || now >= b.holdOff || len(b.sessions) < len(b.view.Hosts()) {
 		return
 	}
 	b.holdOff = now
 	for _, p := range b.pools {
-		p.EndHoldOff()
+		p.SetHoldOff(now)
 		b.deliver(p.Tick(now))
 	}
 }
--- a/internal/schedule/bmgrant/client.go
+++ b/internal/schedule/bmgrant/client.go
@@ -10,6 +10,7 @@
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmview"
+	"basilmoor.example/basilmoor/internal/schedule/bmelection"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
 )
 
@@ -25,6 +26,7 @@
 	log     zerolog.Logger
 	broker  *Broker // on this host
 	dial    dialer  // nil if the client never uses a broker
+	ask     asker
 	start   func(runner)
 
 	mu         sync.Mutex
@@ -37,9 +39,9 @@
 	quotas     *quotas          // spending of this host; enforced while there is no broker
 	restarted  bool             // spending before the start has yet to be assumed
 
-	uplink         *uplink // nil without a broker
-	opening        bool
-	suspectedUntil map[string]basilmoor.Millis // by host; it is not chosen as the broker before then
+	uplink   *uplink // nil without a broker
+	election *bmelection.Election
+	electing bool // an action of the election is in progress
 }
 
 var _ basilmoor.Scheduler = (*Client)(nil)
@@ -55,6 +57,10 @@
 	grantedAt  basilmoor.Millis // when the grant arrived; 0 before
 	firstToken basilmoor.Millis // time to first token; 0 until it is reported
 	closed     bool
+
+	// chargedLocally is set while the waiting demand is charged to the quota of
+	// this host.
+	chargedLocally bool
 }
 
 // remaining returns the demand with its time limits reduced by the time waited.
@@ -90,22 +96,23 @@
 // NewClient returns a client of the host self.
 func NewClient(clock basilmoor.Clock, self basilmoor.Member, broker *Broker, o Options, metrics *bmmetrics.Registry, log zerolog.Logger) *Client {
 	c := &Client{
-		clock:          clock,
-		self:           self,
-		metrics:        metrics,
-		log:            log,
-		broker:         broker,
-		view:           &bmview.View{},
-		targets:        map[string]basilmoor.Target{},
-		entries:        map[basilmoor.RequestID]*entry{},
-		localPools:     map[string]*Pool{},
-		quotas:         newQuotas(broker.tolerance),
-		start:          startGoroutine,
-		suspectedUntil: map[string]basilmoor.Millis{},
-		restarted:      o.AssumeSpending,
+		clock:      clock,
+		self:       self,
+		metrics:    metrics,
+		log:        log,
+		broker:     broker,
+		view:       &bmview.View{},
+		targets:    map[string]basilmoor.Target{},
+		entries:    map[basilmoor.RequestID]*entry{},
+		localPools: map[string]*Pool{},
+		quotas:     newQuotas(broker.tolerance),
+		start:      startGoroutine,
+		election:   bmelection.New(self),
+		restarted:  o.AssumeSpending,
 	}
 	if !o.DisableBroker {
 		c.dial = dialStream
+		c.ask = askFollowed
 	}
 	return c
 }
@@ -119,6 +126,8 @@
 	for _, t := range v.AllTargets() {
 		c.targets[t.Name] = t
 	}
+	c.election.SetHosts(v.Hosts())
+	c.broker.views.SetStandbyAge(standbyAge(c.election.Rank()))
 	c.applyView(c.clock.Now())
 }
 
@@ -156,15 +165,16 @@
 	c.applyView(now)
 	for _, e := range c.sortedEntries() {
 		p, ok := c.localPools[e.demand.Pool]
-		if !ok {
-			continue
+		if ok && e.grantedAt > 0 {
+			c.deliver(p.Observe(now, e.grantState(e.remaining(now))))
 		}
-		d := e.remaining(now)
-		if e.grantedAt > 0 {
-			c.deliver(p.Observe(now, e.grantState(d)))
-			continue
+	}
+	// The requests in progress are known now, so that their slots are not
+	// granted to those that wait.
+	for _, e := range c.sortedEntries() {
+		if e.grantedAt == 0 {
+			c.submitEntry(now, e)
 		}
-		c.deliver(p.Submit(now, d))
 	}
 }
 
@@ -274,9 +284,19 @@
 		})
 		return
 	}
+	e.chargedLocally = true
 	c.deliver(p.Submit(now, d))
 }
 
+// refundLocal returns the local charge of a demand that gets no local grant.
+func (c *Client) refundLocal(now basilmoor.Millis, e *entry) {
+	if !e.chargedLocally {
+		return
+	}
+	e.chargedLocally = false
+	c.quotas.charge(now, e.demand.Workspace, -e.demand.Charge)
+}
+
 // permitFor converts a decision into the result of Acquire.
 func (c *Client) permitFor(e *entry, decision basilmoor.Decision) (basilmoor.Permit, error) {
 	if decision.Refusal != nil {
@@ -316,6 +336,9 @@
 }
 
 func (c *Client) closeEntry(e *entry) {
+	if e.grantedAt == 0 {
+		c.refundLocal(c.clock.Now(), e)
+	}
 	e.closed = true
 	delete(c.entries, e.demand.Request)
 }
--- a/internal/schedule/bmgrant/failover_test.go
+++ b/internal/schedule/bmgrant/failover_test.go
@@ -15,6 +15,7 @@
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmview"
 	"basilmoor.example/basilmoor/internal/request/bmcrash"
+	"basilmoor.example/basilmoor/internal/schedule/bmelection"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
 )
 
@@ -106,6 +107,7 @@
 
 	mu     sync.Mutex
 	silent map[string]bool // hosts that neither send nor receive anything
+	broken map[[2]string]bool
 }
 
 func newTestFleet(t *testing.T, slots int, names ...string) *testFleet {
@@ -114,6 +116,7 @@
 		clock:  bmclock.NewManual(0), // as in a process that has just started
 		hosts:  map[string]*testHost{},
 		silent: map[string]bool{},
+		broken: map[[2]string]bool{},
 		feed:   newFixedFeed(slots, limited(100, 1_000_000)),
 	}
 	for _, name := range names {
@@ -138,13 +141,19 @@
 	h.client.dial = func(_ context.Context, to basilmoor.Member) (link, error) {
 		return f.dial(name, to.Host)
 	}
+	h.client.ask = func(_ context.Context, to basilmoor.Member) (bmelection.Answer, error) {
+		if !f.reachable(name, to.Host) {
+			return bmelection.Answer{}, errors.New("unreachable")
+		}
+		return f.hosts[to.Host].client.followed(), nil
+	}
 	f.hosts[name] = h
 }
 
 func (f *testFleet) reachable(a, b string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.silent[a] && !f.silent[b]
+	return !f.silent[a] && !f.silent[b] && !f.broken[[2]string{a, b}]
 }
 
 func (f *testFleet) setSilent(name string) {
@@ -158,16 +167,22 @@
 		return nil, errors.New("unreachable")
 	}
 	h := f.hosts[to]
+	session, ok := h.broker.attach(&bmgrantpb.Hello{
+		Host:     from,
+		Revision: 1,
+	}, false)
+	if !ok {
+		return nil, &NotBrokerError{
+			Answer: h.client.followed(),
+		}
+	}
 	return &memoryLink{
-		fleet:  f,
-		from:   from,
-		to:     to,
-		broker: h.broker,
-		session: h.broker.attach(&bmgrantpb.Hello{
-			Host:     from,
-			Revision: 1,
-		}, false),
-		done: make(chan struct{}),
+		fleet:   f,
+		from:    from,
+		to:      to,
+		broker:  h.broker,
+		session: session,
+		done:    make(chan struct{}),
 	}, nil
 }
 
@@ -194,6 +209,12 @@
 		select {
 		case <-l.done:
 			return nil, errSessionEnded
+		case <-l.session.ended:
+			if l.fleet.reachable(l.from, l.to) {
+				return nil, errSessionEnded
+			}
+			<-l.done
+			return nil, errSessionEnded
 		case <-l.session.wake:
 			batch := l.broker.takePending(l.session)
 			if l.fleet.reachable(l.from, l.to) {
@@ -249,7 +270,7 @@
 		}
 		h.broker.mu.Unlock()
 		h.client.mu.Lock()
-		busy := h.client.opening || h.client.uplink != nil && len(h.client.uplink.wake) > 0
+		busy := h.client.electing || h.client.uplink != nil && len(h.client.uplink.wake) > 0
 		h.client.mu.Unlock()
 		if busy {
 			return true
@@ -409,44 +430,165 @@
 	require.Less(t, sum, 700_000+since*b.quotas.windowQuota(b.quotas.accounts["w"]), "only the time since the record is assumed to be spent")
 }
 
-// Guards against hosts that stay with a broker that has lost the store: each host
-// would query the store itself, and hosts that have lost the store too would
-// refuse requests with an idempotency key although other hosts could prove that
-// their view is current.
+// Guards against hosts that leave a broker because it has lost the store: each
+// host does so at a time of its own, so that several brokers grant the same
+// slots. The hosts that still reach the store lend the broker their view, so that
+// no host has to refuse requests with a key.
 func TestBrokerThatLostTheStore(t *testing.T) {
+	const maxAge basilmoor.Millis = 2500
+	tests := map[string]struct {
+		hung basilmoor.Millis // how long the broker gets no answer from the store
+		also int              // other hosts that have lost the store
+	}{
+		"a watch hangs": {hung: 2700},
+		"an outage":     {hung: 20_000},
+		"several hosts": {hung: 20_000, also: 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t, 3, "a", "b", "c", "d", "e")
+			first := f.awaitBroker(2000)
+			cut := map[string]bool{first: true}
+			for name := range f.hosts {
+				if len(cut) <= tt.also {
+					cut[name] = true
+				}
+			}
+			confirm := func() {
+				for name, h := range f.hosts {
+					if !cut[name] {
+						h.keeper.Confirm(f.clock.Now())
+					}
+				}
+			}
+			for _, h := range f.hosts {
+				h.keeper.Confirm(f.clock.Now())
+			}
+			began := f.clock.Now()
+			f.advanceUntil(tt.hung+100, func() bool {
+				confirm()
+				for name := range f.hosts {
+					require.Equal(t, first, f.brokerOf(name), "broker of %s", name)
+					age, known := f.hosts[name].keeper.Age()
+					require.True(t, known)
+					require.Less(t, age, maxAge, "age of the view of %s", name)
+				}
+				return f.clock.Now()-began >= tt.hung
+			})
+		})
+	}
+}
+
+// activeBrokers returns the hosts that act as the broker and can be reached.
+func (f *testFleet) activeBrokers() []string {
+	var active []string
+	for name, h := range f.hosts {
+		h.broker.mu.Lock()
+		if h.broker.active && f.reachable(name, name) {
+			active = append(active, name)
+		}
+		h.broker.mu.Unlock()
+	}
+	return active
+}
+
+// setBroken breaks the link between two hosts, which both still reach the others.
+func (f *testFleet) setBroken(a, b string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.broken[[2]string{a, b}] = true
+	f.broken[[2]string{b, a}] = true
+}
+
+// Guards against a host that makes a second broker of the next one, or of itself,
+// because its own link to the broker is broken.
+func TestBrokenLinkToTheBroker(t *testing.T) {
 	f := newTestFleet(t, 3, "a", "b", "c", "d", "e")
 	first := f.awaitBroker(2000)
-	for _, h := range f.hosts {
-		h.keeper.Confirm(f.clock.Now())
-	}
-	cut := map[string]bool{first: true}
 	for name := range f.hosts {
-		if len(cut) < 2 {
-			cut[name] = true
+		if name == first {
+			continue
 		}
+		f.setBroken(first, name)
+		began := f.clock.Now()
+		f.advanceUntil(6000, func() bool {
+			require.Equal(t, []string{first}, f.activeBrokers())
+			return f.clock.Now()-began >= 5000
+		})
+		require.Empty(t, f.brokerOf(name), "the host schedules on its own share")
+		return
 	}
-	f.advanceUntil(10_000, func() bool {
-		for name, h := range f.hosts {
-			if !cut[name] {
-				h.keeper.Confirm(f.clock.Now())
-			}
+}
+
+// Guards against two brokers that stay active side by side after a partition has
+// healed: each grants every slot.
+func TestBrokersMerge(t *testing.T) {
+	f := newTestFleet(t, 3, "a", "b", "c", "d", "e")
+	first := f.awaitBroker(2000)
+	f.setSilent(first)
+	f.awaitBroker(3000)
+	// The first one still takes itself for the broker.
+	f.mu.Lock()
+	f.silent = map[string]bool{}
+	f.mu.Unlock()
+	f.advanceUntil(2000, func() bool {
+		_, ok := f.commonBroker()
+		return ok && len(f.activeBrokers()) == 1
+	})
+}
+
+// Guards against a planned stop of the broker's host that leaves the other hosts
+// without a broker until they notice, or with more than one.
+func TestBrokerHandsOver(t *testing.T) {
+	f := newTestFleet(t, 3, "a", "b", "c", "d", "e")
+	first := f.awaitBroker(2000)
+	f.hosts[first].client.Drain()
+	f.advanceUntil(1000, func() bool {
+		for name := range f.hosts {
+			require.NotEmpty(t, f.brokerOf(name), "broker of %s", name)
 		}
+		require.LessOrEqual(t, len(f.activeBrokers()), 1)
 		broker, ok := f.commonBroker()
-		return ok && !cut[broker]
+		return ok && broker != first
 	})
-	f.advanceUntil(1000, func() bool {
-		for name, h := range f.hosts {
-			if !cut[name] {
-				h.keeper.Confirm(f.clock.Now())
-			}
+}
+
+// Guards against a new broker that grants the slots of hosts whose requests in
+// progress it doesn't know yet.
+func TestNewBrokerLeavesTheSlotsOfUnknownHosts(t *testing.T) {
+	f := newTestFleet(t, 4, "a", "b", "c", "d")
+	first := f.awaitBroker(2000)
+	var others []string
+	for name := range f.hosts {
+		if name != first {
+			others = append(others, name)
 		}
-		for name := range cut {
-			if age, known := f.hosts[name].keeper.Age(); !known || age >= staleProofAge {
-				return false
-			}
+	}
+	// One host holds a slot and is slow to come to the next broker.
+	slow := others[0]
+	result := f.acquire(slow)
+	f.advanceUntil(500, func() bool { return len(result) > 0 })
+	f.setSilent(first)
+	f.setSilent(slow)
+	second := others[1]
+	f.advanceUntil(3000, func() bool {
+		active := f.activeBrokers()
+		if len(active) == 1 {
+			second = active[0]
 		}
-		return true
+		return len(active) == 1 && f.brokerOf(others[1]) == second && f.brokerOf(others[2]) == second
 	})
+	var results []<-chan error
+	for range 4 {
+		results = append(results, f.acquire(others[1]))
+	}
+	began := f.clock.Now()
+	f.advanceUntil(2000, func() bool { return f.clock.Now()-began >= 500 })
+	granted := 0
+	for _, r := range results {
+		granted += len(r)
+	}
+	require.Equal(t, 2, granted, "half of the hosts are known, and so half of the slots")
 }
 
 // Guards against hosts that schedule a plain service independently, each with its
--- a/internal/schedule/bmgrant/goroutines.go
+++ b/internal/schedule/bmgrant/goroutines.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"sync"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/schedule/bmelection"
 )
 
 // runner is the body of a goroutine that the client starts.
@@ -15,22 +17,48 @@
 	go r.run()
 }
 
-// sessionOpener opens a session with a broker and passes the result to the
-// client.
-type sessionOpener struct {
+// electionStep performs an action of the election and those that follow from its
+// result.
+type electionStep struct {
 	client *Client
 	ctx    context.Context
-	to     basilmoor.Member
+	action bmelection.Action
 }
 
-func (o *sessionOpener) run() {
-	c := o.client
-	if o.to.Host == c.self.Host {
-		c.sessionOpened(newLocalLink(c.broker, c.hello()), nil, o.to)
-		return
+func (e *electionStep) run() {
+	c := e.client
+	next := e.action
+	for next.Kind != bmelection.ActionNone {
+		switch next.Kind {
+		case bmelection.ActionAsk:
+			next = c.answered(c.askAll(e.ctx, next.To))
+		case bmelection.ActionOpen:
+			l, err := c.dial(e.ctx, next.To[0])
+			next = c.sessionOpened(l, err, next.To[0])
+		case bmelection.ActionLead:
+			c.lead()
+			next = bmelection.Action{}
+		case bmelection.ActionHandOver:
+			c.broker.retire(next.To[0])
+			next = bmelection.Action{}
+		}
 	}
-	l, err := c.dial(o.ctx, o.to)
-	c.sessionOpened(l, err, o.to)
+	c.electionStepDone()
+}
+
+// peerQuestion asks one host which broker it follows.
+type peerQuestion struct {
+	client *Client
+	ctx    context.Context
+	to     basilmoor.Member
+	answer bmelection.Answer
+	err    error
+	done   *sync.WaitGroup
+}
+
+func (q *peerQuestion) run() {
+	defer q.done.Done()
+	q.answer, q.err = q.client.ask(q.ctx, q.to)
 }
 
 // uplinkSender sends the pending batches to the broker until the session ends.
--- a/internal/schedule/bmgrant/interleaving_test.go
+++ b/internal/schedule/bmgrant/interleaving_test.go
@@ -12,6 +12,7 @@
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/schedule/bmelection"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
 )
 
@@ -110,6 +111,13 @@
 	}, again)
 	h.client.start = func(r runner) { h.started = append(h.started, r) }
 	h.client.dial = func(_ context.Context, to basilmoor.Member) (link, error) { return m.dial(h, to.Host) }
+	h.client.ask = func(_ context.Context, to basilmoor.Member) (bmelection.Answer, error) {
+		other := m.host(to.Host)
+		if h.isolated || other.isolated {
+			return bmelection.Answer{}, errors.New("unreachable")
+		}
+		return other.client.followed(), nil
+	}
 }
 
 func (m *model) host(name string) *modelHost {
@@ -126,13 +134,19 @@
 	if from.isolated || h.isolated {
 		return nil, errors.New("unreachable")
 	}
+	session, ok := h.broker.attach(&bmgrantpb.Hello{
+		Host:     from.name,
+		Revision: 1,
+	}, false)
+	if !ok {
+		return nil, &NotBrokerError{
+			Answer: h.client.followed(),
+		}
+	}
 	return &modelLink{
-		from: from,
-		to:   h,
-		session: h.broker.attach(&bmgrantpb.Hello{
-			Host:     from.name,
-			Revision: 1,
-		}, false),
+		from:    from,
+		to:      h,
+		session: session,
 	}, nil
 }
 
@@ -175,7 +189,7 @@
 	h.started = nil
 	for _, r := range started {
 		switch r.(type) {
-		case *sessionOpener, *linkCloser:
+		case *electionStep, *linkCloser:
 			r.run()
 		}
 	}
--- /dev/null
+++ b/internal/schedule/bmgrant/lend.go
@@ -0,0 +1,98 @@
+package bmgrant
+
+import (
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
+)
+
+const (
+	// staleProofAge is the age of the broker's proof from which hosts with a
+	// younger one lend theirs. While the store answers, the age of a broker's
+	// proof stays under 1.1 s.
+	staleProofAge basilmoor.Millis = 1200
+
+	// minLentAdvantage is how much younger a lent proof has to be.
+	minLentAdvantage basilmoor.Millis = 300
+
+	// deputies is the number of hosts that read the store first when the
+	// broker's proof is stale.
+	deputies = 4
+
+	// standbyDelay and standbySpread are how much older the view of the other
+	// hosts has to be before they read the store as well: the delay, and up to
+	// the spread by their rank.
+	standbyDelay  basilmoor.Millis = 700
+	standbySpread basilmoor.Millis = 900
+)
+
+// standbyAge returns how much older than that of the deputies the view of a host
+// has to be before the host reads the store itself, so that the hosts of a large
+// fleet do not all read it at once when the broker has lost it.
+func standbyAge(rank, hosts int) basilmoor.Millis {
+	if rank <= deputies {
+		return 0
+	}
+	return standbyDelay + standbySpread*basilmoor.Millis(rank)/basilmoor.Millis(max(hosts, 1))
+}
+
+// lendView sends the broker this host's updates and proof if they are younger
+// than the broker's, so that a broker that has lost the store keeps its role.
+// The broker's stamp was taken before this host's age, so the proof never becomes
+// younger on the way.
+func (c *Client) lendView(u *uplink, batch *bmgrantpb.BrokerBatch) {
+	if u.host == c.self.Host {
+		return
+	}
+	// The age is read before the updates: they contain all changes up to the
+	// instant that it stands for.
+	age, known := c.broker.views.Age()
+	if !known || !lends(age, batch) {
+		return
+	}
+	updates := c.broker.views.UpdatesSince(batch.GetRevision())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.uplink != u {
+		return
+	}
+	u.pending.Proof = &bmgrantpb.Proof{
+		Echo:  batch.GetStamp(),
+		AgeMs: int64(age),
+	}
+	u.pending.Updates = nil
+	for _, update := range updates {
+		u.pending.Updates = append(u.pending.Updates, encodeUpdate(update))
+	}
+	u.wake.signal()
+	c.metrics.Add("view.lent", 1)
+}
+
+// lends reports whether a view of the given age is worth sending to the broker.
+func lends(age basilmoor.Millis, batch *bmgrantpb.BrokerBatch) bool {
+	if batch.GetRevision() == 0 {
+		return true
+	}
+	p := batch.GetProof()
+	if p == nil || basilmoor.Millis(p.GetAgeMs()) < staleProofAge {
+		return false
+	}
+	return basilmoor.Millis(p.GetAgeMs())-age >= minLentAdvantage
+}
+
+// applyLentView applies the updates and the proof that a host has lent. It must
+// be called without the mutex, because a new view is passed to SetView.
+func (b *Broker) applyLentView(s *session, batch *bmgrantpb.HostBatch) {
+	p := batch.GetProof()
+	if p == nil {
+		return
+	}
+	updates, err := decodeUpdates(batch.GetUpdates())
+	if err != nil {
+		b.log.Warn().Err(err).Str("peer", s.host).Msg("cannot decode a lent view")
+		return
+	}
+	if !b.views.ApplyRelayed(updates) {
+		return
+	}
+	b.views.Confirm(basilmoor.Millis(p.GetEcho()) - basilmoor.Millis(p.GetAgeMs()))
+}
--- a/internal/schedule/bmgrant/link.go
+++ b/internal/schedule/bmgrant/link.go
@@ -3,17 +3,26 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/schedule/bmelection"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
 )
 
-// dialTimeout is the time limit for connecting to a broker's host.
-const dialTimeout basilmoor.Millis = 500
+const (
+	// dialTimeout is the time limit for connecting to a broker's host.
+	dialTimeout basilmoor.Millis = 500
+
+	// askTimeout is the time limit for asking a host which broker it follows.
+	// It is short because the requests of a host that lost its broker wait for
+	// the answers.
+	askTimeout basilmoor.Millis = 200
+)
 
 // link transports the batches of a session. send and recv are each called by a
 // single goroutine.
@@ -24,8 +33,12 @@
 }
 
 // dialer opens a session with the broker of a host.
+// The error is a *NotBrokerError if that host is not the broker.
 type dialer func(ctx context.Context, to basilmoor.Member) (link, error)
 
+// asker asks a host which broker it follows.
+type asker func(ctx context.Context, to basilmoor.Member) (bmelection.Answer, error)
+
 var errSessionEnded = errors.New("the session has ended")
 
 // localLink is a session with the broker on this host.
@@ -35,12 +48,17 @@
 	done    chan struct{}
 }
 
-func newLocalLink(b *Broker, hello *bmgrantpb.Hello) *localLink {
+// newLocalLink returns an error if the term of b has ended already.
+func newLocalLink(b *Broker, hello *bmgrantpb.Hello) (*localLink, error) {
+	s, ok := b.attach(hello, true)
+	if !ok {
+		return nil, errSessionEnded
+	}
 	return &localLink{
 		broker:  b,
-		session: b.attach(hello, true),
+		session: s,
 		done:    make(chan struct{}),
-	}
+	}, nil
 }
 
 func (l *localLink) send(batch *bmgrantpb.HostBatch) error {
@@ -67,14 +85,78 @@
 // streamLink is a session over gRPC.
 type streamLink struct {
 	conn   *grpc.ClientConn
-	stream grpc.BidiStreamingClient[bmgrantpb.HostBatch, bmgrantpb.BrokerBatch]
+	stream sessionStream
 	cancel context.CancelFunc
 }
 
+// sessionStream is the host's side of a session's stream.
+type sessionStream = grpc.BidiStreamingClient[bmgrantpb.HostBatch, bmgrantpb.BrokerBatch]
+
 // dialStream opens a session with the broker of a host over gRPC. Each session
 // has its own connection, so that a connection that has gone silent is never
 // reused.
 func dialStream(ctx context.Context, to basilmoor.Member) (link, error) {
+	conn, err := newPeerConn(to)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	l := &streamLink{
+		conn:   conn,
+		cancel: cancel,
+	}
+	// A host that is reached and doesn't answer is given up as well.
+	timer := time.AfterFunc(dialTimeout.Duration(), cancel)
+	defer timer.Stop()
+	if l.stream, err = openSession(ctx, conn); err != nil {
+		l.close()
+		return nil, errors.Wrapf(err, "open session with %s", to.Host)
+	}
+	return l, nil
+}
+
+// openSession opens a session and waits until the broker has accepted it.
+func openSession(ctx context.Context, conn *grpc.ClientConn) (sessionStream, error) {
+	stream, err := bmgrantpb.NewBrokerClient(conn).Session(ctx)
+	if err != nil {
+		return nil, err
+	}
+	header, err := stream.Header()
+	if err != nil {
+		return nil, err
+	}
+	if header != nil {
+		return stream, nil
+	}
+	// The session has ended without having been accepted.
+	_, err = stream.Recv()
+	if answer, ok := answerIn(stream.Trailer()); ok {
+		return nil, &NotBrokerError{
+			Answer: answer,
+		}
+	}
+	return nil, err
+}
+
+// askFollowed asks a host which broker it follows.
+func askFollowed(ctx context.Context, to basilmoor.Member) (bmelection.Answer, error) {
+	conn, err := newPeerConn(to)
+	if err != nil {
+		return bmelection.Answer{}, err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
+	defer cancel()
+	reply, err := bmgrantpb.NewBrokerClient(conn).Followed(ctx, &bmgrantpb.FollowedRequest{})
+	if err != nil {
+		return bmelection.Answer{}, errors.Wrapf(err, "ask %s for its broker", to.Host)
+	}
+	return decodeAnswer(reply), nil
+}
+
+// newPeerConn returns a connection to the gRPC server of a host, which is opened
+// at the first call.
+func newPeerConn(to basilmoor.Member) (*grpc.ClientConn, error) {
 	conn, err := grpc.NewClient("passthrough:///"+to.Address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(dialTCP),
@@ -89,18 +171,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", to.Address)
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	stream, err := bmgrantpb.NewBrokerClient(conn).Session(ctx)
-	if err != nil {
-		cancel()
-		_ = conn.Close()
-		return nil, errors.Wrapf(err, "open session with %s", to.Host)
-	}
-	return &streamLink{
-		conn:   conn,
-		stream: stream,
-		cancel: cancel,
-	}, nil
+	return conn, nil
 }
 
 const (
--- a/internal/schedule/bmgrant/pool.go
+++ b/internal/schedule/bmgrant/pool.go
@@ -253,9 +253,9 @@
 	return p.schedule(now)
 }
 
-// EndHoldOff allows grants from the next call on.
-func (p *Pool) EndHoldOff() {
-	p.holdOff = 0
+// SetHoldOff makes the pool grant nothing before a time.
+func (p *Pool) SetHoldOff(until basilmoor.Millis) {
+	p.holdOff = until
 }
 
 // HasGrant reports whether a request holds a slot.
--- a/internal/schedule/bmgrant/session.go
+++ b/internal/schedule/bmgrant/session.go
@@ -20,16 +20,13 @@
 }
 
 // attach starts a session with a host and ends an earlier one of the same host.
-// The first session resets the broker and starts its warm-up.
-func (b *Broker) attach(hello *bmgrantpb.Hello, local bool) *session {
+// It returns false if this host is not the broker.
+func (b *Broker) attach(hello *bmgrantpb.Hello, local bool) (*session, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	if len(b.sessions) == 0 {
-		b.reset()
-		b.recordChecked = false
-		b.hasRecord = false
-		b.holdOff = now + warmUp
+	if !b.active {
+		return nil, false
 	}
 	if old, ok := b.sessions[hello.GetHost()]; ok {
 		b.endSession(now, old)
@@ -54,7 +51,7 @@
 	b.applyView(now)
 	s.wake.signal()
 	b.log.Info().Str("peer", s.host).Int("sessions", len(b.sessions)).Msg("session with a host")
-	return s
+	return s, true
 }
 
 // updateViewShared informs the view whether other hosts follow it.
@@ -90,10 +87,14 @@
 
 // takePending removes and returns the batch to send.
 func (b *Broker) takePending(s *session) *bmgrantpb.BrokerBatch {
+	// The view may call the broker while it is locked.
+	revision := b.views.Revision()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	batch := s.pending
 	s.pending = &bmgrantpb.BrokerBatch{}
 	s.lastSent = b.clock.Now()
+	batch.Stamp = uint64(s.lastSent)
+	batch.Revision = revision
 	return batch
 }
--- a/internal/schedule/bmgrant/uplink.go
+++ b/internal/schedule/bmgrant/uplink.go
@@ -1,36 +1,15 @@
 package bmgrant
 
 import (
-	"context"
 	"slices"
 
 	"github.com/pkg/errors"
 
 	"basilmoor.example/basilmoor"
-	"basilmoor.example/basilmoor/internal/fleet/bmmember"
 	"basilmoor.example/basilmoor/internal/fleet/bmpeer"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
 )
 
-const (
-	// brokerKey is the key by which all hosts choose the same broker.
-	brokerKey = "broker"
-
-	// lostSessionSuspicion is how long a host is not chosen as the broker after
-	// a session with it was lost or could not be opened.
-	lostSessionSuspicion = 2 * basilmoor.Second
-
-	// lostStoreSuspicion is how long a host is not chosen as the broker after it
-	// has lost the store. It exceeds the lifetime of a registration that is not
-	// renewed, 10 s: by then the host is no longer a candidate or has regained
-	// the store.
-	lostStoreSuspicion = 12 * basilmoor.Second
-
-	// minCapacityShare is the least capacity of a broker's host, as a fraction
-	// of the largest capacity among the candidates.
-	minCapacityShare = 0.9
-)
-
 // uplink is the host's side of a session with a broker. Its fields are guarded
 // by the client's mutex.
 type uplink struct {
@@ -43,99 +22,15 @@
 	ended        chan struct{} // closed when the session ends
 }
 
-// maintainUplink ends the session if it has fallen silent, and opens one with the
-// preferred broker unless there is one.
-func (c *Client) maintainUplink(ctx context.Context, now basilmoor.Millis) {
-	if c.uplink != nil && now-c.uplink.lastReceived >= sessionTimeout {
-		c.log.Warn().Str("broker", c.uplink.host).Int64("silent-ms", int64(now-c.uplink.lastReceived)).Msg("broker lost")
-		c.metrics.Add("grants.broker-lost", 1)
-		c.suspectedUntil[c.uplink.host] = now + lostSessionSuspicion
-		c.fallBackToLocal(now)
-	}
-	preferred, ok := c.preferredBroker(now)
-	if !ok || c.opening || c.uplink != nil && c.uplink.host == preferred.Host {
-		return
-	}
-	c.opening = true
-	c.start(&sessionOpener{
-		client: c,
-		ctx:    ctx,
-		to:     preferred,
-	})
-}
-
-// preferredBroker returns the host to choose as the broker. All hosts with the
-// same view choose the same one, unless they suspect different hosts.
-func (c *Client) preferredBroker(now basilmoor.Millis) (basilmoor.Member, bool) {
-	candidates := slices.DeleteFunc(slices.Clone(c.view.Hosts()), func(m basilmoor.Member) bool {
-		return now < c.suspectedUntil[m.Host]
-	})
-	maxCapacity := 0
-	for _, m := range candidates {
-		maxCapacity = max(maxCapacity, m.Capacity)
-	}
-	eligible := slices.DeleteFunc(candidates, func(m basilmoor.Member) bool {
-		return float64(m.Capacity) < minCapacityShare*float64(maxCapacity)
-	})
-	return bmmember.Owner(brokerKey, eligible)
-}
-
-// hello returns the message that opens a session.
-func (c *Client) hello() *bmgrantpb.Hello {
-	return &bmgrantpb.Hello{
-		Host:        c.self.Host,
-		DataCentre:  c.self.DataCentre,
-		Incarnation: c.self.Incarnation,
-		Revision:    c.broker.views.Revision(),
-	}
-}
-
-// sessionOpened replaces the session by one that was opened, or suspects the
-// broker if opening it failed.
-func (c *Client) sessionOpened(l link, err error, to basilmoor.Member) {
-	hello := c.hello()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.clock.Now()
-	c.opening = false
-	if err != nil {
-		c.suspectedUntil[to.Host] = now + lostSessionSuspicion
-		c.log.Warn().Err(err).Str("broker", to.Host).Msg("broker not reached")
-		return
-	}
-	c.closeUplink()
-	c.uplink = &uplink{
-		host:         to.Host,
-		link:         l,
-		lastReceived: now,
-		lastSent:     now,
-		pending: &bmgrantpb.HostBatch{
-			Hello:   hello,
-			Crashes: bmpeer.EncodeCrashes(c.broker.crashes.Recent()),
-		},
-		wake:  newWakeUp(),
-		ended: make(chan struct{}),
-	}
-	c.localPools = map[string]*Pool{}
-	c.log.Info().Str("broker", to.Host).Int("waiting", len(c.entries)).Msg("broker chosen")
-	c.resubmit(now)
-	c.uplink.wake.signal()
-	c.start(&uplinkSender{
-		client: c,
-		uplink: c.uplink,
-	})
-	c.start(&uplinkReceiver{
-		client: c,
-		uplink: c.uplink,
-	})
-}
-
 // closeUplink ends the session. The waiting demands stay undecided.
 func (c *Client) closeUplink() {
 	if c.uplink == nil {
 		return
 	}
 	close(c.uplink.ended)
+	if c.uplink.host == c.self.Host {
+		c.broker.resign()
+	}
 	c.broker.views.SetRelayed(false)
 	c.start(&linkCloser{
 		link: c.uplink.link,
@@ -153,6 +48,12 @@
 // resubmit sends a new broker this host's waiting demands, its requests in
 // progress, and what it has spent of the quotas.
 func (c *Client) resubmit(now basilmoor.Millis) {
+	for _, e := range c.entries {
+		if e.grantedAt == 0 {
+			// The broker charges the demand itself.
+			c.refundLocal(now, e)
+		}
+	}
 	c.quotas.forEach(now, func(workspace string, s spending) {
 		c.uplink.pending.Spendings = append(c.uplink.pending.Spendings, &bmgrantpb.Spending{
 			Workspace: workspace,
@@ -189,11 +90,8 @@
 	if c.uplink != u {
 		return
 	}
-	now := c.clock.Now()
 	c.log.Warn().Err(err).Str("broker", u.host).Msg("session with the broker broke")
-	c.metrics.Add("grants.broker-lost", 1)
-	c.suspectedUntil[u.host] = now + lostSessionSuspicion
-	c.fallBackToLocal(now)
+	c.leaveLostBroker(c.clock.Now())
 }
 
 // errUpdateGap reports that the broker's updates start after a revision that
@@ -214,29 +112,21 @@
 	if p != nil {
 		c.broker.views.Confirm(basilmoor.Millis(p.GetEcho()) - basilmoor.Millis(p.GetAgeMs()))
 	}
-	age, known := c.broker.views.Age()
-	fresher := p != nil && basilmoor.Millis(p.GetAgeMs()) >= staleProofAge && known && age < staleProofAge
-	c.updateBrokerTrust(u, p != nil, fresher || batch.GetLeaving())
+	if p != nil {
+		c.setRelayed(u)
+	}
+	c.lendView(u, batch)
 	return nil
 }
 
-// updateBrokerTrust stops this host's own watch of the store while the broker
-// relays its view, and suspects a broker that has lost the store while other
-// hosts have not. The session continues until another one is open.
-func (c *Client) updateBrokerTrust(u *uplink, relays, lostStore bool) {
+// setRelayed stops this host's own watch of the store while the broker relays its
+// view.
+func (c *Client) setRelayed(u *uplink) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.uplink != u {
-		return
-	}
-	if relays {
+	if c.uplink == u {
 		c.broker.views.SetRelayed(true)
 	}
-	now := c.clock.Now()
-	if lostStore && now >= c.suspectedUntil[u.host] {
-		c.suspectedUntil[u.host] = now + lostStoreSuspicion
-		c.log.Warn().Str("broker", u.host).Msg("broker has lost the store")
-	}
 }
 
 // handleBatch processes a batch from the broker.
@@ -252,6 +142,9 @@
 	}
 	now := c.clock.Now()
 	u.lastReceived = now
+	if successor := batch.GetSuccessor(); successor != nil {
+		c.election.SuccessorAnnounced(decodeAnswer(successor).Broker)
+	}
 	c.broker.crashes.Merge(bmpeer.DecodeCrashes(batch.GetCrashes()))
 	for _, r := range batch.GetRefusals() {
 		c.refuse(basilmoor.Refusal{
