Reserve the time that first tokens really take, and refuse early what lower tiers can't get

Cause: in a crest every request of the highest tier was granted at the last moment at which it was thought to be in time. The expected time to the first token was that of an idle target; on full engines it takes 1.3 to 3 times as long, so half of the responses were late. Requests of lower tiers waited for 0.6 to 2.4 s for refusals that were certain when they came, because the forecast did not count the work of higher tiers that would still arrive.

Change: a pool learns by which factor first tokens exceed the expectation (0.9 quantile) and for how long slots are held, and puts a demand behind the others of its tier when it is not likely to be in time any more. The forecast divides the capacity by the rate at which work of higher tiers arrives, and keeps waiting work for 200 ms of all slots. A broker whose registration has lapsed keeps its role.

--- a/internal/schedule/bmelection/election.go
+++ b/internal/schedule/bmelection/election.go
@@ -198,10 +198,11 @@
 	}
 }
 
-// suitable reports whether this host's capacity is close to the largest one.
+// suitable reports whether this host's capacity is close to the largest one. It
+// does not depend on this host's registration, which lapses during an outage of
+// the store.
 func (e *Election) suitable() bool {
-	n := slices.IndexFunc(e.ranked, func(m basilmoor.Member) bool { return m.Host == e.self.Host })
-	return n >= 0 && float64(e.ranked[n].Capacity) >= minCapacityShare*float64(e.ranked[0].Capacity)
+	return float64(e.self.Capacity) >= minCapacityShare*float64(e.ranked[0].Capacity)
 }
 
 // stepSuccessor moves to the broker that the present one has announced.
--- a/internal/schedule/bmelection/election_test.go
+++ b/internal/schedule/bmelection/election_test.go
@@ -74,6 +74,11 @@
 	e.SetHosts(hosts[2:])
 	require.Equal(t, ActionNone, e.Step(20_000, 0).Kind, "the registration of the broker has lapsed")
 	require.Equal(t, hosts[1], e.Answer(0).Broker)
+
+	leader := newElection(hosts[0], hosts)
+	leader.Opened(0, hosts[0])
+	leader.SetHosts(hosts[1:])
+	require.Equal(t, ActionAsk, leader.Step(2*settleTime, 4).Kind, "the broker's own registration has lapsed")
 }
 
 // Guards against a host that has started again and takes the role back that
--- a/internal/schedule/bmgrant/choose.go
+++ b/internal/schedule/bmgrant/choose.go
@@ -95,6 +95,15 @@
 	return p.firstTokenAt(p.lowestTokenLatency(), d, 0)
 }
 
+// firstTokenReserve returns the time before the objective of a demand at which it
+// has to be granted so that its first token is likely to be in time. At most half
+// of the time that the fastest target would leave is reserved for delays.
+func (p *Pool) firstTokenReserve(d basilmoor.Demand) basilmoor.Millis {
+	fastest := p.fastestFirstToken(d)
+	reserve := basilmoor.Millis(p.estimates.firstTokenFactor * float64(fastest))
+	return max(fastest, min(reserve, (fastest+d.Objective)/2))
+}
+
 // fastestDuration returns the expected time from a grant to the end of the
 // response on a target of the lowest token latency without a backlog.
 func (p *Pool) fastestDuration(d basilmoor.Demand) basilmoor.Millis {
--- a/internal/schedule/bmgrant/doc.go
+++ b/internal/schedule/bmgrant/doc.go
@@ -16,7 +16,7 @@
 //     slots, as far as the broker knows.
 //   - A demand is refused only if it cannot be served in time or if it exceeds
 //     its workspace's quota. While a demand waits, no suitable slot is free.
-//   - Demands are ordered by tier first. A demand that can no longer meet its
-//     objective comes after the demands of the next tier that still can, so
-//     that a shortage does not make every response late.
+//   - Demands are ordered by tier first. A demand that is not likely to meet its
+//     objective any more comes after the demands of its tier that are, so that a
+//     shortage does not make every response late.
 package bmgrant
--- a/internal/schedule/bmgrant/forecast.go
+++ b/internal/schedule/bmgrant/forecast.go
@@ -11,8 +11,13 @@
 // refused early.
 const forecastPeriod basilmoor.Millis = 50
 
+// minBacklog is the time for which the waiting demands that are kept can fill all
+// slots, so that no slot is idle when the load falls sooner than expected.
+const minBacklog basilmoor.Millis = 200
+
 // shed refuses the demands that are not expected to get a slot before they
-// expire, given the demands ahead of them. Their callers are refused now instead
+// expire, given the demands ahead of them and the rate at which those of higher
+// tiers arrive. Their callers are refused now instead
 // of at their first byte timeout, and can retry later or elsewhere.
 func (p *Pool) shed(now basilmoor.Millis) {
 	if now-p.lastForecast < forecastPeriod || len(p.waiting) < 2 {
@@ -37,12 +42,12 @@
 	ahead := 0.0                                       // slot time in ms of the demands ahead
 	unservable := map[*queuedDemand]basilmoor.Millis{} // expected wait for a slot
 	for _, q := range order {
-		wait := basilmoor.Millis(ahead / capacity)
-		if now+wait > q.expires {
+		wait := basilmoor.Millis(ahead / capacity / p.estimates.freeShare(now, q.demand.Tier, capacity))
+		if now+wait > q.expires && ahead >= float64(minBacklog)*capacity {
 			unservable[q] = wait
 			continue
 		}
-		ahead += float64(p.durationAt(latency, q.demand))
+		ahead += p.estimates.holdFactor() * float64(p.durationAt(latency, q.demand))
 	}
 	if len(unservable) == 0 {
 		return
@@ -76,5 +81,5 @@
 	for _, q := range p.waiting {
 		work += float64(p.durationAt(latency, q.demand))
 	}
-	return basilmoor.Millis(work / max(p.effectiveSlots(latency), 1))
+	return basilmoor.Millis(work * p.estimates.holdFactor() / max(p.effectiveSlots(latency), 1))
 }
--- a/internal/schedule/bmgrant/pool.go
+++ b/internal/schedule/bmgrant/pool.go
@@ -7,12 +7,12 @@
 	"basilmoor.example/basilmoor"
 )
 
-// Each tier spans two priority classes. A demand that has missed its objective
-// is moved three classes back: behind the demands of the next tier that can
-// still meet theirs, and before those of the tier after that.
+// Each tier spans two priority classes: that of the demands that can still meet
+// their objective, and behind it that of the others. No demand comes behind those
+// of a lower tier.
 const (
 	classesPerTier = 2
-	latePenalty    = 3
+	latePenalty    = 1
 )
 
 const (
@@ -54,6 +54,7 @@
 	serviceTimes     map[string]float64 // average ms of a plain service's response, by kind
 	grantedByTier    map[int]int        // since the last summary
 	refusedByTier    map[int]int        // since the last summary
+	estimates        estimates
 
 	decisions []basilmoor.Decision
 }
@@ -68,6 +69,7 @@
 		serviceTimes:  map[string]float64{},
 		grantedByTier: map[int]int{},
 		refusedByTier: map[int]int{},
+		estimates:     newEstimates(),
 		holdOff:       holdOff,
 	}
 }
@@ -104,11 +106,12 @@
 		return p.schedule(now)
 	}
 	p.removeWaiting(d.Request)
+	p.estimates.offer(now, d.Tier, float64(p.fastestDuration(d)))
 	q := &queuedDemand{
 		demand:     d,
 		objective:  now + d.Objective,
 		deadline:   now + d.Deadline,
-		lastOnTime: now + d.Objective - p.fastestFirstToken(d),
+		lastOnTime: now + d.Objective - p.firstTokenReserve(d),
 		expires:    now + d.Deadline - p.fastestDuration(d),
 	}
 	if d.FirstByteTimeout != 0 {
@@ -170,6 +173,7 @@
 		r.dispatched = true
 		if r.firstToken == 0 {
 			t.estimateTokenLatency(o.Elapsed, p.lowestTokenLatency())
+			p.estimates.observeFirstToken(r.expectedFirst, now-r.grantedAt)
 			r.firstToken = max(o.Elapsed, 1)
 			t.backlog -= r.demand.PromptTokens
 		}
@@ -181,6 +185,7 @@
 		} else {
 			t.observeTokenLatency(r, o.Tokens, o.Elapsed)
 		}
+		p.estimates.observeHold(r.expectedHold, now-r.grantedAt)
 	case basilmoor.StageUnreachable, basilmoor.StageFailed:
 		t.recordFailure(now)
 	}
@@ -385,9 +390,12 @@
 
 func (p *Pool) grant(now basilmoor.Millis, d basilmoor.Demand, t *target) {
 	p.grantedByTier[d.Tier]++
+	latency := p.tokenLatencyOf(t)
 	t.add(&grantedRequest{
-		demand:    d,
-		grantedAt: now,
+		demand:        d,
+		grantedAt:     now,
+		expectedFirst: p.fastestFirstToken(d),
+		expectedHold:  p.durationAt(latency, d),
 	})
 	p.inFlight[d.Request] = t
 	p.decisions = append(p.decisions, basilmoor.Decision{
--- a/internal/schedule/bmgrant/target.go
+++ b/internal/schedule/bmgrant/target.go
@@ -58,6 +58,12 @@
 	grantedAt  basilmoor.Millis
 	dispatched bool
 	firstToken basilmoor.Millis // time to first token; 0 until it is reported
+
+	// expectedFirst is the time from the grant to the first token that was
+	// expected of the fastest target, and expectedHold that to the end which
+	// was expected of this one; 0 if another broker granted the request.
+	expectedFirst basilmoor.Millis
+	expectedHold  basilmoor.Millis
 }
 
 // target is the state of one target in a pool.
