Bound what a target may send, and doubt refusals without an id

Cause: response headers, interim responses, responses to other requests and events of a stream had no bound; a target that sent one of them without an end grew the heap until the deadline. A refusal without the id of a request was taken as the answer even on a reused connection, where it may be a late copy: the caller was told that its request was not run, and it ran. A stream whose body ended in the middle of an event was passed on as complete. A time limit that passed while a body was read counted as a failure of the target and started a crash probe.

Change: limits for a head (64 KiB), for the bodies that are discarded before a response (1 MiB), for the responses that are skipped (16) and for an event (1 MiB); over them the attempt is broken, the connection closed, and the counters exchange.too-long or streams.event-too-long grow. A refusal without an id counts only as the first response on a new connection. A stream that ends in an event is resumed where the route allows it, or broken off (streams.truncated).

TestEndlessResponses (7 cases), TestLateRefusalWithoutID (4) and TestEndOfContextWhileReadingTheBody fail before; the new rows of TestTruncatedStreams fail or don't end within 60 s before.

--- a/internal/request/bmentry/handler_test.go
+++ b/internal/request/bmentry/handler_test.go
@@ -117,6 +117,8 @@
 	refuses          = "refuses"
 	breaksOff        = "breaks off"                   // closes the connection without a response
 	breaksStream     = "breaks its stream"            // closes the connection after two and a half events
+	endsInEvent      = "ends-in-event"                // a stream that ends in the middle of its third event, on a sound connection
+	endlessEvent     = "endless-event"                // a stream whose third event has no end
 	streamsRemaining = "streams the remaining events" // sends the events after Last, up to id 4
 	unreachable      = "unreachable"
 	dies             = "dies" // breaks off and refuses new connections
@@ -228,6 +230,9 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
+// endlessData is a part of an event without an end.
+var endlessData = bytes.Repeat([]byte("x"), 64<<10)
+
 func serveBehaviour(w http.ResponseWriter, r *http.Request, behaviour string) {
 	switch behaviour {
 	case answersOK:
@@ -244,6 +249,17 @@
 		fmt.Fprint(w, "id: 1\ndata: id:9\n\nid: 2\ndata: b\n\nid: 3\nda")
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
+	case endsInEvent:
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(w, "id: 1\ndata: id:9\n\nid: 2\ndata: b\n\nid: 3\nda")
+		_ = http.NewResponseController(w).Flush()
+	case endlessEvent:
+		fmt.Fprint(w, "id: 1\ndata: id:9\n\nid: 2\ndata: b\n\nid: 3\ndata: ")
+		for range 64 * maxEventBytes / len(endlessData) {
+			if _, err := w.Write(endlessData); err != nil {
+				return
+			}
+		}
 	case streamsRemaining:
 		last := 0
 		_, _ = fmt.Sscan(r.Header.Get("Last"), &last)
@@ -388,6 +404,26 @@
 			body:       "id: 1\ndata: id:9\n\nid: 2\ndata: b\n\n",
 			runs:       []string{"t0"},
 		},
+		"ended in an event and resumed": {
+			path:       "/resume/x",
+			behaviours: []string{endsInEvent, streamsRemaining},
+			body:       wholeStream,
+			whole:      true,
+			runs:       []string{"t0", "t1 2"},
+		},
+		"ended in an event of a run-once stream": {
+			path:       "/stream/x",
+			behaviours: []string{endsInEvent, streamsRemaining},
+			body:       "id: 1\ndata: id:9\n\nid: 2\ndata: b\n\n",
+			runs:       []string{"t0"},
+		},
+		"an event without an end": {
+			path:       "/resume/x",
+			behaviours: []string{endlessEvent, streamsRemaining},
+			body:       wholeStream,
+			whole:      true,
+			runs:       []string{"t0", "t1 2"},
+		},
 		"run-once stream": {
 			path:       "/stream/x",
 			behaviours: []string{breaksStream, streamsRemaining},
--- a/internal/request/bmentry/relay.go
+++ b/internal/request/bmentry/relay.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -165,6 +166,10 @@
 	chunk := make([]byte, readBufferBytes)
 	for {
 		n, err := resp.Read(chunk)
+		if len(s.partial)+n > maxEventBytes {
+			c.handler.cfg.Metrics.Add("streams.event-too-long", 1)
+			return s.broken(permit, resp, &eventTooLongError{})
+		}
 		if n > 0 {
 			if s.eventCount == countBefore {
 				permit.Observe(basilmoor.Observation{
@@ -179,6 +184,10 @@
 				}
 			}
 		}
+		if errors.Is(err, io.EOF) && s.truncated(resp) {
+			c.handler.cfg.Metrics.Add("streams.truncated", 1)
+			return s.broken(permit, resp, &truncatedEventError{})
+		}
 		if errors.Is(err, io.EOF) {
 			return s.finish(permit, resp, sent, s.eventCount-countBefore)
 		}
@@ -189,8 +198,44 @@
 	}
 }
 
-// readBufferBytes is room for several events.
-const readBufferBytes = 4 << 10
+const (
+	// readBufferBytes is room for several events.
+	readBufferBytes = 4 << 10
+
+	// maxEventBytes bounds an event of a stream, which is kept until it is
+	// complete.
+	maxEventBytes = 1 << 20
+)
+
+// truncatedEventError means that a target ended a stream in the middle of an
+// event.
+type truncatedEventError struct{}
+
+func (e *truncatedEventError) Error() string {
+	return "the stream ended in the middle of an event"
+}
+
+// eventTooLongError means that a target sent an event without an end.
+type eventTooLongError struct{}
+
+func (e *eventTooLongError) Error() string {
+	return "an event of the stream is too long"
+}
+
+// truncated reports whether a stream of events ended with an incomplete one.
+func (s *stream) truncated(resp *bmexchange.Response) bool {
+	if len(bytes.TrimSpace(s.partial)) == 0 {
+		return false
+	}
+	return s.eventCount > 0 || strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// broken reports the failure of a target whose stream is not valid.
+func (s *stream) broken(permit basilmoor.Permit, resp *bmexchange.Response, cause error) error {
+	err := resp.Broken(cause)
+	s.call.observeFailure(permit, err)
+	return err
+}
 
 // eventSeparator is the blank line that ends each event.
 var eventSeparator = []byte("\n\n")
--- a/internal/request/bmexchange/client.go
+++ b/internal/request/bmexchange/client.go
@@ -81,11 +81,13 @@
 	resp := &Response{
 		client:           c,
 		conn:             cn,
+		ctx:              ctx,
+		reused:           reused,
 		target:           r.Target.Name,
 		sentAt:           c.clock.Now(),
 		stopContextWatch: context.AfterFunc(ctx, func() { _ = cn.Close() }),
 	}
-	if err := resp.roundTrip(ctx, r); err != nil {
+	if err := resp.roundTrip(r); err != nil {
 		resp.Close()
 		return nil, err
 	}
@@ -118,7 +120,7 @@
 }
 
 // roundTrip writes the request and reads the headers of its response.
-func (r *Response) roundTrip(ctx context.Context, req Request) error {
+func (r *Response) roundTrip(req Request) error {
 	writeErr := req.write(r.conn)
 	// A target may refuse a long request and close the connection before it
 	// has read everything, so a response may be available although the write
@@ -128,7 +130,7 @@
 		if writeErr != nil {
 			err = writeErr
 		}
-		return r.newBrokenError(ctx, err)
+		return r.newBrokenError(err)
 	}
 	if writeErr != nil {
 		r.notReusable = true
@@ -142,25 +144,32 @@
 		}
 	}
 	if writeErr != nil {
-		return r.newBrokenError(ctx, writeErr)
+		return r.newBrokenError(writeErr)
 	}
 	return nil
 }
 
-// readHeader reads response headers until they belong to the request.
+// readHeader reads response headers until they belong to the request. What comes
+// before them is skipped up to a limit.
 func (r *Response) readHeader(req Request) error {
 	methodOnly := &http.Request{
 		Method: req.Method,
 	}
-	for {
+	defer func() { r.conn.readLimit = unlimited }()
+	for range maxResponsesSkipped {
+		r.conn.readLimit = maxHeadBytes
 		resp, err := http.ReadResponse(r.conn.reader, methodOnly) //nolint:bodyclose // Response.Close closes the connection
+		if err != nil && r.conn.readLimit <= 0 {
+			// The limit may have cut a line, which is reported as malformed.
+			return &TooLongError{}
+		}
 		if err != nil {
 			return err
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if id := r.client.inspector.RequestIDOf(resp.Header); id == req.RequestID || id == "" && r.client.inspector.NotRun(resp.StatusCode, resp.Header) {
+		if r.answers(resp, req.RequestID) {
 			r.Status = resp.StatusCode
 			r.Header = resp.Header
 			r.body = resp.Body
@@ -173,19 +182,36 @@
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return errors.New("response of another request without a length")
 		}
+		r.conn.readLimit = maxForeignBytes
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return errors.Wrap(err, "response of another request")
 		}
 	}
+	return &TooLongError{}
+}
+
+// answers reports whether a response belongs to the request with the given id. A
+// refusal without an id counts only as the first response on a new connection: on
+// any other it may be a late copy of the answer to an earlier request.
+func (r *Response) answers(resp *http.Response, requestID string) bool {
+	id := r.client.inspector.RequestIDOf(resp.Header)
+	if id != "" {
+		return id == requestID
+	}
+	return !r.reused && !r.notReusable && r.client.inspector.NotRun(resp.StatusCode, resp.Header)
 }
 
-// newBrokenError returns the error of a response that failed with err. If ctx is
-// done, that is what closed the connection.
-func (r *Response) newBrokenError(ctx context.Context, err error) *BrokenError {
+// newBrokenError returns the error of a response that failed with err. If the
+// context is done, that is what closed the connection.
+func (r *Response) newBrokenError(err error) *BrokenError {
+	var tooLong *TooLongError
+	if errors.As(err, &tooLong) {
+		r.client.metrics.Add("exchange.too-long", 1)
+	}
 	return &BrokenError{
 		Target:      r.target,
 		Err:         err,
-		ContextDone: ctx.Err() != nil,
+		ContextDone: r.ctx.Err() != nil,
 		Elapsed:     r.client.clock.Now() - r.sentAt,
 	}
 }
--- a/internal/request/bmexchange/client_test.go
+++ b/internal/request/bmexchange/client_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -33,6 +34,11 @@
 	closeAfterAnswer bool // close the connection after the first answer
 	requests         atomic.Int64
 	conns            atomic.Int64
+
+	endless       string        // repeated after the answer
+	endlessBytes  int64         // the number of bytes after which the target gives up
+	endlessClosed chan struct{} // closed when the client has closed the connection or the target gave up
+	sent          atomic.Int64  // bytes of the repeated part
 }
 
 func newScriptedTarget(t *testing.T, script func(n int, r *http.Request) string) *scriptedTarget {
@@ -77,6 +83,23 @@
 		if _, err := io.WriteString(c, answer); err != nil || s.closeAfterAnswer {
 			return
 		}
+		if s.endless != "" {
+			s.sendEndless(c)
+			return
+		}
+	}
+}
+
+// sendEndless sends the endless part until the client closes the connection.
+func (s *scriptedTarget) sendEndless(c net.Conn) {
+	defer close(s.endlessClosed)
+	part := strings.Repeat(s.endless, 64)
+	for s.sent.Load() < s.endlessBytes {
+		n, err := io.WriteString(c, part)
+		s.sent.Add(int64(n))
+		if err != nil {
+			return
+		}
 	}
 }
 
@@ -242,3 +265,91 @@
 	require.True(t, errors.As(<-done, &broken))
 	require.True(t, broken.ContextDone)
 }
+
+// endlessResponses are responses that never end, in their parts before the part
+// that is repeated and that part.
+func endlessResponses() map[string][2]string {
+	return map[string][2]string{
+		"headers":                   {"HTTP/1.1 200 OK\r\nId: 1\r\n", "X-Filler: filler filler filler\r\n"},
+		"a header line":             {"HTTP/1.1 200 OK\r\nId: 1\r\nX-Filler: ", "filler filler filler"},
+		"the status line":           {"HTTP/1.1 200 ", "OK OK OK OK"},
+		"no response at all":        {"", "filler filler filler"},
+		"interim responses":         {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"responses to others":       {"", "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 4\r\n\r\nfour"},
+		"a body of another request": {"HTTP/1.1 200 OK\r\nId: 0\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 0x400) + "\r\n"},
+	}
+}
+
+// Guards against a target whose response never ends: a host would keep reading,
+// and keep in memory what it read, until the request's deadline.
+func TestEndlessResponses(t *testing.T) {
+	const enough = 4 * maxForeignBytes
+	for name, parts := range endlessResponses() {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan struct{})
+			s := newScriptedTarget(t, func(int, *http.Request) string { return parts[0] + parts[1] })
+			s.endless = parts[1]
+			s.endlessBytes = enough
+			s.endlessClosed = closed
+			c := newTestClient(t)
+			_, err := sendAndRead(c, s.request("1"))
+			var broken *BrokenError
+			require.True(t, errors.As(err, &broken), "%v", err)
+			var tooLong *TooLongError
+			require.True(t, errors.As(err, &tooLong), "%v", err)
+			<-closed
+			require.Less(t, s.sent.Load(), int64(enough), "the connection stayed open")
+		})
+	}
+}
+
+// Guards against a caller that is told that its request was not run because a
+// late copy of the refusal of an earlier request, without an id, arrived on the
+// connection: the target runs the request.
+func TestLateRefusalWithoutID(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	tests := map[string]struct {
+		first, second string // bytes sent for the first and the second request
+	}{
+		"on a reused connection":          {first: okResponse("1", "one"), second: refusal},
+		"after the response to another":   {first: okResponse("1", "one"), second: okResponse("1", "one") + refusal},
+		"two refusals of the first":       {first: "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", second: refusal},
+		"another's response on a new one": {first: "", second: okResponse("0", "old") + refusal},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newScriptedTarget(t, func(_ int, r *http.Request) string {
+				if r.Header.Get("First") != "" {
+					return tt.first
+				}
+				return tt.second + okResponse("2", "two")
+			})
+			c := newTestClient(t)
+			if tt.first != "" {
+				first := s.request("1")
+				first.Header.Set("First", "1")
+				_, _ = sendAndRead(c, first)
+			}
+			body, err := sendAndRead(c, s.request("2"))
+			require.NoError(t, err)
+			require.Equal(t, "two", body)
+		})
+	}
+}
+
+// Guards against a probe of a target that is blamed for a time limit of the
+// caller that passed while a body was read.
+func TestEndOfContextWhileReadingTheBody(t *testing.T) {
+	s := newScriptedTarget(t, func(int, *http.Request) string {
+		return "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nfour"
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	resp, err := newTestClient(t).Send(ctx, s.request("1"))
+	require.NoError(t, err)
+	defer resp.Close()
+	cancel()
+	_, err = io.ReadAll(resp)
+	var broken *BrokenError
+	require.True(t, errors.As(err, &broken), "%v", err)
+	require.True(t, broken.ContextDone)
+}
--- a/internal/request/bmexchange/conn.go
+++ b/internal/request/bmexchange/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"math"
 	"net"
 	"syscall"
 
@@ -28,11 +29,26 @@
 	// readBufferBytes is room for the response headers and several events of
 	// a stream.
 	readBufferBytes = 4 << 10
+
+	// maxHeadBytes bounds the status line and headers of one response.
+	maxHeadBytes = 64 << 10
+
+	// maxForeignBytes bounds the bodies of other requests' responses that are
+	// discarded before the response of a request.
+	maxForeignBytes = 1 << 20
+
+	// maxResponsesSkipped bounds the interim responses, and the responses of
+	// other requests, that are skipped before the response of a request.
+	maxResponsesSkipped = 16
+
+	// unlimited is a read limit that is never reached.
+	unlimited = math.MaxInt64
 )
 
 // conn is a connection to a target. raw is nil if it is not a TCP connection.
 type conn struct {
 	net.Conn
+	readLimit   int64 // bytes that may still be read
 	raw         syscall.RawConn
 	reader      *bufio.Reader
 	target      string // name of the target it was opened for
@@ -44,12 +60,7 @@
 func newConn(c net.Conn, target, address string) (*conn, error) {
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
-		return &conn{
-			Conn:    c,
-			reader:  bufio.NewReaderSize(c, readBufferBytes),
-			target:  target,
-			address: address,
-		}, nil
+		return newConnWithoutTimeouts(c, nil, target, address), nil
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
@@ -58,13 +69,35 @@
 	if err := setSocketTimeouts(raw); err != nil {
 		return nil, err
 	}
-	return &conn{
-		Conn:    c,
-		raw:     raw,
-		reader:  bufio.NewReaderSize(c, readBufferBytes),
-		target:  target,
-		address: address,
-	}, nil
+	return newConnWithoutTimeouts(c, raw, target, address), nil
+}
+
+func newConnWithoutTimeouts(c net.Conn, raw syscall.RawConn, target, address string) *conn {
+	cn := &conn{
+		Conn:      c,
+		raw:       raw,
+		target:    target,
+		address:   address,
+		readLimit: unlimited,
+	}
+	cn.reader = bufio.NewReaderSize(cn, readBufferBytes)
+	return cn
+}
+
+// Read reads from the connection until the read limit is reached. Then it returns
+// a *TooLongError.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.readLimit <= 0 {
+		return 0, &TooLongError{}
+	}
+	if int64(len(p)) > c.readLimit {
+		p = p[:c.readLimit]
+	}
+	n, err := c.Conn.Read(p)
+	if c.readLimit != unlimited {
+		c.readLimit -= int64(n)
+	}
+	return n, err
 }
 
 // setSocketTimeouts enables keep-alive probes and the TCP user timeout.
--- a/internal/request/bmexchange/errors.go
+++ b/internal/request/bmexchange/errors.go
@@ -33,13 +33,21 @@
 	return fmt.Sprintf("target %s refused the request with status %d", e.Target, e.Status)
 }
 
+// TooLongError means that a target sent more bytes than a response may have, such
+// as headers without an end.
+type TooLongError struct{}
+
+func (e *TooLongError) Error() string {
+	return "the target sent more bytes than allowed"
+}
+
 // BrokenError means that a request was sent, at least in part, and that its
 // response is missing or truncated. The target may have run it.
 type BrokenError struct {
 	Target string
 	Err    error
-	// ContextDone is true if the request's context ended before the target sent
-	// response headers or closed the connection.
+	// ContextDone is true if the request's context ended before the target had
+	// sent the whole response or closed the connection.
 	ContextDone bool
 	// Elapsed is the time from the send to the failure.
 	Elapsed basilmoor.Millis
--- a/internal/request/bmexchange/response.go
+++ b/internal/request/bmexchange/response.go
@@ -21,6 +21,8 @@
 
 	client           *Client
 	conn             *conn
+	ctx              context.Context
+	reused           bool // the connection had served a request before
 	target           string
 	sentAt           basilmoor.Millis
 	stopContextWatch func() bool
@@ -41,11 +43,18 @@
 		return n, io.EOF
 	}
 	if err != nil {
-		err = r.newBrokenError(context.Background(), err)
+		err = r.newBrokenError(err)
 	}
 	return n, err
 }
 
+// Broken returns the error of a response whose body is not what it should be, and
+// keeps the connection from being reused.
+func (r *Response) Broken(cause error) *BrokenError {
+	r.notReusable = true
+	return r.newBrokenError(cause)
+}
+
 // Close returns the connection to the pool if it can be reused. Otherwise it
 // closes the connection, which makes the target cancel the request.
 func (r *Response) Close() {
