Serve the accept queue before a planned stop closes the listener

Cause: closing the listener reset the connections that waited to be accepted, and the process ended with its last known request although a connection may have been accepted, or a request sent on it, in that moment.

Change: a listener that closes accepts what waits for 100 ms more, and a stopping node ends when no connection has had a request for 200 ms.

TestCloseServesTheAcceptQueue: connection reset by peer before, passes after. TestReplicaCrashMidStream closed both replicas in some runs; it closes only the one that runs the stream now.

--- a/internal/node/bmentrynode/fleet_test.go
+++ b/internal/node/bmentrynode/fleet_test.go
@@ -1,12 +1,14 @@
 package bmentrynode_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -402,6 +404,71 @@
 	require.Equal(t, http.StatusOK, f.send(f.nodes[1], http.MethodPost, "/stream/2", "k").status)
 }
 
+// Guards against requests that are cut off without an answer because they arrive
+// around the signal to stop: on connections that are being opened, that wait to be
+// accepted, or that were idle. A connection that is refused, or closed before
+// anything was sent on it, is no loss.
+func TestPlannedStopUnderLoad(t *testing.T) {
+	const (
+		callers = 100
+		settled = 200 // requests answered before the stop
+	)
+	f := newFleet(t, 2)
+	leaving := f.nodes[0]
+	var answered, lost atomic.Int64
+	var ended sync.WaitGroup
+	for i := range callers {
+		ended.Add(1)
+		go func() {
+			defer ended.Done()
+			for n := 0; ; n++ {
+				path := fmt.Sprintf("/lookup/%d-%d", i, n)
+				switch sendOnNewConn(leaving.settings.CallersAddress, path) {
+				case connRefused:
+					return
+				case connCut:
+					lost.Add(1)
+				case connAnswered:
+					answered.Add(1)
+				}
+			}
+		}()
+	}
+	f.eventually("requests answered", func() bool { return answered.Load() >= settled })
+	leaving.stop()
+	require.NoError(t, <-leaving.done)
+	ended.Wait()
+	require.Zero(t, lost.Load(), "requests cut off of %d", answered.Load())
+}
+
+// connResult is what became of a request on a connection of its own.
+type connResult int
+
+const (
+	connRefused  connResult = iota // the connection was not established
+	connAnswered                   // a whole response
+	connCut                        // the connection ended without one
+)
+
+// sendOnNewConn opens a connection and sends one request on it.
+func sendOnNewConn(address, path string) connResult {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return connRefused
+	}
+	defer c.Close()
+	_, _ = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: 127.0.0.1\r\nAuthorization: Token k\r\nX-Attempt-Id: a%s\r\nX-Deadline-Ms: 9000\r\n\r\n", path, strings.ReplaceAll(path, "/", "-"))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return connCut
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return connCut
+	}
+	return connAnswered
+}
+
 // A stream whose replica crashes must be resumed on another replica.
 func TestReplicaCrashMidStream(t *testing.T) {
 	f := newFleet(t, 1)
@@ -412,6 +479,7 @@
 	for _, id := range []string{"e1", "e2"} {
 		if len(f.replicas[id].Runs()) > 0 {
 			f.replicas[id].CloseConnections()
+			break // another replica may already have resumed the stream
 		}
 	}
 	a := <-result
--- a/internal/node/bmentrynode/listener.go
+++ b/internal/node/bmentrynode/listener.go
@@ -4,27 +4,65 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
+	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
 )
 
+// acceptQueueTime is how long a listener that closes still accepts the
+// connections that wait in the system's queue.
+const acceptQueueTime basilmoor.Millis = 100
+
 // listener is an HTTP server together with its open network listener.
 type listener struct {
 	server      *http.Server
-	netListener net.Listener
+	netListener *queueListener
 	closed      atomic.Bool
+
+	mu   sync.Mutex
+	busy map[net.Conn]bool // connections that may have a request without a response
 }
 
 func newListener(address string, server *http.Server) (*listener, error) {
-	l, err := net.Listen("tcp", address)
+	nl, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	return &listener{
-		server:      server,
-		netListener: l,
-	}, nil
+	l := &listener{
+		server: server,
+		netListener: &queueListener{
+			TCPListener: nl.(*net.TCPListener), // as for every "tcp" network
+		},
+		busy: map[net.Conn]bool{},
+	}
+	server.ConnState = l.trackConn
+	return l, nil
+}
+
+// trackConn records the connections that may have a request without a response:
+// those that were just accepted and those whose request is being read or served.
+func (l *listener) trackConn(c net.Conn, state http.ConnState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch state {
+	case http.StateNew, http.StateActive:
+		l.busy[c] = true
+	case http.StateIdle, http.StateClosed, http.StateHijacked:
+		delete(l.busy, c)
+	}
+}
+
+// busyConns returns the number of connections that may have a request without a
+// response.
+func (l *listener) busyConns() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.busy)
 }
 
 // Serve implements suture.Service.
@@ -55,8 +93,35 @@
 	done <- l.server.Serve(l.netListener)
 }
 
-// close stops accepting connections but keeps the open ones.
+// close stops accepting connections, once the queue of those that are already
+// established is empty, but keeps the open ones.
 func (l *listener) close() {
 	l.closed.Store(true)
-	_ = l.netListener.Close()
+	l.netListener.closeAfterQueue()
+}
+
+// queueListener is a listener that can be closed without a reset of the
+// connections that wait to be accepted.
+type queueListener struct {
+	*net.TCPListener
+	closing atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (l *queueListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if l.closing.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+		_ = l.TCPListener.Close()
+		return nil, net.ErrClosed
+	}
+	return c, err
+}
+
+// closeAfterQueue makes Accept return the connections of the next
+// acceptQueueTime and then close the listener.
+func (l *queueListener) closeAfterQueue() {
+	l.closing.Store(true)
+	if l.SetDeadline(bmclock.WallDeadline(acceptQueueTime)) != nil {
+		_ = l.TCPListener.Close()
+	}
 }
--- /dev/null
+++ b/internal/node/bmentrynode/listener_test.go
@@ -0,0 +1,45 @@
+package bmentrynode
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a planned stop that resets the connections whose requests were
+// sent while they waited to be accepted.
+func TestCloseServesTheAcceptQueue(t *testing.T) {
+	const queued = 50
+	l, err := newListener("127.0.0.1:0", &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
+	})
+	require.NoError(t, err)
+	var conns []net.Conn
+	for range queued {
+		c, err := net.Dial("tcp", l.netListener.Addr().String())
+		require.NoError(t, err)
+		defer c.Close()
+		_, err = fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		require.NoError(t, err)
+		conns = append(conns, c)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	l.close()
+	go func() { ended <- l.Serve(ctx) }()
+	for n, c := range conns {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err, "connection %d", n)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusNoContent, resp.StatusCode)
+	}
+	cancel()
+	require.ErrorIs(t, <-ended, context.Canceled)
+	_, err = net.Dial("tcp", l.netListener.Addr().String())
+	require.Error(t, err, "the listener is closed")
+}
--- a/internal/node/bmentrynode/serve.go
+++ b/internal/node/bmentrynode/serve.go
@@ -17,6 +17,11 @@
 	// node stops waiting for requests in progress.
 	drainKillMargin basilmoor.Millis = 300
 
+	// drainIdleTime is how long no connection may have a request before a
+	// stopping node ends. It covers requests that were sent on a connection
+	// while it was idle, and the connections that are still accepted.
+	drainIdleTime = 2 * acceptQueueTime
+
 	// drainPollPeriod is the period at which a stopping node checks the
 	// number of requests in progress.
 	drainPollPeriod basilmoor.Millis = 50
@@ -66,6 +71,7 @@
 	n.scheduler.Drain()
 	n.registrar.deregister()
 	closed := false
+	idleSince := began
 	for {
 		waited := n.clock.Now() - began
 		if waited >= n.settings.Load().StopGrace-drainKillMargin {
@@ -77,7 +83,10 @@
 			n.callerListener.close()
 			n.callerListener.server.SetKeepAlivesEnabled(false)
 		}
-		if closed && n.handler.Active() == 0 {
+		if n.handler.Active() > 0 || n.callerListener.busyConns() > 0 {
+			idleSince = n.clock.Now()
+		}
+		if closed && n.clock.Now()-idleSince >= drainIdleTime {
 			return
 		}
 		if n.clock.Sleep(ctx, drainPollPeriod) != nil {
