Do not wait for silent connections when a node stops

Cause: a connection on which nothing was received counted as one that may have a request.

Change: it counts for 500 ms. TestSilentConnectionIsNotBusy.

--- a/internal/node/bmentrynode/listener.go
+++ b/internal/node/bmentrynode/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -14,31 +15,39 @@
 	"basilmoor.example/basilmoor/internal/core/bmclock"
 )
 
-// acceptQueueTime is how long a listener that closes still accepts the
-// connections that wait in the system's queue.
-const acceptQueueTime basilmoor.Millis = 100
+const (
+	// acceptQueueTime is how long a listener that closes still accepts the
+	// connections that wait in the system's queue.
+	acceptQueueTime basilmoor.Millis = 100
+
+	// newConnTime is how long a connection on which nothing was received may
+	// still be about to send a request.
+	newConnTime basilmoor.Millis = 500
+)
 
 // listener is an HTTP server together with its open network listener.
 type listener struct {
+	clock       basilmoor.Clock
 	server      *http.Server
 	netListener *queueListener
 	closed      atomic.Bool
 
 	mu   sync.Mutex
-	busy map[net.Conn]bool // connections that may have a request without a response
+	busy map[net.Conn]basilmoor.Millis // by connection, until when it may have a request without a response
 }
 
-func newListener(address string, server *http.Server) (*listener, error) {
+func newListener(clock basilmoor.Clock, address string, server *http.Server) (*listener, error) {
 	nl, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
 	l := &listener{
+		clock:  clock,
 		server: server,
 		netListener: &queueListener{
 			TCPListener: nl.(*net.TCPListener), // as for every "tcp" network
 		},
-		busy: map[net.Conn]bool{},
+		busy: map[net.Conn]basilmoor.Millis{},
 	}
 	server.ConnState = l.trackConn
 	return l, nil
@@ -50,8 +59,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch state {
-	case http.StateNew, http.StateActive:
-		l.busy[c] = true
+	case http.StateNew:
+		l.busy[c] = l.clock.Now() + newConnTime
+	case http.StateActive:
+		l.busy[c] = math.MaxInt64
 	case http.StateIdle, http.StateClosed, http.StateHijacked:
 		delete(l.busy, c)
 	}
@@ -62,7 +73,14 @@
 func (l *listener) busyConns() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.busy)
+	now := l.clock.Now()
+	busy := 0
+	for _, until := range l.busy {
+		if now < until {
+			busy++
+		}
+	}
+	return busy
 }
 
 // Serve implements suture.Service.
--- a/internal/node/bmentrynode/listener_test.go
+++ b/internal/node/bmentrynode/listener_test.go
@@ -7,17 +7,27 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
 )
 
+// newNoContentListener returns a listener on a free port whose server answers
+// every request with an empty response.
+func newNoContentListener(clock basilmoor.Clock) (*listener, error) {
+	return newListener(clock, "127.0.0.1:0", &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
+	})
+}
+
 // Guards against a planned stop that resets the connections whose requests were
 // sent while they waited to be accepted.
 func TestCloseServesTheAcceptQueue(t *testing.T) {
 	const queued = 50
-	l, err := newListener("127.0.0.1:0", &http.Server{
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
-	})
+	l, err := newNoContentListener(bmclock.NewSystem())
 	require.NoError(t, err)
 	var conns []net.Conn
 	for range queued {
@@ -43,3 +53,25 @@
 	_, err = net.Dial("tcp", l.netListener.Addr().String())
 	require.Error(t, err, "the listener is closed")
 }
+
+// Guards against a planned stop that lasts until the end of the grace because a
+// caller has opened a connection and sends nothing on it.
+func TestSilentConnectionIsNotBusy(t *testing.T) {
+	clock := bmclock.NewManual(0)
+	l, err := newNoContentListener(clock)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- l.Serve(ctx) }()
+	c, err := net.Dial("tcp", l.netListener.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	require.Eventually(t, func() bool { return l.busyConns() == 1 }, eventTimeout, time.Millisecond)
+	clock.Advance(newConnTime)
+	require.Zero(t, l.busyConns())
+	cancel()
+	require.ErrorIs(t, <-ended, context.Canceled)
+}
+
+// eventTimeout limits the wait for an event whose duration is not under test.
+const eventTimeout = 20 * time.Second
--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -145,18 +145,18 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	var err error
-	if n.callerListener, err = newListener(s.CallersAddress, callers); err != nil {
+	if n.callerListener, err = newListener(n.clock, s.CallersAddress, callers); err != nil {
 		return errors.Wrap(err, "listener for callers")
 	}
 	n.addCleanup(n.callerListener.close)
-	if n.readyListener, err = newListener(s.ReadyAddress, &http.Server{
+	if n.readyListener, err = newListener(n.clock, s.ReadyAddress, &http.Server{
 		Handler:           http.HandlerFunc(n.serveReady),
 		ReadHeaderTimeout: headerTimeout.Duration(),
 	}); err != nil {
 		return errors.Wrap(err, "listener for readiness probes")
 	}
 	n.addCleanup(n.readyListener.close)
-	if n.metricsListener, err = newListener(s.metricsAddress(), &http.Server{
+	if n.metricsListener, err = newListener(n.clock, s.metricsAddress(), &http.Server{
 		Handler:           http.HandlerFunc(n.serveMetrics),
 		ReadHeaderTimeout: headerTimeout.Duration(),
 	}); err != nil {
