Use usual terms in the election and the test of a demand peak

Names and comments only: an answer about a broker is indirect, hosts read the store first, targets fail, callers retry in a wave; TestCrest is TestDemandPeak.

--- a/internal/schedule/bmelection/election.go
+++ b/internal/schedule/bmelection/election.go
@@ -29,10 +29,10 @@
 	retryDelay basilmoor.Millis = 60
 
 	// probePeriod is the time between two checks of a broker for another
-	// broker, and lonelyProbePeriod that of a broker of less than half of the
+	// broker, and minorityProbePeriod that of a broker of less than half of the
 	// hosts.
-	probePeriod                        = basilmoor.Second
-	lonelyProbePeriod basilmoor.Millis = 200
+	probePeriod                          = basilmoor.Second
+	minorityProbePeriod basilmoor.Millis = 200
 
 	// settleTime is how long a broker on a host of small capacity waits before
 	// it hands over. Hosts that start together register over this time.
@@ -45,9 +45,9 @@
 	Broker   basilmoor.Member // zero if the host knows none
 	Sessions int              // of the broker on the host itself; 0 if it is not a broker
 
-	// HeardOf means that other hosts follow Broker and that the host itself
+	// Indirect means that other hosts follow Broker and that the host itself
 	// does not.
-	HeardOf bool
+	Indirect bool
 }
 
 // ActionKind is the kind of an [Action].
@@ -81,7 +81,7 @@
 	broker         basilmoor.Member   // followed by this host; zero for none
 	successor      basilmoor.Member   // announced by the broker; zero for none
 	ledSince       basilmoor.Millis   // while this host is the broker
-	heardOf        basilmoor.Member   // broker of other hosts, while this host has none
+	indirectBroker basilmoor.Member   // broker of other hosts, while this host has none
 	draining       bool
 	nextStep       basilmoor.Millis
 	suspectedUntil map[process]basilmoor.Millis
@@ -147,8 +147,8 @@
 	case e.Leads():
 		a.Sessions = sessions
 	case a.Broker.Host == "":
-		a.Broker = e.heardOf
-		a.HeardOf = true
+		a.Broker = e.indirectBroker
+		a.Indirect = true
 	}
 	return a
 }
@@ -191,7 +191,7 @@
 func (e *Election) stepLeader(now basilmoor.Millis, sessions int) Action {
 	e.nextStep = now + probePeriod
 	if 2*sessions < len(e.ranked) {
-		e.nextStep = now + lonelyProbePeriod
+		e.nextStep = now + minorityProbePeriod
 	}
 	unsuitable := e.draining || now-e.ledSince >= settleTime && !e.suitable()
 	best, ok := e.preferred(now)
@@ -298,7 +298,7 @@
 		e.suspect(now, m)
 	}
 	other, found := otherBroker(answers, e.self.Host)
-	e.heardOf = other.Broker
+	e.indirectBroker = other.Broker
 	switch {
 	case e.Leads():
 		if !found {
@@ -330,7 +330,7 @@
 func otherBroker(answers []Answer, self string) (Answer, bool) {
 	var other Answer
 	for _, a := range answers {
-		if a.HeardOf || a.Broker.Host == "" || a.Broker.Host == self {
+		if a.Indirect || a.Broker.Host == "" || a.Broker.Host == self {
 			continue
 		}
 		if other.Broker.Host == "" || a.From == a.Broker.Host {
@@ -374,10 +374,10 @@
 func (e *Election) Opened(now basilmoor.Millis, broker basilmoor.Member) {
 	e.broker = broker
 	e.successor = basilmoor.Member{}
-	e.heardOf = basilmoor.Member{}
+	e.indirectBroker = basilmoor.Member{}
 	if broker.Host == e.self.Host {
 		e.ledSince = now
-		e.nextStep = now + lonelyProbePeriod
+		e.nextStep = now + minorityProbePeriod
 	}
 }
 
@@ -417,7 +417,7 @@
 func (e *Election) Left() {
 	e.broker = basilmoor.Member{}
 	e.successor = basilmoor.Member{}
-	e.heardOf = basilmoor.Member{}
+	e.indirectBroker = basilmoor.Member{}
 	e.nextStep = 0
 }
 
--- a/internal/schedule/bmelection/election_test.go
+++ b/internal/schedule/bmelection/election_test.go
@@ -46,7 +46,7 @@
 		"nobody answers":           {unreachable: []basilmoor.Member{third, hosts[3]}, want: ActionLead},
 		"peers follow the first":   {answers: []Answer{{From: third.Host, Broker: first}}, want: ActionNone},
 		"peers follow the third":   {answers: []Answer{{From: third.Host, Broker: third}}, want: ActionOpen},
-		"a peer has heard of one":  {answers: []Answer{{From: third.Host, Broker: first, HeardOf: true}}, want: ActionLead},
+		"a peer has heard of one":  {answers: []Answer{{From: third.Host, Broker: first, Indirect: true}}, want: ActionLead},
 		"peers still follow self":  {answers: []Answer{{From: third.Host, Broker: self}}, want: ActionLead},
 		"one of two follows first": {answers: []Answer{{From: hosts[3].Host}, {From: third.Host, Broker: first}}, want: ActionNone},
 	}
@@ -163,7 +163,7 @@
 	first.Step(0, 0)
 	first.Answered(0, []Answer{{From: hosts[2].Host, Broker: hosts[1]}}, nil, 0)
 	answer := first.Answer(0)
-	require.True(t, answer.HeardOf)
+	require.True(t, answer.Indirect)
 
 	e := newElection(hosts[3], hosts)
 	require.Equal(t, Action{Kind: ActionOpen, To: []basilmoor.Member{hosts[0]}}, e.Step(0, 0))
--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -31,7 +31,7 @@
 )
 
 // Broker grants slots to the hosts that have a session with it. Every host runs
-// a broker; it is idle but in a term, which the host's [Client] begins and ends.
+// a broker, which is idle except during a term that the host's [Client] begins and ends.
 // It is safe for concurrent use.
 type Broker struct {
 	clock basilmoor.Clock
--- a/internal/schedule/bmgrant/estimate.go
+++ b/internal/schedule/bmgrant/estimate.go
@@ -30,7 +30,7 @@
 	// assumed to get beside higher ones.
 	minFreeShare = 0.02
 
-	// maxTiers is the number of tiers whose load is told apart.
+	// maxTiers is the number of tiers whose load is tracked separately.
 	maxTiers = 16
 )
 
--- a/internal/schedule/bmgrant/lend.go
+++ b/internal/schedule/bmgrant/lend.go
@@ -14,9 +14,9 @@
 	// minLentAdvantage is how much younger a lent proof has to be.
 	minLentAdvantage basilmoor.Millis = 300
 
-	// deputies is the number of hosts that read the store first when the
+	// firstReaders is the number of hosts that read the store first when the
 	// broker's proof is stale.
-	deputies = 4
+	firstReaders = 4
 
 	// standbyDelay and standbySpread are how much older the view of the other
 	// hosts has to be before they read the store as well: the delay, and up to
@@ -25,11 +25,11 @@
 	standbySpread basilmoor.Millis = 900
 )
 
-// standbyAge returns how much older than that of the deputies the view of a host
+// standbyAge returns how much older than that of the first readers the view of a host
 // has to be before the host reads the store itself, so that the hosts of a large
 // fleet do not all read it at once when the broker has lost it.
 func standbyAge(rank, hosts int) basilmoor.Millis {
-	if rank <= deputies {
+	if rank <= firstReaders {
 		return 0
 	}
 	return standbyDelay + standbySpread*basilmoor.Millis(rank)/basilmoor.Millis(max(hosts, 1))
--- a/internal/schedule/bmgrant/crest_test.go
+++ b/internal/schedule/bmgrant/peak_test.go
@@ -14,18 +14,18 @@
 )
 
 // The simulated pool: engines whose slots serve a request each, and callers of
-// three tiers that come back once after a refusal.
+// three tiers that send a refused request again once.
 const (
-	crestTargets  = 20
-	crestSlots    = 6
-	crestBegin    = 4 * basilmoor.Second
-	crestEnd      = 9 * basilmoor.Second
-	crestDuration = 14 * basilmoor.Second
-	crestTick     = tickPeriod
+	peakTargets  = 20
+	peakSlots    = 6
+	peakBegin    = 4 * basilmoor.Second
+	peakEnd      = 9 * basilmoor.Second
+	peakDuration = 14 * basilmoor.Second
+	peakTick     = tickPeriod
 )
 
-// crestTier describes the requests of one tier.
-type crestTier struct {
+// peakTier describes the requests of one tier.
+type peakTier struct {
 	share     float64 // of the requests
 	objective basilmoor.Millis
 	prompt    int
@@ -33,20 +33,20 @@
 	value     float64 // of a response in time
 }
 
-func crestTiers() []crestTier {
-	return []crestTier{
+func peakTiers() []peakTier {
+	return []peakTier{
 		{share: 0.45, objective: 800, prompt: 3700, output: 90, value: 4.8},
 		{share: 0.15, objective: 600, prompt: 2900, output: 40, value: 2.4},
 		{share: 0.40, objective: 500, prompt: 1100, output: 130, value: 0.33},
 	}
 }
 
-// crestRequest is a request with what really becomes of it, which the pool does
+// peakRequest is a request with what really becomes of it, which the pool does
 // not know.
-type crestRequest struct {
+type peakRequest struct {
 	id        int
 	tier      int
-	spec      crestTier
+	spec      peakTier
 	workspace int
 	arrival   basilmoor.Millis // of the caller's first attempt
 	submit    basilmoor.Millis // of this attempt
@@ -57,43 +57,43 @@
 	host      int
 }
 
-// crestPattern is a load pattern.
-type crestPattern struct {
-	load      float64 // offered load in the crest, relative to the capacity
-	hotShare  float64 // part of the crest's load that one workspace sends
-	dark      int     // targets that break off every request in the crest
-	comebacks bool    // refused callers return together, at the end of a second
-	cutHost   bool    // one of four hosts is cut off in the crest
+// peakPattern is a load pattern.
+type peakPattern struct {
+	load      float64 // offered load in the peak, relative to the capacity
+	hotShare  float64 // part of the peak's load that one workspace sends
+	failing   int     // targets that break off every request in the peak
+	retryWave bool    // refused callers return together, at the end of a second
+	cutHost   bool    // one of four hosts is cut off in the peak
 }
 
-// newCrestRequests draws the arrivals of a pattern.
-func newCrestRequests(rng *rand.Rand, p crestPattern) []*crestRequest {
-	tiers := crestTiers()
+// newPeakRequests draws the arrivals of a pattern.
+func newPeakRequests(rng *rand.Rand, p peakPattern) []*peakRequest {
+	tiers := peakTiers()
 	meanHold := 0.0
 	for _, s := range tiers {
 		meanHold += s.share * (110 + float64(s.output)*1.4*6)
 	}
-	full := crestTargets * crestSlots / meanHold // requests per ms
-	var all []*crestRequest
+	full := peakTargets * peakSlots / meanHold // requests per ms
+	var all []*peakRequest
 	at := 0.0
 	for {
 		load := 0.7
-		crest := basilmoor.Millis(at) >= crestBegin && basilmoor.Millis(at) < crestEnd
-		if crest {
+		peak := basilmoor.Millis(at) >= peakBegin && basilmoor.Millis(at) < peakEnd
+		if peak {
 			load = p.load
 		}
 		at += rng.ExpFloat64() / (full * load)
-		if basilmoor.Millis(at) >= crestDuration {
+		if basilmoor.Millis(at) >= peakDuration {
 			return all
 		}
-		r := &crestRequest{
+		r := &peakRequest{
 			id:        len(all),
 			workspace: rng.IntN(4),
 			arrival:   basilmoor.Millis(at),
 			submit:    basilmoor.Millis(at),
 			host:      rng.IntN(4),
 		}
-		if crest && rng.Float64() < p.hotShare {
+		if peak && rng.Float64() < p.hotShare {
 			r.workspace = 4
 		}
 		for x := rng.Float64(); r.tier < len(tiers)-1 && x >= tiers[r.tier].share; r.tier++ {
@@ -108,8 +108,8 @@
 	}
 }
 
-// crestResult sums up a run.
-type crestResult struct {
+// peakResult sums up a run.
+type peakResult struct {
 	offered, inTime [3]int // by tier
 	value           float64
 	inversions      int // grants to a tier while a higher one waited in time
@@ -117,43 +117,43 @@
 	refused         int
 }
 
-// crestDecider is a scheduler under test or a reference.
-type crestDecider interface {
-	submit(now basilmoor.Millis, r *crestRequest) []basilmoor.Decision
+// peakScheduler is a scheduler under test or a reference.
+type peakScheduler interface {
+	submit(now basilmoor.Millis, r *peakRequest) []basilmoor.Decision
 	tick(now basilmoor.Millis) []basilmoor.Decision
-	firstToken(now basilmoor.Millis, r *crestRequest, elapsed basilmoor.Millis) []basilmoor.Decision
-	finished(now basilmoor.Millis, r *crestRequest, elapsed basilmoor.Millis, failed bool) []basilmoor.Decision
+	firstToken(now basilmoor.Millis, r *peakRequest, elapsed basilmoor.Millis) []basilmoor.Decision
+	finished(now basilmoor.Millis, r *peakRequest, elapsed basilmoor.Millis, failed bool) []basilmoor.Decision
 	cut(now basilmoor.Millis, host int) []basilmoor.Decision
 }
 
-// crestEvent is something that happens at a time.
-type crestEvent struct {
+// peakEvent is something that happens at a time.
+type peakEvent struct {
 	at basilmoor.Millis
 	do func(now basilmoor.Millis) []basilmoor.Decision
 }
 
-// crestRun plays a pattern against a decider.
-type crestRun struct {
-	decider  crestDecider
-	pattern  crestPattern
-	events   []crestEvent
-	requests map[string]*crestRequest
-	waiting  map[string]*crestRequest
-	result   crestResult
+// peakRun plays a pattern against a scheduler.
+type peakRun struct {
+	scheduler peakScheduler
+	pattern   peakPattern
+	events    []peakEvent
+	requests  map[string]*peakRequest
+	waiting   map[string]*peakRequest
+	result    peakResult
 }
 
-func (c *crestRun) at(t basilmoor.Millis, do func(now basilmoor.Millis) []basilmoor.Decision) {
-	e := crestEvent{
+func (c *peakRun) at(t basilmoor.Millis, do func(now basilmoor.Millis) []basilmoor.Decision) {
+	e := peakEvent{
 		at: t,
 		do: do,
 	}
-	n, _ := slices.BinarySearchFunc(c.events, e, func(a, b crestEvent) int {
+	n, _ := slices.BinarySearchFunc(c.events, e, func(a, b peakEvent) int {
 		return cmp.Or(cmp.Compare(a.at, b.at), -1)
 	})
 	c.events = slices.Insert(c.events, n, e)
 }
 
-func requestName(r *crestRequest) string {
+func requestName(r *peakRequest) string {
 	again := ""
 	if r.repeated {
 		again = "-again"
@@ -161,35 +161,35 @@
 	return fmt.Sprintf("h%d/%d%s", r.host, r.id, again)
 }
 
-func crestSpeed(target string) float64 {
+func peakSpeed(target string) float64 {
 	n := 0
 	_, _ = fmt.Sscanf(target, "t%d", &n)
 	return 1 + 0.15*float64(n%4)
 }
 
-func (c *crestRun) isDark(now basilmoor.Millis, target string) bool {
+func (c *peakRun) isFailing(now basilmoor.Millis, target string) bool {
 	n := 0
 	_, _ = fmt.Sscanf(target, "t%d", &n)
-	return n < c.pattern.dark && now >= crestBegin && now < crestEnd
+	return n < c.pattern.failing && now >= peakBegin && now < peakEnd
 }
 
 // play runs all events.
-func (c *crestRun) play(arrivals []*crestRequest) crestResult {
+func (c *peakRun) play(arrivals []*peakRequest) peakResult {
 	for _, r := range arrivals {
 		c.result.offered[r.tier]++
 		c.at(r.submit, func(now basilmoor.Millis) []basilmoor.Decision { return c.submit(now, r) })
 	}
-	for t := basilmoor.Millis(0); t < crestDuration+4000; t += crestTick {
-		c.at(t, c.decider.tick)
+	for t := basilmoor.Millis(0); t < peakDuration+4000; t += peakTick {
+		c.at(t, c.scheduler.tick)
 	}
 	if c.pattern.cutHost {
-		c.at((crestBegin+crestEnd)/2, func(now basilmoor.Millis) []basilmoor.Decision {
+		c.at((peakBegin+peakEnd)/2, func(now basilmoor.Millis) []basilmoor.Decision {
 			for name, r := range c.waiting {
 				if r.host == 0 {
 					delete(c.waiting, name)
 				}
 			}
-			return c.decider.cut(now, 0)
+			return c.scheduler.cut(now, 0)
 		})
 	}
 	for len(c.events) > 0 {
@@ -202,16 +202,16 @@
 	return c.result
 }
 
-func (c *crestRun) submit(now basilmoor.Millis, r *crestRequest) []basilmoor.Decision {
-	if c.pattern.cutHost && r.host == 0 && now >= (crestBegin+crestEnd)/2 {
+func (c *peakRun) submit(now basilmoor.Millis, r *peakRequest) []basilmoor.Decision {
+	if c.pattern.cutHost && r.host == 0 && now >= (peakBegin+peakEnd)/2 {
 		return nil
 	}
 	c.requests[requestName(r)] = r
 	c.waiting[requestName(r)] = r
-	return c.decider.submit(now, r)
+	return c.scheduler.submit(now, r)
 }
 
-func (c *crestRun) apply(now basilmoor.Millis, d basilmoor.Decision) {
+func (c *peakRun) apply(now basilmoor.Millis, d basilmoor.Decision) {
 	if d.Refusal != nil {
 		c.refuse(now, c.requests[string(d.Refusal.Request)], d.Refusal.RetryAfter)
 		return
@@ -227,13 +227,13 @@
 		}
 	}
 	target := d.Grant.Target.Name
-	if c.isDark(now, target) {
+	if c.isFailing(now, target) {
 		c.at(now+5, func(now basilmoor.Millis) []basilmoor.Decision {
-			return c.decider.finished(now, r, 5, true)
+			return c.scheduler.finished(now, r, 5, true)
 		})
 		return
 	}
-	speed := crestSpeed(target)
+	speed := peakSpeed(target)
 	first := basilmoor.Millis(float64(r.first) * speed)
 	hold := basilmoor.Millis(float64(r.hold) * speed)
 	c.at(now+first, func(now basilmoor.Millis) []basilmoor.Decision {
@@ -241,15 +241,15 @@
 			c.result.inTime[r.tier]++
 			c.result.value += r.spec.value
 		}
-		return c.decider.firstToken(now, r, first)
+		return c.scheduler.firstToken(now, r, first)
 	})
 	c.at(now+hold, func(now basilmoor.Millis) []basilmoor.Decision {
-		return c.decider.finished(now, r, hold, false)
+		return c.scheduler.finished(now, r, hold, false)
 	})
 }
 
-// refuse lets the caller come back once.
-func (c *crestRun) refuse(now basilmoor.Millis, r *crestRequest, after basilmoor.Millis) {
+// refuse lets the caller send the request again once.
+func (c *peakRun) refuse(now basilmoor.Millis, r *peakRequest, after basilmoor.Millis) {
 	delete(c.waiting, requestName(r))
 	c.result.refused++
 	if now-r.submit > r.spec.objective/2 {
@@ -261,34 +261,34 @@
 	again := *r
 	again.repeated = true
 	again.submit = now + after
-	if c.pattern.comebacks {
+	if c.pattern.retryWave {
 		again.submit = (again.submit/basilmoor.Second + 1) * basilmoor.Second
 	}
 	c.at(again.submit, func(now basilmoor.Millis) []basilmoor.Decision { return c.submit(now, &again) })
 }
 
-// poolDecider is the pool under test.
-type poolDecider struct {
+// poolScheduler is the pool under test.
+type poolScheduler struct {
 	pool *Pool
 }
 
-func newPoolDecider() *poolDecider {
-	p := &poolDecider{
+func newPoolScheduler() *poolScheduler {
+	p := &poolScheduler{
 		pool: NewPool(0),
 	}
-	p.pool.SetTargets(0, crestTargetList())
+	p.pool.SetTargets(0, peakTargetList())
 	return p
 }
 
-func crestTargetList() []basilmoor.Target {
+func peakTargetList() []basilmoor.Target {
 	var targets []basilmoor.Target
-	for n := range crestTargets {
-		targets = append(targets, testTarget(fmt.Sprintf("t%d", n), crestSlots))
+	for n := range peakTargets {
+		targets = append(targets, testTarget(fmt.Sprintf("t%d", n), peakSlots))
 	}
 	return targets
 }
 
-func (p *poolDecider) submit(now basilmoor.Millis, r *crestRequest) []basilmoor.Decision {
+func (p *poolScheduler) submit(now basilmoor.Millis, r *peakRequest) []basilmoor.Decision {
 	return p.pool.Submit(now, basilmoor.Demand{
 		Request:          basilmoor.RequestID(requestName(r)),
 		Host:             fmt.Sprintf("h%d", r.host),
@@ -305,9 +305,9 @@
 	})
 }
 
-func (p *poolDecider) tick(now basilmoor.Millis) []basilmoor.Decision { return p.pool.Tick(now) }
+func (p *poolScheduler) tick(now basilmoor.Millis) []basilmoor.Decision { return p.pool.Tick(now) }
 
-func (p *poolDecider) observe(now basilmoor.Millis, r *crestRequest, stage basilmoor.Stage, elapsed basilmoor.Millis) []basilmoor.Decision {
+func (p *poolScheduler) observe(now basilmoor.Millis, r *peakRequest, stage basilmoor.Stage, elapsed basilmoor.Millis) []basilmoor.Decision {
 	return p.pool.Observe(now, basilmoor.Observation{
 		Request: basilmoor.RequestID(requestName(r)),
 		Stage:   stage,
@@ -316,29 +316,29 @@
 	})
 }
 
-func (p *poolDecider) firstToken(now basilmoor.Millis, r *crestRequest, elapsed basilmoor.Millis) []basilmoor.Decision {
+func (p *poolScheduler) firstToken(now basilmoor.Millis, r *peakRequest, elapsed basilmoor.Millis) []basilmoor.Decision {
 	return p.observe(now, r, basilmoor.StageFirstToken, elapsed)
 }
 
-func (p *poolDecider) finished(now basilmoor.Millis, r *crestRequest, elapsed basilmoor.Millis, failed bool) []basilmoor.Decision {
+func (p *poolScheduler) finished(now basilmoor.Millis, r *peakRequest, elapsed basilmoor.Millis, failed bool) []basilmoor.Decision {
 	if failed {
 		return p.observe(now, r, basilmoor.StageFailed, elapsed)
 	}
 	return p.observe(now, r, basilmoor.StageFinished, elapsed)
 }
 
-func (p *poolDecider) cut(now basilmoor.Millis, host int) []basilmoor.Decision {
+func (p *poolScheduler) cut(now basilmoor.Millis, host int) []basilmoor.Decision {
 	return p.pool.DropHost(now, fmt.Sprintf("h%d", host))
 }
 
 // clairvoyant is the reference. It knows how long each request takes and which
-// targets are dark, and serves the highest tier that it can serve in time, the
+// targets fail, and serves the highest tier that it can serve in time, the
 // shortest request first.
 type clairvoyant struct {
-	run     *crestRun
+	run     *peakRun
 	free    map[string]int
 	held    map[string]string // target by request
-	waiting []*crestRequest
+	waiting []*peakRequest
 }
 
 func newClairvoyant() *clairvoyant {
@@ -346,13 +346,13 @@
 		free: map[string]int{},
 		held: map[string]string{},
 	}
-	for _, t := range crestTargetList() {
-		c.free[t.Name] = crestSlots
+	for _, t := range peakTargetList() {
+		c.free[t.Name] = peakSlots
 	}
 	return c
 }
 
-func (c *clairvoyant) submit(now basilmoor.Millis, r *crestRequest) []basilmoor.Decision {
+func (c *clairvoyant) submit(now basilmoor.Millis, r *peakRequest) []basilmoor.Decision {
 	c.waiting = append(c.waiting, r)
 	return c.tick(now)
 }
@@ -364,7 +364,7 @@
 		if !ok {
 			return decisions
 		}
-		speed := crestSpeed(target.Name)
+		speed := peakSpeed(target.Name)
 		best := -1
 		for n, r := range c.waiting {
 			if now+basilmoor.Millis(float64(r.first)*speed) > r.arrival+r.spec.objective {
@@ -392,63 +392,63 @@
 
 func (c *clairvoyant) fastestFree(now basilmoor.Millis) (basilmoor.Target, bool) {
 	var best basilmoor.Target
-	for _, t := range crestTargetList() {
-		if c.free[t.Name] > 0 && !c.run.isDark(now, t.Name) && (best.Name == "" || crestSpeed(t.Name) < crestSpeed(best.Name)) {
+	for _, t := range peakTargetList() {
+		if c.free[t.Name] > 0 && !c.run.isFailing(now, t.Name) && (best.Name == "" || peakSpeed(t.Name) < peakSpeed(best.Name)) {
 			best = t
 		}
 	}
 	return best, best.Name != ""
 }
 
-func (c *clairvoyant) firstToken(basilmoor.Millis, *crestRequest, basilmoor.Millis) []basilmoor.Decision {
+func (c *clairvoyant) firstToken(basilmoor.Millis, *peakRequest, basilmoor.Millis) []basilmoor.Decision {
 	return nil
 }
 
-func (c *clairvoyant) finished(now basilmoor.Millis, r *crestRequest, _ basilmoor.Millis, _ bool) []basilmoor.Decision {
+func (c *clairvoyant) finished(now basilmoor.Millis, r *peakRequest, _ basilmoor.Millis, _ bool) []basilmoor.Decision {
 	c.free[c.held[requestName(r)]]++
 	return c.tick(now)
 }
 
 func (c *clairvoyant) cut(now basilmoor.Millis, host int) []basilmoor.Decision {
-	c.waiting = slices.DeleteFunc(c.waiting, func(r *crestRequest) bool { return r.host == host })
+	c.waiting = slices.DeleteFunc(c.waiting, func(r *peakRequest) bool { return r.host == host })
 	return c.tick(now)
 }
 
-func playCrest(seed uint64, p crestPattern, decider crestDecider) crestResult {
-	run := &crestRun{
-		decider:  decider,
-		pattern:  p,
-		requests: map[string]*crestRequest{},
-		waiting:  map[string]*crestRequest{},
+func playPeak(seed uint64, p peakPattern, scheduler peakScheduler) peakResult {
+	run := &peakRun{
+		scheduler: scheduler,
+		pattern:   p,
+		requests:  map[string]*peakRequest{},
+		waiting:   map[string]*peakRequest{},
 	}
-	if c, ok := decider.(*clairvoyant); ok {
+	if c, ok := scheduler.(*clairvoyant); ok {
 		c.run = run
 	}
-	return run.play(newCrestRequests(rand.New(rand.NewPCG(seed, 2)), p))
+	return run.play(newPeakRequests(rand.New(rand.NewPCG(seed, 2)), p))
 }
 
-// Guards against a crest in which capacity goes into responses that come too
+// Guards against a peak in which capacity goes into responses that come too
 // late, because requests are granted at the last moment at which they are thought
 // to be in time, one after the other, and in which callers wait for a refusal that
 // was certain when they came. The bounds are relative to a scheduler that knows
 // how long each request takes.
-func TestCrest(t *testing.T) {
+func TestDemandPeak(t *testing.T) {
 	const (
 		minHighestTier = 0.9
 		minValue       = 0.85
 	)
-	tests := map[string]crestPattern{
-		"three times the capacity for 5 s":        {load: 3},
-		"a hot workspace beside four calm ones":   {load: 2.5, hotShare: 0.6},
-		"a third of the targets dark":             {load: 2, dark: crestTargets / 3},
-		"refused callers come back in a wave":     {load: 3, comebacks: true},
-		"a host is cut off while the crest lasts": {load: 3, cutHost: true},
+	tests := map[string]peakPattern{
+		"three times the capacity for 5 s":       {load: 3},
+		"a hot workspace beside four calm ones":  {load: 2.5, hotShare: 0.6},
+		"a third of the targets fail":            {load: 2, failing: peakTargets / 3},
+		"refused callers return in a wave":       {load: 3, retryWave: true},
+		"a host is cut off while the peak lasts": {load: 3, cutHost: true},
 	}
 	for name, p := range tests {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(3) {
-				got := playCrest(seed, p, newPoolDecider())
-				best := playCrest(seed, p, newClairvoyant())
+				got := playPeak(seed, p, newPoolScheduler())
+				best := playPeak(seed, p, newClairvoyant())
 				t.Logf("seed %d: in time %v of %v, reference %v, value %.3f, highest tier %.3f; refused %d, late %d", seed,
 					got.inTime, got.offered, best.inTime, got.value/best.value, float64(got.inTime[0])/float64(best.inTime[0]), got.refused, got.refusedLate)
 				require.Zero(t, got.inversions, "grants to a tier while a higher one could be in time")
--- a/internal/schedule/bmgrant/term.go
+++ b/internal/schedule/bmgrant/term.go
@@ -140,7 +140,7 @@
 		Broker:   a.Broker.Host,
 		Address:  a.Broker.Address,
 		Sessions: int32(a.Sessions),
-		HeardOf:  a.HeardOf,
+		Indirect: a.Indirect,
 	}
 }
 
@@ -152,6 +152,6 @@
 			Address: r.GetAddress(),
 		},
 		Sessions: int(r.GetSessions()),
-		HeardOf:  r.GetHeardOf(),
+		Indirect: r.GetIndirect(),
 	}
 }
