Log and count where a stream ends with its connection

Neither the log nor the metrics told whether a stream without length or chunks ended before its first event, inside one or after one, nor what the probe of its target found, so that the hypotheses of the incident could not be told apart.

Each such stream is now logged with the place of its end and counted by it, and the probe's verdicts are counted (responses.unmarked-end.*, in place of responses.ended-with-target). No logic changes.

--- a/internal/request/bmcrash/probe.go
+++ b/internal/request/bmcrash/probe.go
@@ -28,6 +28,17 @@
 	Dead
 )
 
+// String returns the name of the verdict for metrics.
+func (v Verdict) String() string {
+	switch v {
+	case Alive:
+		return "target-alive"
+	case Dead:
+		return "target-dead"
+	}
+	return "target-unknown"
+}
+
 // Probe opens a connection to address and closes it.
 func Probe(ctx context.Context, address string) Verdict {
 	d := net.Dialer{
--- a/internal/request/bmentry/crash.go
+++ b/internal/request/bmentry/crash.go
@@ -81,10 +81,10 @@
 		return false, nil
 	}
 	verdict := c.probe(permit, answered)
+	c.handler.cfg.Metrics.Add("responses.unmarked-end."+verdict.String(), 1)
 	if verdict != bmcrash.Dead {
 		return verdict == bmcrash.Alive, nil
 	}
-	c.handler.cfg.Metrics.Add("responses.ended-with-target", 1)
 	permit.Observe(basilmoor.Observation{
 		Stage:      basilmoor.StageFailed,
 		TargetDied: true,
--- a/internal/request/bmentry/relay.go
+++ b/internal/request/bmentry/relay.go
@@ -194,6 +194,9 @@
 				}
 			}
 		}
+		if errors.Is(err, io.EOF) && !resp.EndMarked() {
+			s.logUnmarkedEnd()
+		}
 		if errors.Is(err, io.EOF) && s.truncated(resp) {
 			c.handler.cfg.Metrics.Add("streams.truncated", 1)
 			return s.broken(permit, resp, &truncatedEventError{}, s.eventCount > countBefore)
@@ -245,6 +248,26 @@
 	return s.eventCount > 0 || strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 }
 
+// logUnmarkedEnd counts and logs the end of a stream that ended with its connection:
+// where in the events it came tells whether the target has broken it off.
+func (s *stream) logUnmarkedEnd() {
+	place := "after-event"
+	switch {
+	case len(bytes.TrimSpace(s.partial)) > 0:
+		place = "in-event"
+	case s.eventCount == 0:
+		place = "before-first-event"
+	}
+	cfg := &s.call.handler.cfg
+	cfg.Metrics.Add("streams.unmarked-end."+place, 1)
+	cfg.Log.Info().
+		Str("request", s.call.info.ID).
+		Str("target", s.call.lastTarget).
+		Str("place", place).
+		Int("events", s.eventCount).
+		Msg("stream ended with its connection")
+}
+
 // broken reports the failure of a target whose stream is not valid.
 func (s *stream) broken(permit basilmoor.Permit, resp *bmexchange.Response, cause error, answered bool) error {
 	err := resp.Broken(cause)
