--- a/internal/request/bmentry/handler_test.go
+++ b/internal/request/bmentry/handler_test.go
@@ -267,9 +267,7 @@
 	server := httptest.NewUnstartedServer(nil)
 	server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if behaviour != refuses {
-			f.mu.Lock()
-			f.runs = append(f.runs, strings.TrimSpace(name+" "+r.Header.Get("Last")))
-			f.mu.Unlock()
+			f.recordRun(name, r)
 		}
 		if behaviour == dies || behaviour == diesInStream || behaviour == diesUnframed {
 			_ = server.Listener.Close()
@@ -340,6 +338,13 @@
 	}
 }
 
+// recordRun records the target and the Last header of a run.
+func (f *testFleet) recordRun(target string, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runs = append(f.runs, strings.TrimSpace(target+" "+r.Header.Get("Last")))
+}
+
 // ran returns the target and Last header of each run.
 func (f *testFleet) ran() []string {
 	f.mu.Lock()
