Frame an answer as complete only if its target marked its end

What callers saw: an answer that its target had broken off, framed as complete: a last chunk or a length behind a short body.

Cause: the host made the framing towards the caller by itself. A response without length and chunks ends with its connection, and the host took that end for the end of the response and marked it.

Change: a length or a last chunk goes to the caller only if it came from the target. Otherwise the answer is passed on as it came and ends with the caller's connection. That connection is reset if the response is known to be truncated (inside an event, before the first, reset, silent, with its target), and also if this process ends first, since the system would close it in order. The rest of a resumed stream that ends so after an event does not complete a stream that began in chunks. A part without a content type is a stream as well, and an empty rest of a resumed stream is no end. A broken answer to HTTP/1.0 is reset too: it had looked complete. A response to HEAD has no body that could end with its connection.

--- a/internal/node/bmentrynode/listener.go
+++ b/internal/node/bmentrynode/listener.go
@@ -56,9 +56,9 @@
 	return l, nil
 }
 
-// connContext records when a connection was accepted.
-func (l *listener) connContext(ctx context.Context, _ net.Conn) context.Context {
-	return bmentry.WithAcceptTime(ctx, l.clock.Now())
+// connContext records a connection and when it was accepted.
+func (l *listener) connContext(ctx context.Context, c net.Conn) context.Context {
+	return bmentry.WithConn(ctx, c, l.clock.Now())
 }
 
 // trackConn records the connections that may have a request without a response:
--- a/internal/request/bmentry/drain.go
+++ b/internal/request/bmentry/drain.go
@@ -88,22 +88,6 @@
 	return newRetryableError(basilmoor.ReasonStopping, stoppingRetryAfter, "the time limit is longer than the rest of the stop")
 }
 
-// acceptTimeKey is the key of the accept time in the context of a connection.
-type acceptTimeKey struct{}
-
-// WithAcceptTime returns a context for the requests of a connection that was accepted
-// at a time.
-func WithAcceptTime(ctx context.Context, at basilmoor.Millis) context.Context {
-	return context.WithValue(ctx, acceptTimeKey{}, at)
-}
-
-// AcceptTime returns the time at which the connection of a request was accepted, if
-// the listener has recorded it.
-func AcceptTime(ctx context.Context) (at basilmoor.Millis, known bool) {
-	at, known = ctx.Value(acceptTimeKey{}).(basilmoor.Millis)
-	return at, known
-}
-
 // scheduledDeadline returns the time by which the response has to be complete: the
 // deadline, or the end of a planned stop if that is sooner.
 func (c *call) scheduledDeadline() (deadline basilmoor.Millis, shortened bool) {
--- a/internal/request/bmentry/framing_test.go
+++ b/internal/request/bmentry/framing_test.go
@@ -129,17 +129,25 @@
 	broken  bool // the answer ended early, as far as the caller can tell
 }
 
-// call sends one request with the given version of HTTP on a connection of its own.
-func (f *testFleet) call(t *testing.T, proto, path string, limit int) callerView {
+// start sends one request with the given version of HTTP on a connection of its own,
+// and returns the response once its head has arrived. The caller must close its body.
+func (f *testFleet) start(t *testing.T, proto, path string, limit int) *http.Response {
 	t.Helper()
 	address := strings.TrimPrefix(f.url, "http://")
 	c, err := net.Dial("tcp", address)
 	require.NoError(t, err)
-	defer func() { _ = c.Close() }()
+	t.Cleanup(func() { _ = c.Close() })
 	_, err = fmt.Fprintf(c, "POST %s %s\r\nHost: %s\r\nId: 1\r\nKey: k\r\nLimit: %d\r\nContent-Length: 4\r\n\r\nbody", path, proto, address, limit)
 	require.NoError(t, err)
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	require.NoError(t, err)
+	return resp
+}
+
+// call sends one request like start and reads the whole answer.
+func (f *testFleet) call(t *testing.T, proto, path string, limit int) callerView {
+	t.Helper()
+	resp := f.start(t, proto, path, limit)
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	v := callerView{
@@ -341,3 +349,19 @@
 		})
 	}
 }
+
+// Guards against an answer that looks complete because the host's process died: the
+// system closes its connections, which ends an answer without length or chunks.
+func TestHostDeathBreaksUnmarkedAnswers(t *testing.T) {
+	f := newTestFleet(t)
+	f.addScriptedTargets(t, []scriptedAnswer{{bytes: unmarkedStream + event1, end: endSilence}})
+	resp := f.start(t, "HTTP/1.1", "/stream/x", 0)
+	defer func() { _ = resp.Body.Close() }()
+	body := make([]byte, len(event1))
+	_, err := io.ReadFull(resp.Body, body)
+	require.NoError(t, err)
+	require.Equal(t, event1, string(body))
+	f.drop()
+	_, err = io.ReadAll(resp.Body)
+	require.Error(t, err)
+}
--- a/internal/request/bmentry/handler.go
+++ b/internal/request/bmentry/handler.go
@@ -115,6 +115,7 @@
 	excludedTargets []string
 	keys            []uint64 // of crashKeys, once computed
 	lastTarget      string   // name of the target granted last
+	endsWithConn    bool     // the answer has no length or chunks: the caller sees its end in that of the connection
 }
 
 // serve admits and runs the request, and answers it if that fails.
@@ -137,6 +138,7 @@
 	var answer *statusError
 	switch {
 	case err == nil:
+		c.closeInOrder()
 		c.logEnd("done", "", http.StatusOK)
 	case errors.As(err, &answer):
 		c.logEnd("answered", answer.Reason, answer.Status)
--- a/internal/request/bmentry/handler_test.go
+++ b/internal/request/bmentry/handler_test.go
@@ -167,6 +167,7 @@
 type testFleet struct {
 	url       string
 	close     func() // stops the server after its requests have ended
+	drop      func() // closes the callers' connections, as the end of the process does
 	scheduler *testScheduler
 	views     *testViews
 	retries   *RetryLimiter
@@ -222,17 +223,18 @@
 		MaxViewAge: func() basilmoor.Millis { return 4000 },
 	})
 	server := httptest.NewUnstartedServer(f.handler)
-	server.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+	server.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		accepted := basilmoor.Millis(f.acceptTime.Load())
 		if accepted == 0 {
 			accepted = clock.Now()
 		}
-		return WithAcceptTime(ctx, accepted)
+		return WithConn(ctx, c, accepted)
 	}
 	server.Start()
 	t.Cleanup(server.Close)
 	f.url = server.URL
 	f.close = server.Close
+	f.drop = server.CloseClientConnections
 	return f
 }
 
--- a/internal/request/bmentry/relay.go
+++ b/internal/request/bmentry/relay.go
@@ -105,7 +105,9 @@
 	}
 }
 
-// writeHeader writes the status and headers of a target's response.
+// writeHeader writes the status and headers of a target's response. If its end is not
+// marked, that of the answer isn't either, since a length or a last chunk would tell the
+// caller that the answer is complete.
 func (c *call) writeHeader(resp *bmexchange.Response) {
 	h := c.w.Header()
 	for name, values := range c.handler.cfg.Protocol.ResponseHeader(resp.Header) {
@@ -118,9 +120,28 @@
 	if c.handler.draining() {
 		h.Set("Connection", "close")
 	}
+	if !resp.EndMarked() {
+		// Makes net/http send neither, and close the connection after the body.
+		h.Set("Transfer-Encoding", "identity")
+	}
+	c.endsWithConn = !resp.EndMarked() || !c.r.ProtoAtLeast(1, 1)
+	if c.endsWithConn {
+		// Until the answer has ended, the connection must not close in order: the
+		// caller would take that for the end.
+		resetOnClose(c.r.Context(), true)
+	}
 	c.w.WriteHeader(resp.Status)
 }
 
+// closeInOrder lets the connection close in order after an answer that ends with it.
+func (c *call) closeInOrder() {
+	if !c.endsWithConn {
+		return
+	}
+	_ = http.NewResponseController(c.w).Flush()
+	resetOnClose(c.r.Context(), false)
+}
+
 // observeFinished reports a complete response to the scheduler. survived tells whether
 // the target is known to have survived it.
 func (c *call) observeFinished(permit basilmoor.Permit, resp *bmexchange.Response, sent basilmoor.Millis, tokens int, survived bool) {
@@ -194,19 +215,8 @@
 				}
 			}
 		}
-		if errors.Is(err, io.EOF) && !resp.EndMarked() {
-			s.logUnmarkedEnd()
-		}
-		if errors.Is(err, io.EOF) && s.truncated(resp) {
-			c.handler.cfg.Metrics.Add("streams.truncated", 1)
-			return s.broken(permit, resp, &truncatedEventError{}, s.eventCount > countBefore)
-		}
 		if errors.Is(err, io.EOF) {
-			survived, err := c.confirmEnd(permit, resp, s.eventCount > countBefore)
-			if err != nil {
-				return err
-			}
-			return s.finish(permit, resp, sent, s.eventCount-countBefore, survived)
+			return s.end(permit, resp, sent, s.eventCount-countBefore)
 		}
 		if err != nil {
 			c.observeFailure(permit, err, s.eventCount > countBefore)
@@ -215,6 +225,27 @@
 	}
 }
 
+// end ends one target's part of the stream, which brought the given number of events.
+func (s *stream) end(permit basilmoor.Permit, resp *bmexchange.Response, sent basilmoor.Millis, events int) error {
+	c := s.call
+	if !resp.EndMarked() {
+		s.logUnmarkedEnd(events)
+	}
+	if s.truncated(resp, events) {
+		c.handler.cfg.Metrics.Add("streams.truncated", 1)
+		return s.broken(permit, resp, &truncatedEventError{}, events > 0)
+	}
+	survived, err := c.confirmEnd(permit, resp, events > 0)
+	if err != nil {
+		return err
+	}
+	if s.headerSent && !c.endsWithConn && !resp.EndMarked() {
+		c.observeFinished(permit, resp, sent, c.tokensInEvents(events), survived)
+		return resp.Broken(&unmarkedEndError{})
+	}
+	return s.finish(permit, resp, sent, events, survived)
+}
+
 const (
 	// readBufferBytes is room for several events.
 	readBufferBytes = 4 << 10
@@ -232,6 +263,14 @@
 	return "the stream ended in the middle of an event"
 }
 
+// unmarkedEndError means that the rest of a stream ended with its connection, while the
+// chunks in which the stream began would tell the caller that it is complete.
+type unmarkedEndError struct{}
+
+func (e *unmarkedEndError) Error() string {
+	return "the rest of the stream ended without a last chunk"
+}
+
 // eventTooLongError means that a target sent an event without an end.
 type eventTooLongError struct{}
 
@@ -239,23 +278,24 @@
 	return "an event of the stream is too long"
 }
 
-// truncated reports whether a stream of events ended with an incomplete one, or with
-// its connection before the first one.
-func (s *stream) truncated(resp *bmexchange.Response) bool {
+// truncated reports whether a target's part of the stream, of the given number of
+// events, ended with an incomplete one, or with its connection before the first one.
+func (s *stream) truncated(resp *bmexchange.Response, events int) bool {
 	if len(bytes.TrimSpace(s.partial)) == 0 {
-		return s.eventCount == 0 && !resp.EndMarked()
+		return events == 0 && !resp.EndMarked()
 	}
-	return s.eventCount > 0 || strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	return s.eventCount > 0 || !resp.EndMarked() || strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 }
 
-// logUnmarkedEnd counts and logs the end of a stream that ended with its connection:
-// where in the events it came tells whether the target has broken it off.
-func (s *stream) logUnmarkedEnd() {
+// logUnmarkedEnd counts and logs the end of a target's part of the stream, of the given
+// number of events, that ended with its connection: where in the events it came tells
+// whether the target has broken it off.
+func (s *stream) logUnmarkedEnd(events int) {
 	place := "after-event"
 	switch {
 	case len(bytes.TrimSpace(s.partial)) > 0:
 		place = "in-event"
-	case s.eventCount == 0:
+	case events == 0:
 		place = "before-first-event"
 	}
 	cfg := &s.call.handler.cfg
@@ -264,7 +304,7 @@
 		Str("request", s.call.info.ID).
 		Str("target", s.call.lastTarget).
 		Str("place", place).
-		Int("events", s.eventCount).
+		Int("events", events).
 		Msg("stream ended with its connection")
 }
 
--- a/internal/request/bmexchange/client.go
+++ b/internal/request/bmexchange/client.go
@@ -173,7 +173,7 @@
 			r.Status = resp.StatusCode
 			r.Header = resp.Header
 			r.body = resp.Body
-			r.closeDelimited = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+			r.closeDelimited = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 			r.closesConnection = resp.Close
 			return nil
 		}
--- a/internal/request/bmexchange/client_test.go
+++ b/internal/request/bmexchange/client_test.go
@@ -173,6 +173,35 @@
 	}
 }
 
+// Guards against taking a response that has no body by definition for one that ends
+// with its connection, and the reverse.
+func TestEndMarked(t *testing.T) {
+	tests := map[string]struct {
+		method string
+		head   string
+		marked bool
+	}{
+		"length":            {method: http.MethodPost, head: "200 OK\r\nContent-Length: 0", marked: true},
+		"chunks":            {method: http.MethodPost, head: "200 OK\r\nTransfer-Encoding: chunked", marked: true},
+		"neither":           {method: http.MethodPost, head: "200 OK"},
+		"neither, to HEAD":  {method: http.MethodHead, head: "200 OK", marked: true},
+		"neither, with 204": {method: http.MethodPost, head: "204 No Content", marked: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newScriptedTarget(t, func(int, *http.Request) string {
+				return "HTTP/1.1 " + tt.head + "\r\nId: 1\r\n\r\n"
+			})
+			r := s.request("1")
+			r.Method = tt.method
+			resp, err := newTestClient(t).Send(context.Background(), r)
+			require.NoError(t, err)
+			defer resp.Close()
+			require.Equal(t, tt.marked, resp.EndMarked())
+		})
+	}
+}
+
 // A request must not be resent when a reused connection breaks, since the target
 // may have run it already.
 func TestBrokenConnectionIsNotResent(t *testing.T) {
--- a/internal/request/bmexchange/response.go
+++ b/internal/request/bmexchange/response.go
@@ -49,8 +49,8 @@
 }
 
 // EndMarked reports whether the end of the body is marked by its length or by its
-// chunks. Otherwise it is the end of the connection, which may also be the end of
-// the target.
+// chunks, or whether the response can have no body. Otherwise it is the end of the
+// connection, which may also be the end of the target.
 func (r *Response) EndMarked() bool {
 	return !r.closeDelimited
 }
