--- a/internal/standin/bmstandinplatform/store.go
+++ b/internal/standin/bmstandinplatform/store.go
@@ -1,8 +1,9 @@
 // Package bmstandinplatform provides stand-ins for the users' platform in tests:
 // a key-value store with leases and watches, and replicas that answer requests.
 //
-// An acknowledged change is never lost, every change has its own revision, and
-// faults occur only when a test injects them.
+// An acknowledged change is lost only if a test restores the store from a copy, every
+// change has its own revision until then, and faults occur only when a test injects
+// them.
 package bmstandinplatform
 
 import (
@@ -32,6 +33,7 @@
 
 	mu                sync.Mutex
 	changed           chan struct{} // closed and replaced to wake the watches
+	era               int64         // rises with each restoration from a copy
 	revision          int64
 	items             map[string]item
 	events            []item
@@ -47,6 +49,7 @@
 func NewStore() (*Store, func()) {
 	s := &Store{
 		changed:  make(chan struct{}),
+		era:      1,
 		revision: 1,
 		items:    map[string]item{},
 		leases:   map[int64]bool{},
@@ -166,8 +169,9 @@
 	path := "/" + strings.SplitN(strings.TrimPrefix(r.URL.Path, "/"), "/", 2)[0]
 	s.mu.Lock()
 	s.calls[path]++
-	down := s.down
+	down, era := s.down, s.era
 	s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -245,15 +249,19 @@
 	wait, _ := strconv.Atoi(query.Get("wait_ms"))
 	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timeout.Stop()
+	era := w.Header().Get("Store-Era")
 	for {
 		s.mu.Lock()
 		events, revision, compacted, down, changed := s.eventsAfter(after, query.Get("prefix")), s.revision, s.compactedRevision, s.down, s.changed
+		cut := era != strconv.FormatInt(s.era, 10)
 		s.mu.Unlock()
 		switch {
+		case cut:
+			panic(http.ErrAbortHandler)
 		case down:
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
-		case after < compacted:
+		case after < compacted, after > revision:
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0:
