Order states of the platform's store by its era

Cause: a revision told which of two states is newer, but a restored store gives revisions out again. A complete read at a lower revision was set aside as old, while its success counted as a proof that the view is current; a watch from a revision that had been given out again succeeded and skipped what lay below.

Change: a position is an era and a revision, and orders views, relayed and lent updates, and reads. An update between two eras applies only to the state that it was made from. A proof is of an era and counts only for a view of that era; a host that has entered an era without having proven it passes on the proof of the era before.

What was accepted does not revert: a host keeps its desired state, record of spending, and targets that leave or are gone against an older copy (these are read again after 12 s, when an entry that nobody renews has lapsed), and keeps targets for 2 s and hosts for 5 s that the copy lacks. Until the operator's write is seen again, or 2 s have passed, reads prove nothing: a host without a memory cannot know whether it has the copy. The broker records that an era has settled, so that hosts that start later do not wait.

Why this works: every place that compared revisions now compares positions, and nothing confirms a state that it has not applied.

Each rule of restoration.go has a test; a proof of the view's era instead of the proof's own fails TestProofBeforeTheStoreHasSettled, deletions by a copy taken for real ones fail TestTargetsThatAnEarlierCopyLacked, and complete reads that bring back what was set aside fail TestDoubtedEntriesAreReadAgain.

--- a/catalog.go
+++ b/catalog.go
@@ -100,6 +100,9 @@
 	Version  string   `json:"version,omitempty" yaml:"version,omitempty"`
 	Role     string   `json:"role,omitempty" yaml:"role,omitempty"`
 
+	// Born is the start of the target's process in Unix milliseconds, 0 if unknown.
+	Born int64 `json:"-" yaml:"-"`
+
 	// Slots is the maximum number of requests in progress on the target, at
 	// least 1.
 	Slots int `json:"slots" yaml:"slots"`
--- a/internal/fleet/bmview/keeper.go
+++ b/internal/fleet/bmview/keeper.go
@@ -52,13 +52,13 @@
 
 // Feed reads the platform's state.
 type Feed interface {
-	// Snapshot returns all entries and the revision to watch from.
-	Snapshot(ctx context.Context) ([]basilmoor.Event, int64, error)
+	// Snapshot returns all entries and the position to watch from.
+	Snapshot(ctx context.Context) ([]basilmoor.Event, basilmoor.Position, error)
 
-	// Watch waits up to wait for changes after revision and returns them with
-	// the revision of the next watch. The error is a
-	// *basilmoor.CompactedError if the store no longer has that history.
-	Watch(ctx context.Context, revision int64, wait basilmoor.Millis) ([]basilmoor.Event, int64, error)
+	// Watch waits up to wait for changes after a position and returns them with
+	// the position of the next watch. The error is a *basilmoor.CompactedError if
+	// the store no longer has that history, or is in another era.
+	Watch(ctx context.Context, from basilmoor.Position, wait basilmoor.Millis) ([]basilmoor.Event, basilmoor.Position, error)
 
 	// Decode converts events to changes of the view.
 	Decode(events []basilmoor.Event) Changes
@@ -87,8 +87,9 @@
 
 	mu               sync.Mutex // guards the fields below and serializes the callbacks
 	state            *state
-	revision         int64
+	position         basilmoor.Position
 	recoveryGraceEnd basilmoor.Millis // entries of live targets may be missing until then
+	restoration      restoration
 	outage           bool
 }
 
@@ -132,16 +133,16 @@
 	return nil
 }
 
-// UpdatesSince returns the updates of the state after a revision.
-func (k *Keeper) UpdatesSince(revision int64) []Update {
-	return k.history.since(revision)
+// UpdatesSince returns the updates of the state after a position.
+func (k *Keeper) UpdatesSince(p basilmoor.Position) []Update {
+	return k.history.since(p)
 }
 
-// Revision returns the revision of the state, 0 before the first update.
-func (k *Keeper) Revision() int64 {
+// Position returns the position of the state, zero before the first update.
+func (k *Keeper) Position() basilmoor.Position {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.revision
+	return k.position
 }
 
 // SetRelayed sets whether another host relays its view to this one.
@@ -169,10 +170,11 @@
 		k.recordRecovery()
 	}
 	for _, u := range updates {
-		if u.To <= k.revision {
+		if !k.position.Before(u.To) {
 			continue
 		}
-		if u.From > k.revision {
+		u = k.relativeToState(u)
+		if !u.appliesAt(k.position) {
 			return false
 		}
 		k.applyUpdate(u)
@@ -180,12 +182,29 @@
 	return true
 }
 
-// Confirm records the relayed confirmation that the view was complete at an
-// instant. It ignores one that is older than the latest confirmation.
-func (k *Keeper) Confirm(at basilmoor.Millis) {
+// relativeToState turns a complete state into the changes from the current one, if
+// there is one. k.mu is held.
+func (k *Keeper) relativeToState(u Update) Update {
+	if !u.From.IsZero() || k.position.IsZero() {
+		return u
+	}
+	changes := k.history.difference(u)
+	if !changes.crossesEras() {
+		changes.Events = k.withoutDoubtful(changes.Events)
+	}
+	return changes
+}
+
+// Confirm records the relayed confirmation that the view of an era was complete at an
+// instant. It ignores one that is older than the latest confirmation, or that proves
+// nothing because this view is of another era.
+func (k *Keeper) Confirm(era int64, at basilmoor.Millis) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.revision > 0 && (!k.hasConfirmation.Load() || int64(at) > k.confirmedAt.Load()) {
+	if k.position.IsZero() || era != k.position.Era {
+		return
+	}
+	if !k.hasConfirmation.Load() || int64(at) > k.confirmedAt.Load() {
 		k.confirm(at)
 	}
 	k.publish(false)
@@ -208,7 +227,7 @@
 // poll fetches changes unless a relayed view is fresh enough, and returns the
 // delay until the next poll.
 func (k *Keeper) poll(ctx context.Context) basilmoor.Millis {
-	if k.hasFreshRelay() {
+	if k.hasFreshRelay() && !k.rereadDue() {
 		k.consecutiveFailures = 0
 		return relayPollPeriod
 	}
@@ -246,40 +265,62 @@
 // fetch makes one call to the store, or a second one if the history was
 // compacted, and applies the result.
 func (k *Keeper) fetch(ctx context.Context) (changed bool, err error) {
-	from := k.Revision()
+	from := k.Position()
+	if k.rereadDue() {
+		from = basilmoor.Position{}
+	}
 	sent := k.clock.Now()
 	k.metrics.Add("view.calls", 1)
 	u := Update{
 		From: from,
 	}
-	if from == 0 {
+	if from.IsZero() {
 		u.Events, u.To, err = k.feed.Snapshot(ctx)
 	} else {
 		u.Events, u.To, err = k.feed.Watch(ctx, from, k.watchWait(sent))
 	}
 	var compacted *basilmoor.CompactedError
 	if errors.As(err, &compacted) {
-		k.log.Warn().Int64("revision", from).Msg("history of the store is gone, reading all")
+		k.log.Warn().Int64("era", from.Era).Int64("revision", from.Revision).Msg("history of the store is gone, reading all")
 		k.metrics.Add("view.compacted", 1)
 		sent = k.clock.Now()
-		u.From = 0
+		u.From = basilmoor.Position{}
 		u.Events, u.To, err = k.feed.Snapshot(ctx)
 	}
 	if err != nil {
 		return false, err
 	}
+	return k.applyRead(u, sent), nil
+}
+
+// applyRead applies what a call to the store has returned that was sent at an instant,
+// and reports whether it has changed anything.
+func (k *Keeper) applyRead(u Update, sent basilmoor.Millis) (changed bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.recordRecovery()
-	if u.From == 0 && k.revision > 0 {
-		u = k.history.difference(u)
+	if u.To.Era < k.position.Era {
+		// Another host has relayed a later era in the meantime, of which this
+		// response proves nothing.
+		k.metrics.Add("view.set-aside-reads", 1)
+		return false
+	}
+	settled := k.settles(u)
+	if u.From.IsZero() {
+		k.recordReread(u)
 	}
-	if u.To > k.revision {
+	u = k.relativeToState(u)
+	if k.position.Before(u.To) {
 		k.applyUpdate(u)
 	}
-	k.confirm(sent)
+	if settled {
+		k.restoration.unsettledUntil = 0
+	}
+	if sent >= k.restoration.unsettledUntil {
+		k.confirm(sent)
+	}
 	k.publish(false)
-	return len(u.Events) > 0, nil
+	return len(u.Events) > 0
 }
 
 // watchWait returns the wait time of the next watch, which ends no later than
@@ -297,21 +338,27 @@
 	return wait
 }
 
-// applyUpdate applies an update that follows the current revision or replaces
-// the whole state. k.mu is held.
+// applyUpdate applies an update of the current state. k.mu is held.
 func (k *Keeper) applyUpdate(u Update) {
+	hostsRetainedUntil := basilmoor.Millis(0)
+	if k.position.Era != u.To.Era {
+		u = k.enterEra(u)
+		hostsRetainedUntil = k.clock.Now() + hostGrace
+	}
 	changes := k.feed.Decode(u.Events)
-	if u.From == 0 {
-		k.state.replace(changes, k.retentionEnd())
-	} else {
-		k.state.apply(changes, k.retentionEnd())
+	if k.state.isOlder(changes.Table) {
+		u.Events = k.withoutOlderTable(u.Events)
 	}
+	k.state.apply(changes, k.retentionEnd(), hostsRetainedUntil)
 	if changes.Spending != nil {
 		k.spending.Store(&changes.Spending)
 	}
-	k.revision = u.To
-	k.history.add(u)
-	k.publish(len(changes.Targets) > 0 || len(changes.Hosts) > 0 || changes.Table != nil || u.From == 0)
+	if changes.SettledEra == u.To.Era {
+		k.restoration.unsettledUntil = 0
+	}
+	k.position = u.To
+	k.history.add(u, k.clock.Now())
+	k.publish(len(changes.Targets) > 0 || len(changes.Hosts) > 0 || changes.Table != nil || u.From.IsZero())
 	k.onUpdate(u)
 }
 
@@ -330,8 +377,10 @@
 
 // confirm records that the view was complete at an instant. The changes up to
 // that instant must be published first: whoever sees the new age may rely on
-// them. confirmedAt is stored first, because Age reads it after hasConfirmation.
+// them. confirmedAt is stored first, because Age reads it after hasConfirmation. k.mu is
+// held.
 func (k *Keeper) confirm(at basilmoor.Millis) {
+	k.recordProof()
 	k.confirmedAt.Store(int64(at))
 	k.hasConfirmation.Store(true)
 }
@@ -358,7 +407,7 @@
 	v := k.state.view()
 	k.view.Store(v)
 	if v.Table != nil && (old.Table == nil || old.Table.Version() != v.Table.Version()) {
-		k.log.Info().Int64("version", v.Table.Version()).Int64("revision", k.revision).Bool("relayed", k.relayed.Load()).Msg("desired state in effect")
+		k.log.Info().Int64("version", v.Table.Version()).Int64("era", k.position.Era).Int64("revision", k.position.Revision).Bool("relayed", k.relayed.Load()).Msg("desired state in effect")
 	}
 	k.onView(v)
 }
--- a/internal/fleet/bmview/keeper_test.go
+++ b/internal/fleet/bmview/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -16,8 +17,9 @@
 )
 
 // scriptedFeed returns its responses in order. The value of the entry "config"
-// is the version of the desired state; any other entry is a target named by its
-// key.
+// is the version of the desired state, that of "settled" the settled era, entries whose
+// key begins with "host" are hosts, and any other entry is a target named by its key,
+// which leaves if its value is "leaving".
 type scriptedFeed struct {
 	clock     *bmclock.Manual
 	responses []feedResponse
@@ -27,22 +29,37 @@
 type feedResponse struct {
 	duration basilmoor.Millis // of the call
 	events   []basilmoor.Event
+	era      int64
 	to       int64
 	err      error
 }
 
-func (f *scriptedFeed) next() ([]basilmoor.Event, int64, error) {
+func (r feedResponse) position() basilmoor.Position {
+	return basilmoor.Position{
+		Era:      r.era,
+		Revision: r.to,
+	}
+}
+
+// at returns a position in the era of responses that name none.
+func at(revision int64) basilmoor.Position {
+	return basilmoor.Position{
+		Revision: revision,
+	}
+}
+
+func (f *scriptedFeed) next() ([]basilmoor.Event, basilmoor.Position, error) {
 	a := f.responses[0]
 	f.responses = f.responses[1:]
 	f.clock.Advance(a.duration)
-	return a.events, a.to, a.err
+	return a.events, a.position(), a.err
 }
 
-func (f *scriptedFeed) Snapshot(context.Context) ([]basilmoor.Event, int64, error) {
+func (f *scriptedFeed) Snapshot(context.Context) ([]basilmoor.Event, basilmoor.Position, error) {
 	return f.next()
 }
 
-func (f *scriptedFeed) Watch(_ context.Context, _ int64, wait basilmoor.Millis) ([]basilmoor.Event, int64, error) {
+func (f *scriptedFeed) Watch(_ context.Context, _ basilmoor.Position, wait basilmoor.Millis) ([]basilmoor.Event, basilmoor.Position, error) {
 	f.waits = append(f.waits, wait)
 	return f.next()
 }
@@ -50,10 +67,19 @@
 func (f *scriptedFeed) Decode(events []basilmoor.Event) Changes {
 	c := Changes{
 		Targets: map[string]*basilmoor.Target{},
+		Hosts:   map[string]*basilmoor.Member{},
 	}
 	for _, e := range events {
 		switch {
-		case e.Entry.Key == "config":
+		case strings.HasPrefix(e.Entry.Key, "host") && e.Deleted:
+			c.Hosts[e.Entry.Key] = nil
+		case strings.HasPrefix(e.Entry.Key, "host"):
+			c.Hosts[e.Entry.Key] = &basilmoor.Member{
+				Host: e.Entry.Key,
+			}
+		case e.Entry.Key == "settled":
+			c.SettledEra, _ = strconv.ParseInt(string(e.Entry.Value), 10, 64)
+		case e.Entry.Key == "config" && !e.Deleted:
 			version, _ := strconv.ParseInt(string(e.Entry.Value), 10, 64)
 			c.Table = bmrouting.NewTable(bmrouting.Content{
 				Version: version,
@@ -62,8 +88,9 @@
 			c.Targets[e.Entry.Key] = nil
 		default:
 			c.Targets[e.Entry.Key] = &basilmoor.Target{
-				Name: e.Entry.Key,
-				Pool: "p",
+				Name:    e.Entry.Key,
+				Pool:    "p",
+				Leaving: string(e.Entry.Value) == "leaving",
 			}
 		}
 	}
@@ -125,8 +152,8 @@
 	)
 	fetchAll(t, k, f)
 	require.EqualValues(t, 7, k.View().Table.Version())
-	require.True(t, k.ApplyRelayed([]Update{{From: 1, To: 2, Events: []basilmoor.Event{put("config", "5")}}}))
-	require.True(t, k.ApplyRelayed([]Update{{To: 4, Events: []basilmoor.Event{put("config", "4")}}}))
+	require.True(t, k.ApplyRelayed([]Update{{From: at(1), To: at(2), Events: []basilmoor.Event{put("config", "5")}}}))
+	require.True(t, k.ApplyRelayed([]Update{{To: at(4), Events: []basilmoor.Event{put("config", "4")}}}))
 	require.EqualValues(t, 7, k.View().Table.Version())
 }
 
@@ -176,7 +203,7 @@
 	)
 	fetchAll(t, k, f)
 	require.Equal(t, []string{"b"}, targetNames(k))
-	require.EqualValues(t, 9, k.Revision())
+	require.Equal(t, at(9), k.Position())
 }
 
 // A relayed update must not be applied if earlier ones are missing, and a
@@ -189,33 +216,33 @@
 	)
 	fetchAll(t, leader, f)
 	behind, _ := newTestKeeper()
-	require.True(t, behind.ApplyRelayed(leader.UpdatesSince(0)))
+	require.True(t, behind.ApplyRelayed(leader.UpdatesSince(basilmoor.Position{})))
 	require.Equal(t, []string{"b"}, targetNames(behind))
 
 	follower, _ := newTestKeeper()
-	require.True(t, follower.ApplyRelayed([]Update{{To: 1, Events: []basilmoor.Event{put("a", "")}}}))
-	require.False(t, follower.ApplyRelayed([]Update{{From: 2, To: 4, Events: []basilmoor.Event{deletion("a")}}}))
+	require.True(t, follower.ApplyRelayed([]Update{{To: at(1), Events: []basilmoor.Event{put("a", "")}}}))
+	require.False(t, follower.ApplyRelayed([]Update{{From: at(2), To: at(4), Events: []basilmoor.Event{deletion("a")}}}))
 	require.Equal(t, []string{"a"}, targetNames(follower))
-	require.True(t, follower.ApplyRelayed(leader.UpdatesSince(follower.Revision())))
+	require.True(t, follower.ApplyRelayed(leader.UpdatesSince(follower.Position())))
 	require.Equal(t, []string{"b"}, targetNames(follower))
-	require.Empty(t, leader.UpdatesSince(follower.Revision()))
+	require.Empty(t, leader.UpdatesSince(follower.Position()))
 }
 
 // A follower must not read the store while the relayed view is fresh, and must
 // read it once the relayed view is too old.
 func TestFollowerReadsStoreOnlyWithoutFreshRelay(t *testing.T) {
 	k, f := newTestKeeper()
-	require.True(t, k.ApplyRelayed([]Update{{To: 1, Events: []basilmoor.Event{put("config", "1")}}}))
+	require.True(t, k.ApplyRelayed([]Update{{To: at(1), Events: []basilmoor.Event{put("config", "1")}}}))
 	k.SetRelayed(true)
 	require.False(t, k.hasFreshRelay(), "not confirmed yet")
-	k.Confirm(f.clock.Now() - 100)
+	k.Confirm(0, f.clock.Now()-100)
 	require.True(t, k.hasFreshRelay())
-	k.Confirm(f.clock.Now() - 5000)
+	k.Confirm(0, f.clock.Now()-5000)
 	age, _ := k.Age()
 	require.EqualValues(t, 100, age, "an older confirmation is ignored")
 	f.clock.Advance(maxRelayedAge)
 	require.False(t, k.hasFreshRelay())
-	k.Confirm(f.clock.Now())
+	k.Confirm(0, f.clock.Now())
 	k.SetRelayed(false)
 	require.False(t, k.hasFreshRelay())
 }
--- a/internal/fleet/bmview/view.go
+++ b/internal/fleet/bmview/view.go
@@ -47,6 +47,9 @@
 	// Spending is the new record of the workspaces' spending, nil if it has
 	// not changed.
 	Spending []byte
+	// SettledEra is the era of the store that a host has recorded as settled, 0 if
+	// that has not changed.
+	SettledEra int64
 }
 
 // state is the mutable state from which views are built.
@@ -57,19 +60,29 @@
 	// retained maps targets whose entry disappeared after an outage of the
 	// store to the instant at which they are removed.
 	retained map[string]basilmoor.Millis
+	// retainedHosts maps hosts whose registration was lost with a restoration of
+	// the store to the instant at which they are removed.
+	retainedHosts map[string]basilmoor.Millis
 }
 
 func newState() *state {
 	return &state{
-		targets:  map[string]basilmoor.Target{},
-		hosts:    map[string]basilmoor.Member{},
-		retained: map[string]basilmoor.Millis{},
+		targets:       map[string]basilmoor.Target{},
+		hosts:         map[string]basilmoor.Member{},
+		retained:      map[string]basilmoor.Millis{},
+		retainedHosts: map[string]basilmoor.Millis{},
 	}
 }
 
+// isOlder reports whether a desired state is older than the current one.
+func (s *state) isOlder(t *bmrouting.Table) bool {
+	return t != nil && s.table != nil && t.Version() < s.table.Version()
+}
+
 // apply merges changes into the state. Removed targets are retained until
-// retainUntil unless that is 0. An older desired state is ignored.
-func (s *state) apply(c Changes, retainUntil basilmoor.Millis) {
+// retainTargets, and removed hosts until retainHosts, unless that is 0. An older
+// desired state is ignored.
+func (s *state) apply(c Changes, retainTargets, retainHosts basilmoor.Millis) {
 	if c.Table != nil && (s.table == nil || c.Table.Version() > s.table.Version()) {
 		s.table = c.Table
 	}
@@ -79,31 +92,31 @@
 			delete(s.retained, name)
 			continue
 		}
-		s.removeTarget(name, retainUntil)
+		s.removeTarget(name, retainTargets)
 	}
 	for name, h := range c.Hosts {
-		if h == nil {
-			delete(s.hosts, name)
+		if h != nil {
+			s.hosts[name] = *h
+			delete(s.retainedHosts, name)
 			continue
 		}
-		s.hosts[name] = *h
+		s.removeHost(name, retainHosts)
 	}
 }
 
-// replace applies the complete state of the platform: targets and hosts that c
-// does not contain are removed.
-func (s *state) replace(c Changes, retainUntil basilmoor.Millis) {
-	for name := range s.targets {
-		if c.Targets[name] == nil {
-			s.removeTarget(name, retainUntil)
-		}
+// removeHost removes a host, or retains it until retainUntil.
+func (s *state) removeHost(name string, retainUntil basilmoor.Millis) {
+	if _, known := s.hosts[name]; !known {
+		return
 	}
-	for name := range s.hosts {
-		if c.Hosts[name] == nil {
-			delete(s.hosts, name)
-		}
+	if retainUntil == 0 {
+		delete(s.hosts, name)
+		delete(s.retainedHosts, name)
+		return
+	}
+	if _, already := s.retainedHosts[name]; !already {
+		s.retainedHosts[name] = retainUntil
 	}
-	s.apply(c, retainUntil)
 }
 
 // removeTarget removes a target, or retains it until retainUntil. Targets that
@@ -123,7 +136,7 @@
 	}
 }
 
-// removeExpired removes the retained targets whose retention has ended and
+// removeExpired removes the retained targets and hosts whose retention has ended and
 // reports whether there were any.
 func (s *state) removeExpired(now basilmoor.Millis) bool {
 	removed := false
@@ -134,6 +147,13 @@
 			removed = true
 		}
 	}
+	for name, until := range s.retainedHosts {
+		if now >= until {
+			delete(s.retainedHosts, name)
+			delete(s.hosts, name)
+			removed = true
+		}
+	}
 	return removed
 }
 
--- a/internal/node/bmentrynode/fleet_test.go
+++ b/internal/node/bmentrynode/fleet_test.go
@@ -241,7 +241,10 @@
 		Protocol:     bmplatform.Headers{},
 		Inspector:    bmplatform.Headers{},
 		Registration: bmplatform.Registration,
-		SpendingKey:  bmplatform.KeySpending,
+		RecordKeys: bmgrant.RecordKeys{
+			Spending:   bmplatform.KeySpending,
+			SettledEra: bmplatform.KeySettledEra,
+		},
 	}, zerolog.New(n.logged).Hook(n.logged))
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -55,8 +55,8 @@
 	Inspector bmexchange.ResponseInspector
 	// Registration returns the store key and value of a host's registration.
 	Registration func(m basilmoor.Member) (key string, value []byte, err error)
-	// SpendingKey is the store key of the record of the workspaces' spending.
-	SpendingKey string
+	// RecordKeys are the store keys of the broker's records.
+	RecordKeys bmgrant.RecordKeys
 }
 
 // Node is the process of an entry host.
@@ -131,7 +131,7 @@
 		MaxViewAge: func() basilmoor.Millis { return n.settings.Load().maxViewAge() },
 	})
 	n.registrar = newRegistrar(n.clock, deps.Store, s.MinLease, func() (string, []byte, error) { return deps.Registration(self) }, log)
-	n.recorder = bmgrant.NewRecorder(n.clock, deps.Store, deps.SpendingKey, n.broker, log)
+	n.recorder = bmgrant.NewRecorder(n.clock, deps.Store, deps.RecordKeys, n.broker, log)
 	if err := n.listen(s); err != nil {
 		n.close()
 		return nil, nil, err
--- a/internal/operator/bmcli/entry.go
+++ b/internal/operator/bmcli/entry.go
@@ -15,6 +15,7 @@
 	"basilmoor.example/basilmoor/internal/core/bmlog"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/node/bmentrynode"
+	"basilmoor.example/basilmoor/internal/schedule/bmgrant"
 	bmplatform "basilmoor.example/basilmoor/platform"
 )
 
@@ -66,7 +67,10 @@
 		Protocol:     bmplatform.Headers{},
 		Inspector:    bmplatform.Headers{},
 		Registration: bmplatform.Registration,
-		SpendingKey:  bmplatform.KeySpending,
+		RecordKeys: bmgrant.RecordKeys{
+			Spending:   bmplatform.KeySpending,
+			SettledEra: bmplatform.KeySettledEra,
+		},
 	}, log)
 	if err != nil {
 		log.Error().Err(err).Msg("failed to start the entry host")
--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -66,11 +66,11 @@
 // ViewSource gives access to this host's view of the platform's state. The
 // broker's host relays its view to the other hosts, which follow it.
 type ViewSource interface {
-	Age() (basilmoor.Millis, bool)
-	Revision() int64
-	UpdatesSince(revision int64) []bmview.Update
+	Proof() (era int64, age basilmoor.Millis, known bool)
+	Position() basilmoor.Position
+	UpdatesSince(p basilmoor.Position) []bmview.Update
 	ApplyRelayed(updates []bmview.Update) bool
-	Confirm(at basilmoor.Millis)
+	Confirm(era int64, at basilmoor.Millis)
 	SetRelayed(relayed bool)
 	SetShared(shared bool)
 	SetStandbyAge(extra basilmoor.Millis)
@@ -253,6 +253,8 @@
 // ignored.
 func (b *Broker) handleBatch(s *session, batch *bmgrantpb.HostBatch) {
 	b.applyLentView(s, batch)
+	// The view may call the broker while it is locked.
+	proof := encodeProof(b.views, batch.GetStamp())
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.sessions[s.host] != s {
@@ -260,11 +262,8 @@
 	}
 	now := b.clock.Now()
 	s.lastReceived = now
-	if age, known := b.views.Age(); known && !s.local {
-		s.pending.Proof = &bmgrantpb.Proof{
-			Echo:  batch.GetStamp(),
-			AgeMs: int64(age),
-		}
+	if proof != nil && !s.local {
+		s.pending.Proof = proof
 	}
 	b.forwardCrashes(now, s, batch.GetCrashes())
 	for _, o := range batch.GetObservations() {
--- a/internal/schedule/bmgrant/codec.go
+++ b/internal/schedule/bmgrant/codec.go
@@ -112,6 +112,40 @@
 	return decoded
 }
 
+// positioned is a message with the position of its sender's view of the platform.
+type positioned interface {
+	GetEra() int64
+	GetRevision() int64
+}
+
+func positionIn(m positioned) basilmoor.Position {
+	return basilmoor.Position{
+		Era:      m.GetEra(),
+		Revision: m.GetRevision(),
+	}
+}
+
+// encodeProof returns the proof of a view, which echoes a stamp of the receiver's clock,
+// or nil if there is none. The receiver has to get the changes that are known afterwards
+// with it or before it.
+func encodeProof(views ViewSource, stamp uint64) *bmgrantpb.Proof {
+	era, age, known := views.Proof()
+	if !known {
+		return nil
+	}
+	return &bmgrantpb.Proof{
+		Echo:  stamp,
+		AgeMs: int64(age),
+		Era:   era,
+	}
+}
+
+// applyProof confirms a view by the proof of another host, which echoes a stamp of
+// this host's clock.
+func applyProof(views ViewSource, p *bmgrantpb.Proof) {
+	views.Confirm(p.GetEra(), basilmoor.Millis(p.GetEcho())-basilmoor.Millis(p.GetAgeMs()))
+}
+
 // minCompressBytes is the size from which a value is compressed. Desired states
 // are tens to hundreds of kilobytes of JSON.
 const minCompressBytes = 2 << 10
@@ -121,8 +155,10 @@
 
 func encodeUpdate(u bmview.Update) *bmgrantpb.Update {
 	encoded := &bmgrantpb.Update{
-		From: u.From,
-		To:   u.To,
+		From:    u.From.Revision,
+		FromEra: u.From.Era,
+		To:      u.To.Revision,
+		ToEra:   u.To.Era,
 	}
 	for _, e := range u.Events {
 		entry := &bmgrantpb.Entry{
@@ -156,8 +192,14 @@
 	updates := make([]bmview.Update, 0, len(encoded))
 	for _, u := range encoded {
 		decoded := bmview.Update{
-			From: u.GetFrom(),
-			To:   u.GetTo(),
+			From: basilmoor.Position{
+				Era:      u.GetFromEra(),
+				Revision: u.GetFrom(),
+			},
+			To: basilmoor.Position{
+				Era:      u.GetToEra(),
+				Revision: u.GetTo(),
+			},
 		}
 		for _, e := range u.GetEntries() {
 			event, err := decodeEntry(e)
--- a/internal/schedule/bmgrant/elect.go
+++ b/internal/schedule/bmgrant/elect.go
@@ -129,11 +129,13 @@
 
 // hello returns the message that opens a session.
 func (c *Client) hello() *bmgrantpb.Hello {
+	position := c.broker.views.Position()
 	return &bmgrantpb.Hello{
 		Host:        c.self.Host,
 		DataCentre:  c.self.DataCentre,
 		Incarnation: c.self.Incarnation,
-		Revision:    c.broker.views.Revision(),
+		Era:         position.Era,
+		Revision:    position.Revision,
 	}
 }
 
--- a/internal/schedule/bmgrant/election_test.go
+++ b/internal/schedule/bmgrant/election_test.go
@@ -35,12 +35,12 @@
 			confirm := func() {
 				for name, h := range f.hosts {
 					if !cut[name] {
-						h.keeper.Confirm(f.clock.Now())
+						h.keeper.Confirm(0, f.clock.Now())
 					}
 				}
 			}
 			for _, h := range f.hosts {
-				h.keeper.Confirm(f.clock.Now())
+				h.keeper.Confirm(0, f.clock.Now())
 			}
 			began := f.clock.Now()
 			f.advanceUntil(tt.hung+100, func() bool {
--- a/internal/schedule/bmgrant/failover_test.go
+++ b/internal/schedule/bmgrant/failover_test.go
@@ -24,13 +24,20 @@
 	changes bmview.Changes
 }
 
-func (f *fixedFeed) Snapshot(context.Context) ([]basilmoor.Event, int64, error) {
-	return []basilmoor.Event{{}}, 1, nil
+// revision returns a position in an era without a number.
+func revision(n int64) basilmoor.Position {
+	return basilmoor.Position{
+		Revision: n,
+	}
+}
+
+func (f *fixedFeed) Snapshot(context.Context) ([]basilmoor.Event, basilmoor.Position, error) {
+	return []basilmoor.Event{{}}, revision(1), nil
 }
 
-func (f *fixedFeed) Watch(ctx context.Context, revision int64, _ basilmoor.Millis) ([]basilmoor.Event, int64, error) {
+func (f *fixedFeed) Watch(ctx context.Context, from basilmoor.Position, _ basilmoor.Millis) ([]basilmoor.Event, basilmoor.Position, error) {
 	<-ctx.Done()
-	return nil, revision, ctx.Err()
+	return nil, from, ctx.Err()
 }
 
 func (f *fixedFeed) Decode([]basilmoor.Event) bmview.Changes { return f.changes }
@@ -89,7 +96,7 @@
 	}, metrics, zerolog.Nop())
 	require.True(t, h.keeper.ApplyRelayed([]bmview.Update{
 		{
-			To: 1,
+			To: revision(1),
 		},
 	}))
 	return h
@@ -541,8 +548,8 @@
 				f.addMember("d")
 				require.True(t, f.hosts[broker].keeper.ApplyRelayed([]bmview.Update{
 					{
-						From: 1,
-						To:   2,
+						From: revision(1),
+						To:   revision(2),
 					},
 				}))
 			}
--- a/internal/schedule/bmgrant/lend.go
+++ b/internal/schedule/bmgrant/lend.go
@@ -43,22 +43,19 @@
 	if u.host == c.self.Host {
 		return
 	}
-	// The age is read before the updates: they contain all changes up to the
-	// instant that it stands for.
-	age, known := c.broker.views.Age()
-	if !known || !lends(age, batch) {
+	// The proof is read before the updates: they contain all changes up to the instant
+	// that its age stands for.
+	proof := encodeProof(c.broker.views, batch.GetStamp())
+	if proof == nil || !lends(basilmoor.Millis(proof.GetAgeMs()), batch) {
 		return
 	}
-	updates := c.broker.views.UpdatesSince(batch.GetRevision())
+	updates := c.broker.views.UpdatesSince(positionIn(batch))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.uplink != u {
 		return
 	}
-	u.pending.Proof = &bmgrantpb.Proof{
-		Echo:  batch.GetStamp(),
-		AgeMs: int64(age),
-	}
+	u.pending.Proof = proof
 	u.pending.Updates = nil
 	for _, update := range updates {
 		u.pending.Updates = append(u.pending.Updates, encodeUpdate(update))
@@ -69,7 +66,7 @@
 
 // lends reports whether a view of the given age is worth sending to the broker.
 func lends(age basilmoor.Millis, batch *bmgrantpb.BrokerBatch) bool {
-	if batch.GetRevision() == 0 {
+	if positionIn(batch).IsZero() {
 		return true
 	}
 	p := batch.GetProof()
@@ -94,5 +91,5 @@
 	if !b.views.ApplyRelayed(updates) {
 		return
 	}
-	b.views.Confirm(basilmoor.Millis(p.GetEcho()) - basilmoor.Millis(p.GetAgeMs()))
+	applyProof(b.views, p)
 }
--- a/internal/schedule/bmgrant/record.go
+++ b/internal/schedule/bmgrant/record.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strconv"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/fleet/bmpeer"
+	"basilmoor.example/basilmoor/internal/fleet/bmview"
 	"basilmoor.example/basilmoor/internal/request/bmcrash"
 )
 
@@ -181,23 +183,30 @@
 	b.log.Info().Int64("age-ms", int64(age)).Int("workspaces", len(r.Spent)).Msg("record of spending taken over")
 }
 
+// RecordKeys are the keys of the platform's store that a [Recorder] writes.
+type RecordKeys struct {
+	Spending   string
+	SettledEra string
+}
+
 // Recorder periodically writes the broker's record of spending to the platform's
-// store.
+// store, and once in each era of the store that it has settled.
 type Recorder struct {
-	clock   basilmoor.Clock
-	store   basilmoor.Store
-	key     string
-	broker  *Broker
-	log     zerolog.Logger
-	version int64 // last known version of the key
+	clock       basilmoor.Clock
+	store       basilmoor.Store
+	keys        RecordKeys
+	broker      *Broker
+	log         zerolog.Logger
+	version     int64 // last known version of the record of spending
+	recordedEra int64 // the latest that this host has recorded as settled
 }
 
-// NewRecorder returns a recorder that writes to a key of the store.
-func NewRecorder(clock basilmoor.Clock, store basilmoor.Store, key string, broker *Broker, log zerolog.Logger) *Recorder {
+// NewRecorder returns a recorder that writes to the given keys of the store.
+func NewRecorder(clock basilmoor.Clock, store basilmoor.Store, keys RecordKeys, broker *Broker, log zerolog.Logger) *Recorder {
 	return &Recorder{
 		clock:  clock,
 		store:  store,
-		key:    key,
+		keys:   keys,
 		broker: broker,
 		log:    log,
 	}
@@ -215,16 +224,30 @@
 	}
 }
 
-// write replaces the record, even if another broker wrote it.
+// write replaces the records, even if another broker wrote them.
 func (r *Recorder) write(ctx context.Context) error {
 	raw, ok, err := r.broker.encodeSpending()
 	if err != nil || !ok {
 		return err
 	}
-	entry, err := basilmoor.Overwrite(ctx, r.store, r.key, r.version, raw, "")
+	entry, err := basilmoor.Overwrite(ctx, r.store, r.keys.Spending, r.version, raw, "")
 	if err != nil {
 		return err
 	}
 	r.version = entry.Version
+	return r.writeSettledEra(ctx)
+}
+
+// writeSettledEra records an era that has settled since the last call. Hosts that start
+// later, and know nothing of the era before, need not wait for it again.
+func (r *Recorder) writeSettledEra(ctx context.Context) error {
+	era, _, _ := r.broker.views.Proof()
+	if era <= max(r.recordedEra, bmview.FirstEra) {
+		return nil
+	}
+	if _, err := basilmoor.Overwrite(ctx, r.store, r.keys.SettledEra, 0, []byte(strconv.FormatInt(era, 10)), ""); err != nil {
+		return err
+	}
+	r.recordedEra = era
 	return nil
 }
--- a/internal/schedule/bmgrant/session.go
+++ b/internal/schedule/bmgrant/session.go
@@ -42,7 +42,7 @@
 	}
 	b.sessions[s.host] = s
 	if !local {
-		for _, u := range b.views.UpdatesSince(hello.GetRevision()) {
+		for _, u := range b.views.UpdatesSince(positionIn(hello)) {
 			s.pending.Updates = append(s.pending.Updates, encodeUpdate(u))
 		}
 	}
@@ -88,13 +88,14 @@
 // takePending removes and returns the batch to send.
 func (b *Broker) takePending(s *session) *bmgrantpb.BrokerBatch {
 	// The view may call the broker while it is locked.
-	revision := b.views.Revision()
+	position := b.views.Position()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	batch := s.pending
 	s.pending = &bmgrantpb.BrokerBatch{}
 	s.lastSent = b.clock.Now()
 	batch.Stamp = uint64(s.lastSent)
-	batch.Revision = revision
+	batch.Era = position.Era
+	batch.Revision = position.Revision
 	return batch
 }
--- a/internal/schedule/bmgrant/uplink.go
+++ b/internal/schedule/bmgrant/uplink.go
@@ -110,9 +110,7 @@
 	}
 	p := batch.GetProof()
 	if p != nil {
-		c.broker.views.Confirm(basilmoor.Millis(p.GetEcho()) - basilmoor.Millis(p.GetAgeMs()))
-	}
-	if p != nil {
+		applyProof(c.broker.views, p)
 		c.setRelayed(u)
 	}
 	c.lendView(u, batch)
