--- a/internal/proof/bmsoak/fleet_test.go
+++ b/internal/proof/bmsoak/fleet_test.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -36,6 +38,10 @@
 	// revokeBound is the value of the setting revoke_ms.
 	revokeBound = 5 * time.Second
 
+	// configBound is the time within which a change of the desired state is in effect
+	// on all hosts.
+	configBound = 5 * time.Second
+
 	// grace is the value of the setting grace_s.
 	grace = 8 * time.Second
 
@@ -142,10 +148,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version++
-	keys := []string{}
-	for key := range f.keys {
-		keys = append(keys, key)
-	}
+	f.putConfiguration()
+}
+
+// putConfiguration writes the current version of the desired state. f.mu is held.
+func (f *fleet) putConfiguration() {
+	keys := slices.AppendSeq([]string{}, maps.Keys(f.keys))
+	slices.Sort(keys)
 	route := func(name, kind, pool string, attempts int, timeout time.Duration) map[string]any {
 		return map[string]any{
 			"name":              name,
@@ -179,6 +188,16 @@
 	})
 }
 
+// restoreStore replaces the store by a copy. The operator writes again what it had
+// written since, a while after the store is back.
+func (f *fleet) restoreStore(c bmstandinplatform.Copy, rewriteDelay time.Duration) {
+	f.store.Restore(c)
+	time.Sleep(rewriteDelay)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.putConfiguration()
+}
+
 // setKey adds or revokes a key and returns once the store holds the
 // change.
 func (f *fleet) setKey(key string, valid bool) {
--- a/internal/proof/bmsoak/soak_test.go
+++ b/internal/proof/bmsoak/soak_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,7 +15,10 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"basilmoor.example/basilmoor/internal/standin/bmstandinplatform"
 )
 
 // Defaults, which CI uses.
@@ -91,6 +96,7 @@
 	}
 	injector.wg.Wait()
 	f.waitReady()
+	injector.checkChangeAfterRestoration(t)
 	time.Sleep(time.Second)
 	cancel()
 	c.wg.Wait()
@@ -106,11 +112,13 @@
 
 	mu      sync.Mutex // serializes changes of the key
 	revoked bool
+	copies  []bmstandinplatform.Copy // of the store, one before each fault
 }
 
 func (j *injector) run(t *testing.T, rng *rand.Rand) {
 	defer j.wg.Done()
 	for time.Now().Before(j.until) {
+		j.recordCopy()
 		name, fault := j.pickFault(rng)
 		t.Logf("%s: %s", time.Now().Format("05.000"), name)
 		fault()
@@ -156,12 +164,48 @@
 			j.fleet.store.SetLoseResponses(false)
 		}},
 		{"compact the store", j.fleet.store.Compact},
+		{"restore the store from a copy and toggle the key", func() {
+			j.fleet.restoreStore(j.pickCopy(rng), time.Duration(rng.IntN(1000))*time.Millisecond)
+			j.changeKey()
+		}},
 		{"toggle the key", j.changeKey},
 	}
 	f := faults[rng.IntN(len(faults))]
 	return f.name, f.run
 }
 
+func (j *injector) recordCopy() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.copies = append(j.copies, j.fleet.store.Copy())
+}
+
+// pickCopy returns one of the latest copies of the store, which are some seconds old.
+func (j *injector) pickCopy(rng *rand.Rand) bmstandinplatform.Copy {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	const latest = 12
+	n := min(len(j.copies), latest)
+	return j.copies[len(j.copies)-1-rng.IntN(n)]
+}
+
+// checkChangeAfterRestoration restores the store from its oldest copy and checks that a
+// change which the store acknowledges then is in effect on all hosts in time.
+func (j *injector) checkChangeAfterRestoration(t *testing.T) {
+	j.fleet.restoreStore(j.copies[0], 0)
+	j.fleet.setKey("key-last", true)
+	acknowledged := time.Now()
+	sender, closeSender := newSender()
+	defer closeSender()
+	for _, h := range j.fleet.hosts {
+		attempts := 0
+		assert.Eventually(t, func() bool {
+			attempts++
+			return sender.send(h, fmt.Sprint("last-", h.name, "-", attempts), "/again/", "key-last", "").status == http.StatusOK
+		}, time.Until(acknowledged.Add(configBound)), 50*time.Millisecond, "%s does not know the key that was added after the restoration", h.name)
+	}
+}
+
 // degradePath sets a proxy's mode for the given duration.
 func degradePath(p *proxy, m proxyMode, duration time.Duration) {
 	p.set(m)
