--- a/internal/fleet/bmview/keeper.go
+++ b/internal/fleet/bmview/keeper.go
@@ -15,9 +15,9 @@
 const (
 	// unsharedWatchWait is the wait time of a watch on a host that reads the
 	// store only for itself, and sharedWatchWait on a host that relays its
-	// view to others or lends it to the one that does. Each watch that returns confirms the view as of the
-	// watch's start, so the age of the view stays below twice the wait time
-	// while the store responds.
+	// view to others or lends it to the one that does. Each watch that returns
+	// confirms the view as of the watch's start, so the age of the view stays
+	// below twice the wait time while the store responds.
 	unsharedWatchWait basilmoor.Millis = 1500
 	sharedWatchWait   basilmoor.Millis = 500
 
