Add a failing test of claims in a store that was set back

If the store goes back to a revision before a claim, nobody writes the claim again, and a host that has no memory of it, such as the next owner of its slot, grants it once more.

Not fixed here: the node's own store contract has no era, so that hosts notice a restoration only by the version of the configuration.

--- a/internal/proof/bmprocess/combined_faults_test.go
+++ b/internal/proof/bmprocess/combined_faults_test.go
@@ -164,6 +164,26 @@
 	f.checkInvariants(l)
 }
 
+// Guards against a payout that runs again after the store was restored to a revision
+// before its claim, while a host that knew of the claim stops.
+func TestClaimsOfStoreSetBack(t *testing.T) {
+	f := startFleet(t, 3)
+	l := f.newWorkload()
+	revision := f.headRevision()
+	const payouts = 30
+	for i := range payouts {
+		require.Equal(t, basilmoor.OutcomeDone, f.sendUntilFinal(l, f.nodes[i%3], payout(i)).Outcome)
+	}
+	f.setFaults(f.store, fmt.Sprintf(`{"restore-to-revision":%d}`, revision))
+	f.nodes[0].kill()
+	f.nodes = f.nodes[1:]
+	for i := range payouts {
+		f.sendUntilFinal(l, f.nodes[i%2], payout(i))
+	}
+	require.Len(t, f.executionsOf(f.service), payouts, "payouts ran again")
+	f.checkInvariants(l)
+}
+
 // noteResult is the response to an operator's release note.
 type noteResult struct {
 	note string
