Doubt a copy also on hosts that know of it from others

A host that started without a memory after a restoration, and was told by another host that a target leaves, used that target again once it had read the copy by itself: only a host that had entered the era with a memory set such entries aside.

TestCopyReadAfterARelayedView fails before and passes.

--- a/internal/fleet/bmview/restoration.go
+++ b/internal/fleet/bmview/restoration.go
@@ -34,6 +34,7 @@
 type restoration struct {
 	unsettledUntil basilmoor.Millis // calls sent before confirm nothing
 	confirmedEra   int64            // of the latest confirmation
+	doubtUntil     basilmoor.Millis // the store may hold entries until then that nobody renews
 	reread         bool             // entries were set aside
 	rereadAt       basilmoor.Millis // when they are to be read again
 }
@@ -47,17 +48,17 @@
 		if u.To.Era > FirstEra {
 			// Without a memory, this host cannot tell a copy from what was accepted.
 			k.restoration.unsettledUntil = now + settleTime
+			k.restoration.doubtUntil = now + doubtTime
 		}
 		return u
 	}
 	kept, setAside, doubted := k.withoutContradictions(u.Events)
 	k.recoveryGraceEnd = now + recoveryGrace
-	k.restoration = restoration{
-		unsettledUntil: now + settleTime,
-		confirmedEra:   k.restoration.confirmedEra,
-		reread:         doubted > 0,
-		rereadAt:       now + doubtTime,
-	}
+	r := &k.restoration
+	r.unsettledUntil = now + settleTime
+	r.doubtUntil = now + doubtTime
+	r.reread = doubted > 0
+	r.rereadAt = r.doubtUntil
 	k.metrics.Add("view.restorations", 1)
 	k.log.Warn().
 		Int64("era", u.To.Era).
@@ -88,17 +89,22 @@
 	return kept, setAside, doubted
 }
 
-// withoutDoubtful returns the changes that lead to another complete state of a restored
-// store without those that were set aside and are not to be read again yet. k.mu is held.
+// withoutDoubtful returns the changes that lead to another complete state of the store
+// without those that contradict what this host knows, which may come from another host.
+// They are read again. k.mu is held.
 func (k *Keeper) withoutDoubtful(events []basilmoor.Event) []basilmoor.Event {
-	if !k.restoration.reread || k.restoration.due(k.clock.Now()) {
+	r := &k.restoration
+	if k.clock.Now() >= r.doubtUntil {
 		return events
 	}
 	var kept []basilmoor.Event
 	for _, e := range events {
 		if !k.isDoubtful(e) {
 			kept = append(kept, e)
+			continue
 		}
+		r.reread = true
+		r.rereadAt = r.doubtUntil
 	}
 	return kept
 }
--- a/internal/fleet/bmview/restoration_test.go
+++ b/internal/fleet/bmview/restoration_test.go
@@ -257,6 +257,18 @@
 	}
 }
 
+// Guards against using a target that leaves, because a host that has started without a
+// memory reads a copy after another host has told it what was accepted.
+func TestCopyReadAfterARelayedView(t *testing.T) {
+	k, f := newTestKeeper()
+	require.True(t, k.ApplyRelayed([]Update{{To: inEra(2, 8), Events: []basilmoor.Event{put("leaving", "leaving")}}}))
+	f.responses = []feedResponse{otherEra(), answered(2, 9, put("leaving", ""))}
+	fetchAll(t, k, f)
+	require.True(t, k.View().Targets("p")[0].Leaving)
+	f.clock.Advance(doubtTime)
+	require.True(t, k.rereadDue())
+}
+
 // Guards against losing the hosts whose registration the copy lacks before they had the
 // time to register again, and against keeping those that do not.
 func TestHostsAfterARestoration(t *testing.T) {
