Take a restored era for settled only by a state that was written once

A host could take its view for proven although the store did not have the latest desired state yet: after two restorations, the second from a copy older than the first. It took the known desired state at another revision for the operator's new write, but such a copy may have it at that revision, written in the era in between.

Change: this counts only if the known state was written once, in the era before: it was there in the first era, or it came new in an era that had been proven. Otherwise the host waits 2 s as it does without such a sign.

The new case of TestProofOfARestoredStore fails before.

--- a/internal/fleet/bmview/keeper.go
+++ b/internal/fleet/bmview/keeper.go
@@ -346,8 +346,11 @@
 		hostsRetainedUntil = k.clock.Now() + hostGrace
 	}
 	changes := k.feed.Decode(u.Events)
-	if k.state.isOlder(changes.Table) {
+	switch {
+	case k.state.isOlder(changes.Table):
 		u.Events = k.withoutOlderTable(u.Events)
+	case k.state.isNewer(changes.Table):
+		k.recordTable(u.To.Era)
 	}
 	k.state.apply(changes, k.retentionEnd(), hostsRetainedUntil)
 	if changes.Spending != nil {
--- a/internal/fleet/bmview/restoration.go
+++ b/internal/fleet/bmview/restoration.go
@@ -34,6 +34,7 @@
 type restoration struct {
 	unsettledUntil basilmoor.Millis // calls sent before confirm nothing
 	confirmedEra   int64            // of the latest confirmation
+	tableEra       int64            // in which the desired state was written first, 0 if unknown
 	doubtUntil     basilmoor.Millis // the store may hold entries until then that nobody renews
 	reread         bool             // entries were set aside
 	rereadAt       basilmoor.Millis // when they are to be read again
@@ -168,11 +169,21 @@
 	return kept
 }
 
+// recordTable records when a new desired state was written first: in the era of its
+// update, if everything that had been written before that era was there already. k.mu is
+// held.
+func (k *Keeper) recordTable(era int64) {
+	k.restoration.tableEra = 0
+	if era <= FirstEra || (era == k.position.Era && era == k.restoration.confirmedEra) {
+		k.restoration.tableEra = era
+	}
+}
+
 // settles reports whether a complete state of a restored store shows that the operator
-// has written the desired state again: it is the known one at another revision, which
-// the copy cannot have. k.mu is held.
+// has written the desired state again: it is the known one at another revision. A copy
+// can't have it so if it was written once, in the era before. k.mu is held.
 func (k *Keeper) settles(u Update) bool {
-	if !u.From.IsZero() || k.position.IsZero() || u.To.Era == k.position.Era {
+	if !u.From.IsZero() || k.position.IsZero() || k.restoration.tableEra != k.position.Era || u.To.Era != k.position.Era+1 {
 		return false
 	}
 	for _, e := range u.Events {
--- a/internal/fleet/bmview/restoration_test.go
+++ b/internal/fleet/bmview/restoration_test.go
@@ -65,6 +65,17 @@
 			known:     true,
 			age:       100,
 		},
+		"written again in the era before, which the copy may be of": {
+			responses: []feedResponse{
+				answered(2, 9, putAt(8, "config", "1")),
+				{duration: settleTime, era: 2, to: 9},
+				answered(2, 9),
+				otherEra(),
+				answered(3, 9, putAt(9, "config", "1")),
+			},
+			known: true,
+			age:   200,
+		},
 		"another host has waited": {
 			responses: []feedResponse{before, otherEra(), answered(2, 9, putAt(9, "config", "1"), put("settled", "2"))},
 			known:     true,
--- a/internal/fleet/bmview/view.go
+++ b/internal/fleet/bmview/view.go
@@ -79,11 +79,16 @@
 	return t != nil && s.table != nil && t.Version() < s.table.Version()
 }
 
+// isNewer reports whether a desired state is newer than the current one.
+func (s *state) isNewer(t *bmrouting.Table) bool {
+	return t != nil && (s.table == nil || t.Version() > s.table.Version())
+}
+
 // apply merges changes into the state. Removed targets are retained until
 // retainTargets, and removed hosts until retainHosts, unless that is 0. An older
 // desired state is ignored.
 func (s *state) apply(c Changes, retainTargets, retainHosts basilmoor.Millis) {
-	if c.Table != nil && (s.table == nil || c.Table.Version() > s.table.Version()) {
+	if s.isNewer(c.Table) {
 		s.table = c.Table
 	}
 	for name, t := range c.Targets {
