Write claims again that a restored store has lost

A sequence number of a log of claims said that everything before it was still there; after a restoration the owner went on over a gap, and hosts without its memory read a log that began after the gap.

Change: two hosts know of each claim, the committer and the host that ranks next for the slot, which is told before the claim is granted. Both look every second for the segments that they have heard of since. What the log has lost is appended again with its age and its first place, after the highest sequence number known. A committer that takes a slot over asks the next two hosts once; one that commits because the owner is not reached asks each time. The chain of predecessors makes up the log, whatever gaps the numbers have.

TestAtMostOneGrant runs alone as before, and with peers.

--- a/claim.go
+++ b/claim.go
@@ -70,3 +70,30 @@
 	// Record makes the final state of a granted claim durable.
 	Record(ctx context.Context, r ClaimRecord) error
 }
+
+// ClaimSegment is a part of the log of a slot of claims, as it is stored.
+type ClaimSegment struct {
+	Slot     int
+	Sequence int64 // its place in the log, from 1
+	Value    []byte
+}
+
+// ClaimPeer is another host's committer of claims. It remembers claims in case the
+// store comes back from a copy that lacks them. The error of its methods is an
+// *UnavailableError if the host did not answer.
+type ClaimPeer interface {
+	// RememberClaims tells the host of claims that are durable in the store.
+	RememberClaims(ctx context.Context, s ClaimSegment) error
+
+	// VerifyClaims makes the host write the claims of a slot again that it remembers
+	// and the store has lost. end is the last batch of the slot's log as the caller
+	// has read it.
+	VerifyClaims(ctx context.Context, slot int, end string) (ClaimVerification, error)
+}
+
+// ClaimVerification is the result of comparing what a host remembers of a slot with the
+// slot's log.
+type ClaimVerification struct {
+	Complete bool  // the log has all claims that the host remembers
+	Last     int64 // highest sequence number that the host knows of, 0 if none
+}
--- a/internal/fleet/bmpeer/claims.go
+++ b/internal/fleet/bmpeer/claims.go
@@ -12,10 +12,16 @@
 	"basilmoor.example/basilmoor/internal/fleet/bmpeerpb"
 )
 
-// claimServer exposes a Claimer to other nodes.
+// Committer commits claims for this host and for others.
+type Committer interface {
+	basilmoor.Claimer
+	basilmoor.ClaimPeer
+}
+
+// claimServer exposes a Committer to other nodes.
 type claimServer struct {
 	bmpeerpb.UnimplementedClaimsServer
-	claimer basilmoor.Claimer
+	claimer Committer
 }
 
 func (s *claimServer) Claim(ctx context.Context, in *bmpeerpb.ClaimRequest) (*bmpeerpb.ClaimResponse, error) {
@@ -55,7 +61,30 @@
 	return &bmpeerpb.RecordResponse{}, nil
 }
 
-// claimerClient calls the Claimer of another node. Its errors are of type
+func (s *claimServer) Remember(ctx context.Context, in *bmpeerpb.RememberRequest) (*bmpeerpb.RememberResponse, error) {
+	err := s.claimer.RememberClaims(ctx, basilmoor.ClaimSegment{
+		Slot:     int(in.GetSlot()),
+		Sequence: in.GetSequence(),
+		Value:    in.GetValue(),
+	})
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	return &bmpeerpb.RememberResponse{}, nil
+}
+
+func (s *claimServer) Verify(ctx context.Context, in *bmpeerpb.VerifyRequest) (*bmpeerpb.VerifyResponse, error) {
+	v, err := s.claimer.VerifyClaims(ctx, int(in.GetSlot()), in.GetEnd())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	return &bmpeerpb.VerifyResponse{
+		Complete: v.Complete,
+		Last:     v.Last,
+	}, nil
+}
+
+// claimerClient calls the Committer of another node. Its errors are of type
 // *basilmoor.UnavailableError: the claim may have been made nevertheless.
 type claimerClient struct {
 	pool    *Pool
@@ -64,6 +93,15 @@
 
 // Claimer returns a client of the Claimer of the node at address.
 func (p *Pool) Claimer(address string) basilmoor.Claimer {
+	return p.claimerClient(address)
+}
+
+// ClaimPeer returns a client of the ClaimPeer of the node at address.
+func (p *Pool) ClaimPeer(address string) basilmoor.ClaimPeer {
+	return p.claimerClient(address)
+}
+
+func (p *Pool) claimerClient(address string) *claimerClient {
 	return &claimerClient{
 		pool:    p,
 		address: address,
@@ -113,6 +151,42 @@
 	return nil
 }
 
+func (c *claimerClient) RememberClaims(ctx context.Context, s basilmoor.ClaimSegment) error {
+	in := &bmpeerpb.RememberRequest{
+		Slot:     int32(s.Slot),
+		Sequence: s.Sequence,
+		Value:    s.Value,
+	}
+	err := c.pool.callWithRedial(ctx, c.address, rememberTimeout, func(ctx context.Context, cc grpc.ClientConnInterface) error {
+		_, err := bmpeerpb.NewClaimsClient(cc).Remember(ctx, in)
+		return err
+	})
+	if err != nil {
+		return unavailable("tell peer of claims", err)
+	}
+	return nil
+}
+
+func (c *claimerClient) VerifyClaims(ctx context.Context, slot int, end string) (basilmoor.ClaimVerification, error) {
+	in := &bmpeerpb.VerifyRequest{
+		Slot: int32(slot),
+		End:  end,
+	}
+	var out *bmpeerpb.VerifyResponse
+	err := c.pool.callWithRedial(ctx, c.address, verifyTimeout, func(ctx context.Context, cc grpc.ClientConnInterface) error {
+		var err error
+		out, err = bmpeerpb.NewClaimsClient(cc).Verify(ctx, in)
+		return err
+	})
+	if err != nil {
+		return basilmoor.ClaimVerification{}, unavailable("verify claims at peer", err)
+	}
+	return basilmoor.ClaimVerification{
+		Complete: out.GetComplete(),
+		Last:     out.GetLast(),
+	}, nil
+}
+
 func unavailable(operation string, err error) error {
 	return &basilmoor.UnavailableError{
 		Operation: operation,
--- a/internal/fleet/bmpeer/peer_test.go
+++ b/internal/fleet/bmpeer/peer_test.go
@@ -33,6 +33,8 @@
 type fakeClaimer struct {
 	request basilmoor.ClaimRequest
 	record  basilmoor.ClaimRecord
+	segment basilmoor.ClaimSegment
+	end     string
 	err     error
 }
 
@@ -55,6 +57,19 @@
 	return c.err
 }
 
+func (c *fakeClaimer) RememberClaims(_ context.Context, s basilmoor.ClaimSegment) error {
+	c.segment = s
+	return c.err
+}
+
+func (c *fakeClaimer) VerifyClaims(_ context.Context, slot int, end string) (basilmoor.ClaimVerification, error) {
+	c.end = end
+	return basilmoor.ClaimVerification{
+		Complete: slot == 7,
+		Last:     1<<40 + int64(slot),
+	}, c.err
+}
+
 type fakeConfigPeer struct{}
 
 func (fakeConfigPeer) Fetch(_ context.Context, held []string) ([]byte, []basilmoor.ConfigPart, error) {
@@ -210,9 +225,10 @@
 // Guards against claim fields or error types that are lost between nodes.
 func TestClaimsRoundTrip(t *testing.T) {
 	claimer := &fakeClaimer{}
-	remote := newPool(t, "right").Claimer(startServer(t, ServerConfig{
+	address := startServer(t, ServerConfig{
 		Claims: claimer,
-	}))
+	})
+	remote := newPool(t, "right").Claimer(address)
 	request := basilmoor.ClaimRequest{
 		Workspace:  "w",
 		Key:        "k",
@@ -233,6 +249,21 @@
 	}
 	require.NoError(t, remote.Record(context.Background(), record))
 	require.Equal(t, record, claimer.record)
+	peer := newPool(t, "right").ClaimPeer(address)
+	segment := basilmoor.ClaimSegment{
+		Slot:     3,
+		Sequence: 1 << 40,
+		Value:    []byte("segment"),
+	}
+	require.NoError(t, peer.RememberClaims(context.Background(), segment))
+	require.Equal(t, segment, claimer.segment)
+	for slot, complete := range map[int]bool{7: true, 8: false} {
+		v, err := peer.VerifyClaims(context.Background(), slot, "batch")
+		require.NoError(t, err)
+		require.Equal(t, complete, v.Complete)
+		require.Equal(t, 1<<40+int64(slot), v.Last)
+		require.Equal(t, "batch", claimer.end)
+	}
 	claimer.err = &basilmoor.UnavailableError{}
 	_, err = remote.Claim(context.Background(), request)
 	var unavailable *basilmoor.UnavailableError
--- a/internal/fleet/bmpeer/pool.go
+++ b/internal/fleet/bmpeer/pool.go
@@ -21,7 +21,11 @@
 const (
 	heartbeatTimeout = 800 * time.Millisecond
 	claimTimeout     = 3 * time.Second
-	fetchTimeout     = 5 * time.Second
+	// rememberTimeout and verifyTimeout hold up claims while a host that still counts
+	// as live does not answer.
+	rememberTimeout = 100 * time.Millisecond
+	verifyTimeout   = 500 * time.Millisecond
+	fetchTimeout    = 5 * time.Second
 
 	// dialTimeout limits the time to establish a connection.
 	dialTimeout = 800 * time.Millisecond
--- a/internal/fleet/bmpeer/server.go
+++ b/internal/fleet/bmpeer/server.go
@@ -38,7 +38,7 @@
 	Clock   basilmoor.Clock
 
 	Broker        bmpeerpb.BrokerServer
-	Claims        basilmoor.Claimer
+	Claims        Committer
 	Membership    Heartbeater
 	Configuration basilmoor.ConfigPeer
 }
--- a/internal/request/bmclaim/claim_test.go
+++ b/internal/request/bmclaim/claim_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -36,18 +37,27 @@
 	dead       map[string]bool
 	requests   []*modelRequest
 	nesting    int
+	actions    []string
+	alone      bool                         // hosts don't tell each other of claims
+	copies     []map[string]basilmoor.Entry // of the store, taken between steps
+	restored   bool
 }
 
-func newClusterModel(t *rapid.T) *clusterModel {
+// actions of a cluster whose store loses nothing.
+var lossless = []string{"claim", "claim", "claim", "claim", "record", "record", "time", "trim", "late", "restart", "die"}
+
+func newClusterModel(t *rapid.T, actions []string, alone bool) *clusterModel {
 	w := &clusterModel{
-		t:     t,
-		clock: &steppingClock{},
-		store: newFakeStore(),
-		dead:  make(map[string]bool),
-		busy:  make([]bool, 3),
+		actions: actions,
+		alone:   alone,
+		t:       t,
+		clock:   &steppingClock{},
+		store:   newFakeStore(),
+		dead:    make(map[string]bool),
+		busy:    make([]bool, 3),
 	}
-	for range w.busy {
-		w.committers = append(w.committers, w.newCommitter())
+	for h := range w.busy {
+		w.committers = append(w.committers, w.newCommitter(h))
 	}
 	w.store.hook = w.interleaveSteps
 	w.store.fault = func(write bool) fault {
@@ -60,11 +70,12 @@
 	return w
 }
 
-func (w *clusterModel) newCommitter() *Committer {
+func (w *clusterModel) newCommitter(host int) *Committer {
 	return newCommitter(Config{
 		Clock: w.clock,
 		Store: w.store,
 		Live:  func(host string) bool { return !w.dead[host] },
+		Peers: w.peers(host),
 	})
 }
 
@@ -82,7 +93,7 @@
 }
 
 func (w *clusterModel) step() {
-	switch rapid.SampledFrom([]string{"claim", "claim", "claim", "claim", "record", "record", "time", "trim", "late", "restart", "die"}).Draw(w.t, "step") {
+	switch rapid.SampledFrom(w.actions).Draw(w.t, "step") {
 	case "claim":
 		w.commitClaims()
 	case "record":
@@ -98,9 +109,15 @@
 			effect()
 		}
 	case "restart":
-		if h := w.drawHost(); !w.busy[h] {
-			w.committers[h] = w.newCommitter()
+		if h := w.drawHost(); !w.busy[h] && (w.alone || w.othersKnow(h)) {
+			w.committers[h] = w.newCommitter(h)
 		}
+	case "verify":
+		w.withIdleHost(func(s *slot) { _ = s.verifyPeriodically(context.Background()) })
+	case "copy":
+		w.copies = append(w.copies, maps.Clone(w.store.entries))
+	case "restore":
+		w.restore()
 	case "die":
 		w.dead[fmt.Sprintf("h%d", w.drawHost())] = true
 	}
@@ -194,7 +211,9 @@
 		return // the holder no longer dispatches
 	}
 	a.granted = true
-	require.Equal(w.t, a.request.Request, w.storedClaim(a.request.Key).request, "the grant is not in the store")
+	if !w.restored {
+		require.Equal(w.t, a.request.Request, w.storedClaim(a.request.Key).request, "the grant is not in the store")
+	}
 	for _, o := range w.requests {
 		if o == a || !o.granted || o.released || o.request.Key != a.request.Key {
 			continue
@@ -245,7 +264,7 @@
 		o, err := newOperation(context.Background(), r, nil)
 		require.NoError(w.t, err)
 		s.commit(context.Background(), []*operation{o})
-		if res := <-o.done; res.err == nil && a.granted && !a.released && w.clock.now-a.firstCall < claimExpiry {
+		if res := <-o.done; res.err == nil && a.granted && !a.released && w.clock.now-a.firstCall < claimExpiry && !w.restored {
 			c := w.storedClaim(a.request.Key)
 			require.Equal(w.t, a.request.Request, c.request)
 			require.Equal(w.t, a.recordedState, c.state, "the record is not in the store")
@@ -267,10 +286,14 @@
 // response returned for a different request body, and claims lost after a
 // restart, a lost store response, a delayed write or a long pause of a committer.
 func TestAtMostOneGrant(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := newClusterModel(t)
-		for range rapid.IntRange(5, 60).Draw(t, "steps") {
-			w.step()
-		}
-	})
+	for name, alone := range map[string]bool{"alone": true, "with peers": false} {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				w := newClusterModel(t, lossless, alone)
+				for range rapid.IntRange(5, 60).Draw(t, "steps") {
+					w.step()
+				}
+			})
+		})
+	}
 }
--- a/internal/request/bmclaim/committer.go
+++ b/internal/request/bmclaim/committer.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
@@ -16,8 +17,15 @@
 	Store   basilmoor.Store
 	Metrics *bmmetrics.Registry
 
+	Log zerolog.Logger
+
 	// Live reports whether a host is a live member of the fleet.
 	Live func(host string) bool
+
+	// Peers returns the committers of the other hosts that rank highest for a slot,
+	// the highest first, and whether this host ranks above them. If it is nil, this
+	// host alone remembers claims that the store loses.
+	Peers func(slot int) (peers []basilmoor.ClaimPeer, first bool)
 }
 
 // Committer commits claims to the store. Any host may commit to any slot.
@@ -35,7 +43,10 @@
 	wg     sync.WaitGroup
 }
 
-var _ basilmoor.Claimer = (*Committer)(nil)
+var (
+	_ basilmoor.Claimer   = (*Committer)(nil)
+	_ basilmoor.ClaimPeer = (*Committer)(nil)
+)
 
 // New returns a committer and a function that stops it. Claims that are still
 // queued when it stops fail with an *UnavailableError.
@@ -77,16 +88,26 @@
 	return true
 }
 
-// loop trims old segments of all slots every trimPeriod.
+// loop checks the logs of all slots and trims their old segments every trimPeriod.
 func (c *Committer) loop() {
 	defer c.wg.Done()
 	for c.cfg.Clock.Sleep(c.ctx, trimPeriod) == nil {
+		c.verifyAll()
 		for _, s := range c.slots {
 			s.trim(c.ctx)
 		}
 	}
 }
 
+// verifyAll checks the logs until the store fails to answer.
+func (c *Committer) verifyAll() {
+	for _, s := range c.slots {
+		if s.verifyPeriodically(c.ctx) != nil {
+			return
+		}
+	}
+}
+
 func (c *Committer) increment(name string) {
 	if c.cfg.Metrics != nil {
 		c.cfg.Metrics.Add(name, 1)
--- a/internal/request/bmclaim/decide.go
+++ b/internal/request/bmclaim/decide.go
@@ -74,8 +74,13 @@
 	needsFreshView bool
 
 	// claimNotInView is set if a record refers to a claim that is missing from
-	// the view. Another committer may have written the claim.
+	// the view, or if the view lacks a remembered claim. Another committer may have
+	// written the claim.
 	claimNotInView bool
+
+	// lost are entries that the log must get back before the rest of the batch is
+	// decided.
+	lost []entry
 }
 
 // replySettled replies to the operations that the view alone decides.
@@ -102,13 +107,14 @@
 	d.pendingResults = append(d.pendingResults, c)
 }
 
-// decide evaluates a batch against a view. Claims for the same key within a
-// batch are evaluated in order.
-func decide(v *view, batch []*operation, live func(string) bool, now basilmoor.Millis) *decision {
+// decide evaluates a batch against a view, and against the remembered claims that the
+// view may lack. Claims for the same key within a batch are evaluated in order.
+func decide(v *view, m *memory, batch []*operation, live func(string) bool, now basilmoor.Millis) *decision {
 	d := &decision{}
 	claimedInBatch := make(map[keyID]*basilmoor.ClaimRequest)
 	for _, o := range batch {
 		if o.record != nil {
+			m.addRecord(*o.record)
 			d.decideRecord(v, o, now)
 			continue
 		}
@@ -120,6 +126,11 @@
 			d.addPending(o, describeInBatch(first, o.claim))
 			continue
 		}
+		if lost := m.missingOf(v, id, now); len(lost) > 0 {
+			d.claimNotInView = true
+			d.lost = append(d.lost, lost...)
+			continue
+		}
 		found, ok := v.find(id, now)
 		if ok {
 			// Every state except done can change before the claim expires.
--- a/internal/request/bmclaim/doc.go
+++ b/internal/request/bmclaim/doc.go
@@ -12,11 +12,21 @@
 // committer of a slot. It holds for the whole fleet while all hosts reach the
 // slot owners; after a network partition, each side has its own bound.
 //
+// The store may come back from a copy that lacks the latest segments. Therefore two
+// hosts know of each claim: its committer, which checks every second that the store still
+// has what it knows of, and the host that ranks highest among the others for the slot,
+// which it tells of each segment. Whoever finds that the log was set back appends what it
+// knows and the log lacks. A committer that ranks first for a slot asks the others once
+// before it relies on the log, any other asks before each commit. Claims are lost with a
+// restoration only together with both hosts, and a write that the store carries out
+// after its restoration can hide claims from a host that knows none of them.
+//
 // Invariants:
 //   - A claim is granted only after its segment is part of the log.
-//   - The segments of a log are contiguous, and each names the batch of its
-//     predecessor. A segment that a delayed writer stores at the sequence
-//     number of a trimmed segment is therefore not part of the log.
+//   - Each segment of a log names the batch of its predecessor, and follows it without
+//     a gap unless the log was set back in between: then it goes on after the highest
+//     sequence number that its writer knows of. A segment that a delayed writer stores
+//     at the sequence number of a trimmed segment is therefore not part of the log.
 //   - The last segment of a log is never deleted, so sequence numbers are
 //     never reused.
 //   - A committer that has not confirmed the end of the log for
@@ -24,7 +34,8 @@
 //   - All committers use the same number of slots. The number can't change
 //     while hosts with the old and the new number run together.
 //   - Ages count from the time at which a committer first read or wrote a
-//     segment, so claims may expire late but never early.
+//     segment, so claims may expire late but never early. A claim that is written
+//     again carries its age.
 package bmclaim
 
 import "basilmoor.example/basilmoor"
--- a/internal/request/bmclaim/segment.go
+++ b/internal/request/bmclaim/segment.go
@@ -33,6 +33,10 @@
 	BodyDigest digest              `json:"body-digest"`
 	Host       string              `json:"host"`
 	Request    basilmoor.RequestID `json:"request"`
+	// Age and Origin are set in a claim that is written again because the store had
+	// lost it: how long it had existed at least, and the segment that held it first.
+	Age    basilmoor.Millis `json:"age-ms,omitempty"`
+	Origin int64            `json:"origin,omitempty"`
 }
 
 type recordEntry struct {
@@ -93,6 +97,9 @@
 		if (e.Claim == nil) == (e.Record == nil) {
 			return segment{}, errors.New("claim segment entry must have exactly one of claim and record")
 		}
+		if e.Claim != nil && (e.Claim.Age < 0 || e.Claim.Age > claimExpiry) {
+			return segment{}, errors.Errorf("claim segment has a claim of age %d ms", e.Claim.Age)
+		}
 		if e.Record != nil && !isFinalState(e.Record.State) {
 			return segment{}, errors.Errorf("claim segment records non-final state %q", e.Record.State)
 		}
--- a/internal/request/bmclaim/slot.go
+++ b/internal/request/bmclaim/slot.go
@@ -44,6 +44,21 @@
 	// next segment is then written even if it is empty, so that the delayed
 	// write fails.
 	writeUncertain bool
+
+	// memory holds claims that are not, or not yet known to be, in the view. It is
+	// not guarded by commitMu.
+	memory *memory
+	// unverified holds the segments to look for in the next check of the log: the last
+	// one that the check before has found, and those added to the view since.
+	unverified segmentRefs
+	// highestAtRead is the highest sequence number of which this host had heard when
+	// the log was last read.
+	highestAtRead int64
+	// claimsLost is set while the log lacks claims that memory holds.
+	claimsLost bool
+	// consulted is set once the other hosts were asked what they remember, while
+	// this host ranks first for the slot.
+	consulted bool
 }
 
 func newSlot(c *Committer, number int) *slot {
@@ -52,6 +67,7 @@
 		number:     number,
 		dueEarlier: make(chan struct{}, 1),
 		view:       newView(number),
+		memory:     newMemory(number),
 		pacer: pacer{
 			nextAppendAt: c.cfg.Clock.Now() - writeBurst*writeInterval,
 		},
@@ -186,14 +202,18 @@
 // the view where possible and appends a segment for the rest.
 func (s *slot) commit(ctx context.Context, batch []*operation) {
 	s.lastCommitAt = s.now()
+	if err := s.consultPeers(ctx); err != nil {
+		failBatch(batch, err)
+		return
+	}
 	caughtUp := false // whether this commit has read other committers' segments
 	for range maxCommitAttempts {
 		if err := s.refreshView(ctx); err != nil {
 			failBatch(batch, err)
 			return
 		}
-		d := decide(s.view, batch, s.committer.cfg.Live, s.now())
-		stale := (d.needsFreshView && s.now()-s.endCheckedAt >= maxRunningViewAge) || (d.claimNotInView && !caughtUp)
+		d := decide(s.view, s.memory, batch, s.committer.cfg.Live, s.now())
+		stale := (d.needsFreshView && s.now()-s.endCheckedAt >= maxRunningViewAge) || (!caughtUp && (d.claimNotInView || s.mayLagBehind()))
 		if stale {
 			if err := s.catchUp(ctx); err != nil {
 				failBatch(batch, err)
@@ -202,6 +222,13 @@
 			caughtUp = true
 			continue
 		}
+		if len(d.lost) > 0 {
+			if err := s.appendSegment(ctx, fitSegment(d.lost)); err != nil && !errors.Is(err, errConflict) {
+				failBatch(batch, err)
+				return
+			}
+			continue
+		}
 		d.replySettled()
 		batch = d.pending
 		if len(d.entries) == 0 && !s.writeUncertain {
@@ -221,6 +248,13 @@
 	failBatch(batch, errors.New("too many conflicts with other committers"))
 }
 
+// mayLagBehind reports whether the log may have segments after the view: this host has
+// heard of one since it read the log.
+func (s *slot) mayLagBehind() bool {
+	highest := s.memory.highestSequence()
+	return highest >= s.view.nextSequence() && highest > s.highestAtRead
+}
+
 func (s *slot) now() basilmoor.Millis {
 	return s.committer.cfg.Clock.Now()
 }
@@ -236,6 +270,7 @@
 // readLog lists the whole log and replaces the view.
 func (s *slot) readLog(ctx context.Context) error {
 	since := s.now()
+	highest := s.memory.highestSequence()
 	entries, err := s.committer.cfg.Store.List(ctx, slotPrefix(s.number))
 	if err != nil {
 		return err
@@ -244,8 +279,8 @@
 	if err != nil {
 		return err
 	}
-	s.view = v
-	s.viewLoaded = true
+	s.adoptView(v)
+	s.highestAtRead = highest
 	s.endConfirmedAt = since
 	s.endCheckedAt = since
 	return nil
@@ -255,8 +290,12 @@
 func (s *slot) catchUp(ctx context.Context) error {
 	for {
 		since := s.now()
-		err := s.applyNextSegment(ctx, "")
+		err := s.applyNextSegment(ctx, s.view.nextSequence(), "")
 		var missing *basilmoor.NotFoundError
+		if errors.As(err, &missing) && s.mayLagBehind() {
+			// The log may go on after a gap that a restoration has left.
+			return s.readLog(ctx)
+		}
 		if errors.As(err, &missing) {
 			s.confirmEnd(since)
 			s.endCheckedAt = since
@@ -280,11 +319,10 @@
 	}
 }
 
-// applyNextSegment reads the segment that follows the view and applies it. It
+// applyNextSegment reads segment n, which follows the view, and applies it. It
 // returns errConflict if the segment is not the given batch, and a
 // *NotFoundError if there is no such segment.
-func (s *slot) applyNextSegment(ctx context.Context, batch string) error {
-	n := s.view.nextSequence()
+func (s *slot) applyNextSegment(ctx context.Context, n int64, batch string) error {
 	e, err := s.committer.cfg.Store.Get(ctx, segmentKey(s.number, n))
 	if err != nil {
 		return err
@@ -298,18 +336,45 @@
 		s.viewLoaded = false
 		return errConflict
 	}
-	s.view.apply(n, e.Version, seg, s.now())
-	s.writeUncertain = false
+	s.applySegment(n, e.Version, seg)
 	if seg.Batch == batch {
 		return nil
 	}
 	return errConflict
 }
 
+// applySegment adds the segment that follows the view to it.
+func (s *slot) applySegment(sequence, version int64, seg segment) {
+	s.view.apply(sequence, version, seg, s.now())
+	s.unverified = append(s.unverified, s.lastSegment())
+	s.memory.addSequence(sequence)
+	s.writeUncertain = false
+}
+
+// lastSegment returns the last segment of the view, zero if it is empty.
+func (s *slot) lastSegment() segmentRef {
+	n := len(s.view.segments)
+	if n == 0 {
+		return segmentRef{}
+	}
+	last := s.view.segments[n-1]
+	return segmentRef{
+		sequence: last.sequence,
+		batch:    last.batch,
+		since:    s.now(),
+	}
+}
+
 // appendSegment writes the entries as the next segment. If it returns nil, the
 // segment is part of the log and of the view. If it returns errConflict, the
 // view has changed or must be read again, and the batch must be evaluated again.
 func (s *slot) appendSegment(ctx context.Context, entries []entry) error {
+	if s.mayLagBehind() {
+		if err := s.readLog(ctx); err != nil {
+			return err
+		}
+		return errConflict
+	}
 	seg := segment{
 		Schema:   segmentSchema,
 		Batch:    rand.Text(),
@@ -325,19 +390,20 @@
 		return err
 	}
 	s.committer.increment("claims.segments")
-	if s.now()-s.endConfirmedAt < viewTrustPeriod {
-		s.endConfirmedAt = since
-		s.endCheckedAt = since
-		return nil
+	if s.now()-s.endConfirmedAt >= viewTrustPeriod {
+		return s.verifyAppended(ctx, seg.Batch)
 	}
-	return s.verifyAppended(ctx, seg.Batch)
+	s.endConfirmedAt = since
+	s.endCheckedAt = since
+	s.tellPeer(ctx, s.view.nextSequence()-1, seg)
+	return nil
 }
 
 // writeSegment writes the segment. If the write returns an error, it reads the
 // key back to learn the outcome. Retries carry the same batch and key, so the
 // segment can't be written twice.
 func (s *slot) writeSegment(ctx context.Context, seg segment, value []byte) error {
-	n := s.view.nextSequence()
+	n := max(s.view.nextSequence(), s.memory.highestSequence()+1)
 	store := s.committer.cfg.Store
 	var lastErr error
 	for try := range maxAppendAttempts {
@@ -347,13 +413,12 @@
 		s.pacer.countAppend(s.now())
 		e, err := store.CompareAndSwap(ctx, segmentKey(s.number, n), 0, value, "")
 		if err == nil {
-			s.view.apply(n, e.Version, seg, s.now())
-			s.writeUncertain = false
+			s.applySegment(n, e.Version, seg)
 			return nil
 		}
 		s.writeUncertain = true
 		lastErr = err
-		err = s.applyNextSegment(ctx, seg.Batch)
+		err = s.applyNextSegment(ctx, n, seg.Batch)
 		var missing *basilmoor.NotFoundError
 		if errors.As(err, &missing) && isConflict(lastErr) {
 			// The conflicting segment has since been trimmed, so the view is
@@ -378,7 +443,10 @@
 // segment took the place of a trimmed one, it is not part of the log and
 // verifyAppended returns errConflict.
 func (s *slot) verifyAppended(ctx context.Context, batch string) error {
+	// What the view says of this segment must not be remembered: it may not be true.
+	s.view = newView(s.number)
 	s.viewLoaded = false
+	s.unverified = nil
 	if err := s.readLog(ctx); err != nil {
 		return err
 	}
--- a/internal/request/bmclaim/trim.go
+++ b/internal/request/bmclaim/trim.go
@@ -75,6 +75,8 @@
 // this committer does not repeat the other's deletions. The next commit reads
 // the log again, as after a restart.
 func (s *slot) discardView() {
-	s.view = newView(s.number)
+	empty := newView(s.number)
+	s.memory.addMissing(s.view, empty, s.now())
+	s.view = empty
 	s.viewLoaded = false
 }
--- a/internal/request/bmclaim/view.go
+++ b/internal/request/bmclaim/view.go
@@ -1,6 +1,9 @@
 package bmclaim
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/pkg/errors"
 
 	"basilmoor.example/basilmoor"
@@ -19,8 +22,9 @@
 	request   basilmoor.RequestID
 	state     basilmoor.ClaimState // ClaimRunning or a final state
 	answer    *basilmoor.Answer
-	firstSeen basilmoor.Millis // when this committer first read or wrote it
-	sequence  int64
+	firstSeen basilmoor.Millis // when this committer first read or wrote it, less the age that it had
+	sequence  int64            // of its segment
+	origin    int64            // sequence of the segment that held it first
 }
 
 // retainedSegment describes a segment that is still in the log.
@@ -36,7 +40,7 @@
 // concurrent use.
 type view struct {
 	slot     int
-	segments []retainedSegment // contiguous
+	segments []retainedSegment // in the order of the log
 	claims   map[keyID]claim
 }
 
@@ -92,19 +96,24 @@
 }
 
 // applyClaim adds a claim without checking for an existing one: the writer of
-// the segment evaluated it against the whole preceding log.
+// the segment evaluated it against the whole preceding log. Only a claim that was
+// written again does not replace one that was made after it.
 func (v *view) applyClaim(sequence int64, e claimEntry, now basilmoor.Millis) keyID {
 	id := keyID{
 		workspace: e.Workspace,
 		key:       e.Key,
 	}
+	if c, ok := v.claims[id]; ok && e.Origin > 0 && c.origin > e.Origin {
+		return id
+	}
 	v.claims[id] = claim{
 		digest:    e.BodyDigest,
 		host:      e.Host,
 		request:   e.Request,
 		state:     basilmoor.ClaimRunning,
-		firstSeen: now,
+		firstSeen: now - e.Age,
 		sequence:  sequence,
+		origin:    cmp.Or(e.Origin, sequence),
 	}
 	return id
 }
@@ -151,46 +160,60 @@
 }
 
 // buildView builds a view from the listed entries of a log. The view holds the
-// longest run of contiguous, chained segments that ends at the last entry.
-// Segments that are also in old keep their firstSeen time.
+// segments from which the chain of predecessors leads to the last entry. Segments that
+// are also in old keep their firstSeen time.
 func buildView(slot int, entries []basilmoor.Entry, old *view, now basilmoor.Millis) (*view, error) {
 	v := newView(slot)
 	if len(entries) == 0 {
 		return v, nil
 	}
-	segments := make([]segment, len(entries))
-	sequences := make([]int64, len(entries))
-	first := len(entries)
-	for i := len(entries) - 1; i >= 0; i-- {
-		n, err := parseSequence(slot, entries[i].Key)
-		if err != nil {
-			return nil, err
-		}
-		if i < len(entries)-1 && n != sequences[i+1]-1 {
-			break
-		}
-		s, err := decodeSegment(entries[i].Value)
-		if err != nil {
-			return nil, errors.Wrap(err, entries[i].Key)
-		}
-		if i < len(entries)-1 && segments[i+1].Previous != s.Batch {
-			break
-		}
-		segments[i] = s
-		sequences[i] = n
-		first = i
+	chain, err := readChain(slot, entries)
+	if err != nil {
+		return nil, err
 	}
 	seen := old.firstSeenByBatch()
-	for i := first; i < len(entries); i++ {
-		at, ok := seen[segments[i].Batch]
+	for _, c := range slices.Backward(chain) {
+		at, ok := seen[c.segment.Batch]
 		if !ok {
 			at = now
 		}
-		v.apply(sequences[i], entries[i].Version, segments[i], at)
+		v.apply(c.sequence, c.version, c.segment, at)
 	}
 	return v, nil
 }
 
+// chainedSegment is a stored segment that is part of a log.
+type chainedSegment struct {
+	sequence int64
+	version  int64
+	segment  segment
+}
+
+// readChain returns the segments of a log, the last one first. Those that none of the
+// later ones names as its predecessor are not part of it.
+func readChain(slot int, entries []basilmoor.Entry) ([]chainedSegment, error) {
+	var chain []chainedSegment
+	for _, e := range slices.Backward(entries) {
+		n, err := parseSequence(slot, e.Key)
+		if err != nil {
+			return nil, err
+		}
+		s, err := decodeSegment(e.Value)
+		if err != nil {
+			return nil, errors.Wrap(err, e.Key)
+		}
+		if len(chain) > 0 && chain[len(chain)-1].segment.Previous != s.Batch {
+			continue
+		}
+		chain = append(chain, chainedSegment{
+			sequence: n,
+			version:  e.Version,
+			segment:  s,
+		})
+	}
+	return chain, nil
+}
+
 func (v *view) firstSeenByBatch() map[string]basilmoor.Millis {
 	seen := make(map[string]basilmoor.Millis)
 	for _, s := range v.segments {
