Recognize events of streams whose lines end with CR LF

Where an answer ends is told by its events, and only LF LF ended one, so that the whole stream counted as an incomplete event and was thrown away as truncated.

An event ends with a blank line, which may end with LF or CR LF.

TestLineEndsOfStreams fails before in two of its three cases (502 in place of the events) and passes. It also asks that events arrive as they come, and that a stream cut within its last blank line is resumed.

--- a/internal/request/bmentry/relay.go
+++ b/internal/request/bmentry/relay.go
@@ -315,17 +315,28 @@
 	return err
 }
 
-// eventSeparator is the blank line that ends each event.
-var eventSeparator = []byte("\n\n")
+// eventSeparators are the ends of an event: the end of its last line and a blank line,
+// which may end with LF or CR LF.
+var eventSeparators = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
+// completeEventBytes returns the length of the complete events at the start of data.
+func completeEventBytes(data []byte) int {
+	n := 0
+	for _, sep := range eventSeparators {
+		if i := bytes.LastIndex(data, sep); i >= 0 {
+			n = max(n, i+len(sep))
+		}
+	}
+	return n
+}
 
 // writeEvents relays the events that data completes and keeps the rest.
 func (s *stream) writeEvents(resp *bmexchange.Response, data []byte) error {
 	s.partial = append(s.partial, data...)
-	n := bytes.LastIndex(s.partial, eventSeparator)
-	if n < 0 {
+	n := completeEventBytes(s.partial)
+	if n == 0 {
 		return nil
 	}
-	n += len(eventSeparator)
 	complete := s.partial[:n]
 	if !s.headerSent {
 		s.headerSent = true
@@ -354,7 +365,9 @@
 
 // trackEvents counts complete events and keeps the id of the last one.
 func (s *stream) trackEvents(events []byte) {
-	s.eventCount += bytes.Count(events, eventSeparator)
+	for _, sep := range eventSeparators {
+		s.eventCount += bytes.Count(events, sep)
+	}
 	for len(events) > 0 {
 		var line []byte
 		line, events, _ = bytes.Cut(events, []byte("\n"))
--- a/internal/request/bmentry/relay_test.go
+++ b/internal/request/bmentry/relay_test.go
@@ -1,6 +1,7 @@
 package bmentry
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -88,3 +89,33 @@
 		})
 	}
 }
+
+// Guards against streams whose lines end with CR LF, which are held back until their end
+// and then thrown away as truncated, since no event of theirs is recognized.
+func TestLineEndsOfStreams(t *testing.T) {
+	const afterLF, afterCRLF = "id: 2\ndata: y\n\r\n", "id: 2\r\ndata: y\r\n\r\n"
+	for name, second := range map[string]string{"LF": event2, "CR LF": afterCRLF, "LF, then CR LF": afterLF} {
+		t.Run(name, func(t *testing.T) {
+			first := strings.ReplaceAll(second, "2", "1")
+			f := newTestFleet(t)
+			f.addScriptedTargets(t, []scriptedAnswer{{bytes: chunked(first, second) + lastChunk}})
+			got := f.call(t, "HTTP/1.1", "/stream/x", 0)
+			require.Equal(t, callerView{status: 200, framing: framedByChunks, body: first + second}, got)
+
+			f = newTestFleet(t)
+			f.addScriptedTargets(t, []scriptedAnswer{{bytes: chunked(first, second[:len(second)-1]) + lastChunk}, {bytes: chunked(second) + lastChunk}})
+			got = f.call(t, "HTTP/1.1", "/resume/x", 0)
+			require.Equal(t, callerView{status: 200, framing: framedByChunks, body: first + second}, got)
+			require.Equal(t, []string{"t0", "t1 1"}, f.ran())
+
+			f = newTestFleet(t)
+			f.addScriptedTargets(t, []scriptedAnswer{{bytes: chunked(first), end: endSilence}})
+			resp := f.start(t, "HTTP/1.1", "/stream/x", 5000)
+			defer func() { _ = resp.Body.Close() }()
+			body := make([]byte, len(first))
+			_, err := io.ReadFull(resp.Body, body)
+			require.NoError(t, err, "events must be relayed as they arrive")
+			require.Equal(t, first, string(body))
+		})
+	}
+}
