Read the log again if a peer knows of later claims

A host that commits because the owner is not reached was told by another that the log goes on to number 3. It had known of a number 3 already, from before the log was set back, and took it for the end of what it had read.

What a peer says of its last segment is compared with the view itself, and the log is read again if the view ends before it. Where there is no other host, nobody is asked, so that a single host makes no further calls to the store.

--- a/internal/request/bmclaim/verify.go
+++ b/internal/request/bmclaim/verify.go
@@ -60,15 +60,16 @@
 	return basilmoor.ClaimVerification{}, nil
 }
 
-// consultPeers makes sure that this committer may rely on the log. The host that ranks
-// first for a slot is told of all claims and asks once; any other may have missed some,
-// which a restored store lacks as well. commitMu is held.
+// consultPeers makes sure that this committer may rely on the log, which a restoration of
+// the store may have set back. The host that ranks first for a slot is told of all claims
+// and asks the others once. Any other host may have missed claims, and asks each time.
+// commitMu is held.
 func (s *slot) consultPeers(ctx context.Context) error {
 	if s.committer.cfg.Peers == nil {
 		return nil
 	}
 	peers, first := s.committer.cfg.Peers(s.number)
-	if first && s.consulted {
+	if first && (s.consulted || len(peers) == 0) {
 		return nil
 	}
 	if err := s.refreshView(ctx); err != nil {
@@ -94,7 +95,12 @@
 	if err := s.catchUp(ctx); err != nil {
 		return err
 	}
-	s.consulted = first && len(peers) > 0
+	s.consulted = first
+	if last >= s.view.nextSequence() {
+		// Another host may have written on after a gap, at a number that was in use
+		// before the log was set back.
+		return s.readLog(ctx)
+	}
 	return nil
 }
 
