--- a/internal/proof/bmsoak/crash_part_test.go
+++ b/internal/proof/bmsoak/crash_part_test.go
@@ -227,6 +227,7 @@
 			excused++
 		default:
 			failures[fmt.Sprint(r.status, " ", r.body, " ", r.err)]++
+			t.Logf("%s, sent at %s:\n%s", r.attempt, r.sent.Format("05.000"), c.fleet.logOf(r.attempt))
 		}
 	}
 	assert.Empty(t, failures, "sound requests that were not served")
--- a/internal/proof/bmsoak/fleet_test.go
+++ b/internal/proof/bmsoak/fleet_test.go
@@ -346,6 +346,24 @@
 	return string(log[max(0, len(log)-shownBytes):])
 }
 
+// logOf returns the lines that the hosts have logged about a request, and those of level
+// warn, by host.
+func (f *fleet) logOf(attempt string) string {
+	var out strings.Builder
+	for _, h := range f.hosts {
+		log, err := os.ReadFile(h.logPath())
+		if err != nil {
+			return err.Error()
+		}
+		for line := range strings.Lines(string(log)) {
+			if strings.Contains(line, `"`+attempt+`"`) || strings.Contains(line, `"level":"warn"`) {
+				out.WriteString(h.name + " " + line)
+			}
+		}
+	}
+	return out.String()
+}
+
 // saveLogs copies the hosts' logs to the directory SOAK_LOGS, if that is set and
 // the test has failed.
 func (f *fleet) saveLogs() {
