Keep retries from trying one failed target after the other

Callers: 503 `target-unreachable` although a sound target is free. Seen once, in TestSoakCrashPart beside load. A target that has failed is tried again with one request at a time once its back-off ends. It is idle, so that its cost is low, and a request that has just reached a dead target was as likely as any other to be used for the next trial. After five of them it is refused. While many targets die at once, their back-offs end together.

A demand that has excluded a target gets one whose last request failed only if no other is free. `harms` uses the same comparison.

TestRetriesAvoidFailedTargets fails before (3 attempts without a target where 1 is allowed) and passes.

--- a/internal/schedule/bmgrant/choose.go
+++ b/internal/schedule/bmgrant/choose.go
@@ -1,6 +1,7 @@
 package bmgrant
 
 import (
+	"cmp"
 	"slices"
 
 	"basilmoor.example/basilmoor"
@@ -9,25 +10,31 @@
 
 // chooseTarget returns the target with the lowest cost among the free targets
 // that are fast enough for a demand and not excluded by it, or nil. A demand that
-// the quarantine limits gets the one whose death would do the least harm.
+// the quarantine limits gets the one whose death would do the least harm. A demand
+// that has excluded a target gets one whose last request failed only if there is no
+// other: the few attempts that it may make must not all be trials of such targets.
 func (p *Pool) chooseTarget(now basilmoor.Millis, q *queuedDemand) *target {
 	level := p.quarantine.Level(q.demand.CrashKeys)
 	limited := level >= bmquarantine.Limited
 	if limited && !p.quarantine.Admits(q.demand.CrashKeys) {
 		return nil
 	}
+	retried := len(q.demand.Excluded) > 0
 	var best *target
 	bestCost := 0.0
 	for _, t := range p.listed {
 		if !t.free(now) || slices.Contains(q.demand.Excluded, t.spec.Name) || !p.fastEnough(now, q, t) || !p.admits(t, level) {
 			continue
 		}
-		harm := 0
-		if limited && best != nil {
-			harm = harms(t, best)
+		order := 0
+		if retried && best != nil {
+			order = compareFailed(t, best)
+		}
+		if order == 0 && limited && best != nil {
+			order = harms(t, best)
 		}
 		cost := p.cost(t, q.demand)
-		if best == nil || harm < 0 || harm == 0 && cost < bestCost {
+		if best == nil || order < 0 || order == 0 && cost < bestCost {
 			best = t
 			bestCost = cost
 		}
@@ -35,6 +42,12 @@
 	return best
 }
 
+// compareFailed returns a negative number if the last request to t has not failed and
+// that to other has, a positive one if it is the reverse, and 0 otherwise.
+func compareFailed(t, other *target) int {
+	return cmp.Compare(min(t.consecutiveFailures, 1), min(other.consecutiveFailures, 1))
+}
+
 // fastEnough reports whether a demand may be granted the target t. It may not if
 // t would miss the objective or the deadline while the fastest target could
 // still meet it.
--- a/internal/schedule/bmgrant/pool_test.go
+++ b/internal/schedule/bmgrant/pool_test.go
@@ -456,3 +456,42 @@
 	require.Equal(t, []string{"h/1"}, granted(p.Submit(0, testDemand("1", 0))))
 	require.Equal(t, []string{"h/2"}, refused(p.Submit(0, testDemand("2", 0))), "the target is busy")
 }
+
+// Guards against a request that is refused as target-unreachable although a sound target
+// is free: after its first attempt that reached no target it must not be the one that
+// tries further targets of which the last attempt failed.
+func TestRetriesAvoidFailedTargets(t *testing.T) {
+	p := NewPool(0)
+	p.SetTargets(0, []basilmoor.Target{testTarget("dead-1", 4), testTarget("dead-2", 4), testTarget("dead-3", 4), testTarget("sound", 4)})
+	submit := func(now basilmoor.Millis, d basilmoor.Demand) basilmoor.Grant {
+		decisions := p.Submit(now, d)
+		require.Len(t, decisions, 1)
+		require.NotNil(t, decisions[0].Grant)
+		return *decisions[0].Grant
+	}
+	failed := map[string]bool{}
+	for i := 0; len(failed) < 3; i++ {
+		id := fmt.Sprint("before-", i)
+		if g := submit(0, testDemand(id, 0)); g.Target.Name != "sound" {
+			failed[g.Target.Name] = true
+			p.Observe(0, basilmoor.Observation{
+				Request: g.Request,
+				Stage:   basilmoor.StageUnreachable,
+			})
+		}
+		require.Less(t, i, 10)
+	}
+
+	now := minRetryBackoff
+	d := testDemand("retried", 0)
+	attempts := 0
+	for g := submit(now, d); g.Target.Name != "sound"; g = submit(now, d) {
+		attempts++
+		p.Observe(now, basilmoor.Observation{
+			Request: g.Request,
+			Stage:   basilmoor.StageUnreachable,
+		})
+		d.Excluded = append(d.Excluded, g.Target.Name)
+	}
+	require.LessOrEqual(t, attempts, 1, "attempts that reached no target")
+}
--- a/internal/schedule/bmgrant/quarantine.go
+++ b/internal/schedule/bmgrant/quarantine.go
@@ -221,11 +221,8 @@
 // the death of a would do less harm than that of b, or tell more: a target that has
 // failed and not answered since may die by itself.
 func harms(a, b *target) int {
-	if failing := a.consecutiveFailures > 0; failing != (b.consecutiveFailures > 0) {
-		if failing {
-			return 1
-		}
-		return -1
+	if c := compareFailed(a, b); c != 0 {
+		return c
 	}
 	return len(a.inFlight) - len(b.inFlight)
 }
