--- a/internal/request/bmclaim/doc.go
+++ b/internal/request/bmclaim/doc.go
@@ -17,9 +17,11 @@
 // has what it knows of, and the host that ranks highest among the others for the slot,
 // which it tells of each segment. Whoever finds that the log was set back appends what it
 // knows and the log lacks. A committer that ranks first for a slot asks the others once
-// before it relies on the log, any other asks before each commit. Claims are lost with a
-// restoration only together with both hosts, and a write that the store carries out
-// after its restoration can hide claims from a host that knows none of them.
+// before it relies on the log, any other asks before each commit. What this does not
+// cover: claims are lost with a restoration together with both hosts; a host that comes
+// to rank higher than the one that was told is not told of earlier claims; and a write
+// that the store carries out after its restoration can hide claims from a host that
+// knows none of them.
 //
 // Invariants:
 //   - A claim is granted only after its segment is part of the log.
