State which lost claims the second host does not cover

If that message is lost, or another host becomes the second one, only the committer knows of its claims. No code changes.

--- a/internal/request/bmclaim/doc.go
+++ b/internal/request/bmclaim/doc.go
@@ -15,13 +15,14 @@
 // The store may come back from a copy that lacks the latest segments. Therefore two
 // hosts know of each claim: its committer, which checks every second that the store still
 // has what it knows of, and the host that ranks highest among the others for the slot,
-// which it tells of each segment. Whoever finds that the log was set back appends what it
-// knows and the log lacks. A committer that ranks first for a slot asks the others once
-// before it relies on the log, any other asks before each commit. What this does not
-// cover: claims are lost with a restoration together with both hosts; a host that comes
-// to rank higher than the one that was told is not told of earlier claims; and a write
-// that the store carries out after its restoration can hide claims from a host that
-// knows none of them.
+// which it tells of each segment. A host that finds the log set back appends the claims
+// that it knows and the log lacks. A committer that ranks first for a slot asks the others
+// once before it relies on the log, any other asks before each commit. Not covered:
+//   - The loss of both hosts together with a restoration.
+//   - A change of the second host, or a message to it that is lost: each segment is sent
+//     once, so that only the committer knows of its claims.
+//   - A write that the store carries out after its restoration, which can hide claims
+//     from a host that knows none of them.
 //
 // Invariants:
 //   - A claim is granted only after its segment is part of the log.
@@ -30,7 +31,7 @@
 //     sequence number that its writer knows of. A segment that a delayed writer stores
 //     at the sequence number of a trimmed segment is therefore not part of the log.
 //   - The last segment of a log is never deleted, so sequence numbers are
-//     never reused.
+//     never reused while the store keeps what it has acknowledged.
 //   - A committer that has not confirmed the end of the log for
 //     viewTrustPeriod reads the log again before it relies on its own write.
 //   - All committers use the same number of slots. The number can't change
