--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -23,6 +23,7 @@
 	cases := map[string]func(w *world, trouble bool) (int, error){
 		"poison": poison,
 		"sameid": sameID,
+		"memory": memory,
 		"revoke": revoke,
 	}
 	play, ok := cases[os.Args[1]]
--- a/review/harness/replica.go
+++ b/review/harness/replica.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -31,8 +32,12 @@
 	seq      int
 	born     int64
 	stop     chan struct{}
+	waiting  atomic.Int64 // requests without a slot
 }
 
+// replicaQueue is the number of requests that wait for a slot of a replica.
+const replicaQueue = 24
+
 // action is what a replica does with a request that it has begun to run.
 type action int
 
@@ -132,22 +137,22 @@
 	if err != nil {
 		return
 	}
+	if r.waiting.Add(1) > replicaQueue {
+		r.waiting.Add(-1)
+		r.w.arrived(r, q, id, "shed")
+		h.Set("X-Not-Executed", "1")
+		w.WriteHeader(503)
+		return
+	}
 	select {
 	case sem <- struct{}{}:
-	default:
-		// A short queue: a tenth of a second for a slot.
-		select {
-		case sem <- struct{}{}:
-		case <-time.After(100 * time.Millisecond):
-			r.w.arrived(r, q, id, "shed")
-			h.Set("X-Not-Executed", "1")
-			w.WriteHeader(503)
-			return
-		case <-q.Context().Done():
-			return
-		case <-stop:
-			return
-		}
+		r.waiting.Add(-1)
+	case <-q.Context().Done():
+		r.waiting.Add(-1)
+		return
+	case <-stop:
+		r.waiting.Add(-1)
+		return
 	}
 	defer func() { <-sem }()
 	r.w.arrived(r, q, id, "run")
