--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -24,6 +24,7 @@
 		"poison": poison,
 		"sameid": sameID,
 		"memory": memory,
+		"forged": forged,
 		"revoke": revoke,
 	}
 	play, ok := cases[os.Args[1]]
--- a/review/harness/poison.go
+++ b/review/harness/poison.go
@@ -27,7 +27,7 @@
 		return couldNot, err
 	}
 	stop := make(chan struct{})
-	go w.usual(100*time.Millisecond, stop)
+	go w.usual(100*time.Millisecond, 1, stop)
 	defer close(stop)
 
 	var third time.Time
@@ -87,8 +87,8 @@
 	return time.Time{}
 }
 
-// usual sends an ordinary request every period.
-func (w *world) usual(period time.Duration, stop chan struct{}) {
+// usual sends a number of ordinary requests every period.
+func (w *world) usual(period time.Duration, together int, stop chan struct{}) {
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
@@ -99,7 +99,9 @@
 		if !e.running() {
 			continue
 		}
-		go w.send(e, request{method: "POST", host: "site.example", path: "/orders/" + newAttempt(), key: "key-of-farm", body: []byte("order"), limitMs: 1000})
+		for range together {
+			go w.send(e, request{method: "POST", host: "site.example", path: "/orders/" + newAttempt(), key: "key-of-farm", body: []byte("order"), limitMs: 1000})
+		}
 	}
 }
 
--- a/review/harness/replica.go
+++ b/review/harness/replica.go
@@ -31,6 +31,7 @@
 	sem      chan struct{}
 	seq      int
 	born     int64
+	revision int64 // of its own last write
 	stop     chan struct{}
 	waiting  atomic.Int64 // requests without a slot
 }
@@ -90,12 +91,14 @@
 		"backend": r.service, "address": r.addr, "zone": "z1", "version": "v1", "slots": r.slots,
 		"lifecycle": "ready", "cold_left_ms": 0, "seq_num": r.seq, "born": r.born,
 	}
-	id := r.id
-	first := r.seq == 1 || !r.w.store.has("servers/"+id)
+	id, revision := r.id, r.revision
 	r.mu.Unlock()
-	// An entry changes when more than seq_num changes.
-	if first {
-		r.w.store.write("servers/"+id, entry)
+	// An entry changes when more than seq_num changes, also by another writer.
+	if now := r.w.store.revisionOf("servers/" + id); now == 0 || now != revision {
+		now = r.w.store.write("servers/"+id, entry)
+		r.mu.Lock()
+		r.revision = now
+		r.mu.Unlock()
 	}
 }
 
--- a/review/harness/sameid.go
+++ b/review/harness/sameid.go
@@ -24,7 +24,7 @@
 	}
 	stop := make(chan struct{})
 	defer close(stop)
-	go w.usual(700*time.Millisecond, stop)
+	go w.usual(700*time.Millisecond, 1, stop)
 
 	time.Sleep(350 * time.Millisecond)
 	var third time.Time
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -116,7 +116,7 @@
 
 // write is a write of the operator or of a replica. It returns when the store has
 // acknowledged it.
-func (s *store) write(key string, value any) {
+func (s *store) write(key string, value any) (revision int64) {
 	raw, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
@@ -125,6 +125,7 @@
 	defer s.mu.Unlock()
 	s.put(key, raw, 0)
 	s.notify()
+	return s.revision
 }
 
 func (s *store) remove(key string) {
@@ -134,11 +135,11 @@
 	s.notify()
 }
 
-func (s *store) has(key string) bool {
+// revisionOf returns the revision of a key, 0 if it does not exist.
+func (s *store) revisionOf(key string) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, ok := s.items[key]
-	return ok
+	return s.items[key].Revision
 }
 
 func reply(w http.ResponseWriter, status int, body any) {
