--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -21,11 +21,12 @@
 		os.Exit(couldNot)
 	}
 	cases := map[string]func(w *world, trouble bool) (int, error){
-		"poison": poison,
-		"sameid": sameID,
-		"memory": memory,
-		"forged": forged,
-		"revoke": revoke,
+		"poison":  poison,
+		"sameid":  sameID,
+		"memory":  memory,
+		"forged":  forged,
+		"receipt": receipt,
+		"revoke":  revoke,
 	}
 	play, ok := cases[os.Args[1]]
 	if !ok {
--- a/review/harness/replica.go
+++ b/review/harness/replica.go
@@ -46,6 +46,7 @@
 	actAnswer action = iota
 	actCrash         // the process ends: all channels close, the address refuses
 	actError         // its own 500, signed
+	actSpoil         // an answer with a wrong letter in the name of the receipt's header
 )
 
 // start begins a new incarnation with a new id at a new port.
@@ -174,7 +175,11 @@
 	case <-stop:
 		panic(http.ErrAbortHandler)
 	}
-	h.Set("X-Response-Signature", "sig-"+id)
+	receiptName := "X-Response-Signature"
+	if act == actSpoil {
+		receiptName = "X-Response-Sagnature"
+	}
+	h.Set(receiptName, "sig-"+id)
 	if act == actError {
 		w.WriteHeader(500)
 	}
