--- a/review/harness/replica.go
+++ b/review/harness/replica.go
@@ -59,6 +59,7 @@
 	}
 	r.born = time.Now().UnixMilli()
 	r.seq = 0
+	r.revision = -1 // a new incarnation writes its entry at once
 	l, err := net.Listen("tcp", r.w.ip(200)+":0")
 	if err != nil {
 		panic(err)
