Log and count failed accept calls, and the connections that are open

Whether a host that takes no connection has no descriptor left, has lost its accept loop or has no processor time could not be told from its log: net/http wrote its lines to standard error, into the middle of other lines, and the end of a listener was a line without its name. Failed accept calls are now counted by reason and logged with the open connections and those with a request, the lines of net/http go to the log, and the supervisor names a listener. Gauges tell callers' connections and those to targets, in use and idle.

--- a/internal/node/bmentrynode/listener.go
+++ b/internal/node/bmentrynode/listener.go
@@ -10,10 +10,12 @@
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/request/bmentry"
 )
 
@@ -27,35 +29,56 @@
 	newConnTime basilmoor.Millis = 500
 )
 
+// listenerConfig holds the dependencies of a listener.
+type listenerConfig struct {
+	Name    string // in logs and metrics
+	Address string
+	Clock   basilmoor.Clock
+	Metrics *bmmetrics.Registry
+	Log     zerolog.Logger
+}
+
 // listener is an HTTP server together with its open network listener.
 type listener struct {
+	name        string
 	clock       basilmoor.Clock
+	metrics     *bmmetrics.Registry
 	server      *http.Server
 	netListener *queueListener
 	closed      atomic.Bool
 
 	mu   sync.Mutex
+	open int                           // connections that were accepted and are not closed
 	busy map[net.Conn]basilmoor.Millis // by connection, until when it may have a request without a response
 }
 
-func newListener(clock basilmoor.Clock, address string, server *http.Server) (*listener, error) {
-	nl, err := net.Listen("tcp", address)
+func newListener(cfg listenerConfig, server *http.Server) (*listener, error) {
+	nl, err := net.Listen("tcp", cfg.Address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
 	l := &listener{
-		clock:  clock,
-		server: server,
-		netListener: &queueListener{
-			TCPListener: nl.(*net.TCPListener), // as for every "tcp" network
-		},
-		busy: map[net.Conn]basilmoor.Millis{},
+		name:    cfg.Name,
+		clock:   cfg.Clock,
+		metrics: cfg.Metrics,
+		server:  server,
+		busy:    map[net.Conn]basilmoor.Millis{},
+	}
+	l.netListener = &queueListener{
+		TCPListener: nl.(*net.TCPListener), // as for every "tcp" network
+		failures:    newAcceptFailures(cfg, l.connCounts),
 	}
 	server.ConnState = l.trackConn
 	server.ConnContext = l.connContext
+	server.ErrorLog = newServerLog(cfg)
 	return l, nil
 }
 
+// String returns the name by which the supervisor logs the listener.
+func (l *listener) String() string {
+	return "listener-" + l.name
+}
+
 // connContext records a connection and when it was accepted.
 func (l *listener) connContext(ctx context.Context, c net.Conn) context.Context {
 	return bmentry.WithConn(ctx, c, l.clock.Now())
@@ -68,10 +91,14 @@
 	defer l.mu.Unlock()
 	switch state {
 	case http.StateNew:
+		l.open++
 		l.busy[c] = l.clock.Now() + newConnTime
 	case http.StateActive:
 		l.busy[c] = math.MaxInt64
-	case http.StateIdle, http.StateClosed, http.StateHijacked:
+	case http.StateIdle:
+		delete(l.busy, c)
+	case http.StateClosed, http.StateHijacked:
+		l.open--
 		delete(l.busy, c)
 	}
 }
@@ -79,16 +106,29 @@
 // busyConns returns the number of connections that may have a request without a
 // response.
 func (l *listener) busyConns() int {
+	_, busy := l.connCounts()
+	return busy
+}
+
+// setGauges updates the gauges of the listener's connections.
+func (l *listener) setGauges() {
+	open, busy := l.connCounts()
+	l.metrics.Set("connections.open."+l.name, int64(open))
+	l.metrics.Set("connections.busy."+l.name, int64(busy))
+}
+
+// connCounts returns the number of open connections, and of those that may have a
+// request without a response.
+func (l *listener) connCounts() (open, busy int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
-	busy := 0
 	for _, until := range l.busy {
 		if now < until {
 			busy++
 		}
 	}
-	return busy
+	return l.open, busy
 }
 
 // Serve implements suture.Service.
@@ -130,13 +170,15 @@
 // connections that wait to be accepted.
 type queueListener struct {
 	*net.TCPListener
-	closing atomic.Bool
+	failures *acceptFailures
+	closing  atomic.Bool
 }
 
 // Accept implements net.Listener.
 func (l *queueListener) Accept() (net.Conn, error) {
 	c, err := l.TCPListener.Accept()
 	if !l.closing.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+		l.failures.record(err)
 		return c, err
 	}
 	// Connections may have been established since the deadline, before this
--- a/internal/node/bmentrynode/listener_test.go
+++ b/internal/node/bmentrynode/listener_test.go
@@ -9,19 +9,32 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/request/bmentry"
 )
 
+// testListenerConfig returns the configuration of a listener on a free port.
+func testListenerConfig(clock basilmoor.Clock) listenerConfig {
+	return listenerConfig{
+		Name:    "test",
+		Address: "127.0.0.1:0",
+		Clock:   clock,
+		Metrics: bmmetrics.NewRegistry(),
+		Log:     zerolog.Nop(),
+	}
+}
+
 // newNoContentListener returns a listener on a free port whose server answers
 // every request with an empty response.
 func newNoContentListener(clock basilmoor.Clock) (*listener, error) {
-	return newListener(clock, "127.0.0.1:0", &http.Server{
+	return newListener(testListenerConfig(clock), &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
 	})
 }
@@ -81,7 +94,7 @@
 	const accepted basilmoor.Millis = 1234
 	clock := bmclock.NewManual(accepted)
 	recorded := make(chan basilmoor.Millis, 1)
-	l, err := newListener(clock, "127.0.0.1:0", &http.Server{
+	l, err := newListener(testListenerConfig(clock), &http.Server{
 		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			at, known := bmentry.AcceptTime(r.Context())
 			assert.True(t, known)
--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -147,18 +147,18 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	var err error
-	if n.callerListener, err = newListener(n.clock, s.CallersAddress, callers); err != nil {
+	if n.callerListener, err = newListener(n.listenerConfig("callers", s.CallersAddress), callers); err != nil {
 		return errors.Wrap(err, "listener for callers")
 	}
 	n.addCleanup(n.callerListener.close)
-	if n.readyListener, err = newListener(n.clock, s.ReadyAddress, &http.Server{
+	if n.readyListener, err = newListener(n.listenerConfig("ready", s.ReadyAddress), &http.Server{
 		Handler:           http.HandlerFunc(n.serveReady),
 		ReadHeaderTimeout: headerTimeout.Duration(),
 	}); err != nil {
 		return errors.Wrap(err, "listener for readiness probes")
 	}
 	n.addCleanup(n.readyListener.close)
-	if n.metricsListener, err = newListener(n.clock, s.metricsAddress(), &http.Server{
+	if n.metricsListener, err = newListener(n.listenerConfig("metrics", s.metricsAddress()), &http.Server{
 		Handler:           http.HandlerFunc(n.serveMetrics),
 		ReadHeaderTimeout: headerTimeout.Duration(),
 	}); err != nil {
@@ -172,6 +172,16 @@
 	return nil
 }
 
+func (n *Node) listenerConfig(name, address string) listenerConfig {
+	return listenerConfig{
+		Name:    name,
+		Address: address,
+		Clock:   n.clock,
+		Metrics: n.metrics,
+		Log:     n.log,
+	}
+}
+
 // addCleanup registers a function that close calls, in reverse order.
 func (n *Node) addCleanup(f func()) {
 	n.cleanups = append(n.cleanups, f)
--- a/internal/node/bmentrynode/serve.go
+++ b/internal/node/bmentrynode/serve.go
@@ -65,6 +65,10 @@
 		n.metrics.Set("view.age-ms", int64(age))
 	}
 	n.metrics.Set("view.hosts", int64(len(n.keeper.View().Hosts())))
+	n.callerListener.setGauges()
+	inUse, idle := n.exchange.ConnCounts()
+	n.metrics.Set("exchange.in-use-connections", int64(inUse))
+	n.metrics.Set("exchange.idle-connections", int64(idle))
 	if err := n.metrics.WriteText(w); err != nil {
 		n.log.Debug().Err(err).Msg("writing metrics failed")
 	}
--- a/internal/request/bmexchange/client.go
+++ b/internal/request/bmexchange/client.go
@@ -64,6 +64,12 @@
 	c.pool.closeIdleExcept(keep)
 }
 
+// ConnCounts returns the number of connections to targets that are in use and that are
+// idle.
+func (c *Client) ConnCounts() (inUse, idle int) {
+	return c.pool.counts()
+}
+
 // Send sends a request and returns the response once its headers have arrived.
 // The caller must close the response. When ctx is done, the connection is
 // closed. The error is an *UnsentError, *RefusedError or *BrokenError.
--- a/internal/request/bmexchange/conn.go
+++ b/internal/request/bmexchange/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"math"
 	"net"
+	"sync"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -55,6 +56,16 @@
 	address     string
 	idleSince   basilmoor.Millis // time at which it became idle
 	idleTimeout basilmoor.Millis // how long it may be reused
+	onClose     func()           // called by the first Close; may be nil
+	closeOnce   sync.Once
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	if c.onClose != nil {
+		c.closeOnce.Do(c.onClose)
+	}
+	return c.Conn.Close()
 }
 
 func newConn(c net.Conn, target, address string) (*conn, error) {
--- a/internal/request/bmexchange/pool.go
+++ b/internal/request/bmexchange/pool.go
@@ -27,6 +27,7 @@
 	dialer net.Dialer
 
 	mu     sync.Mutex
+	open   int                // connections, idle or not
 	idle   map[string][]*conn // by target name, most recently used last
 	closed bool
 }
@@ -62,9 +63,27 @@
 		_ = raw.Close()
 		return nil, false, err
 	}
+	p.addOpen(1)
+	c.onClose = func() { p.addOpen(-1) }
 	return c, false, nil
 }
 
+func (p *pool) addOpen(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open += n
+}
+
+// counts returns the number of connections that are in use and that are idle.
+func (p *pool) counts() (inUse, idle int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conns := range p.idle {
+		idle += len(conns)
+	}
+	return p.open - idle, idle
+}
+
 // popIdle removes and returns the connection that became idle last, or nil.
 func (p *pool) popIdle(target string) *conn {
 	p.mu.Lock()
@@ -83,29 +102,43 @@
 func (p *pool) put(c *conn, idleTimeout basilmoor.Millis) {
 	c.idleSince = p.clock.Now()
 	c.idleTimeout = idleTimeout
+	if !p.keep(c) {
+		_ = c.Close()
+	}
+}
+
+// keep adds c to the idle connections, and reports whether there was room.
+func (p *pool) keep(c *conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || idleTimeout <= 0 || len(p.idle[c.target]) >= maxIdlePerTarget {
-		_ = c.Close()
-		return
+	if p.closed || c.idleTimeout <= 0 || len(p.idle[c.target]) >= maxIdlePerTarget {
+		return false
 	}
 	p.idle[c.target] = append(p.idle[c.target], c)
+	return true
 }
 
 // closeIdleExcept closes the idle connections to targets for which keep returns
 // false.
 func (p *pool) closeIdleExcept(keep func(target string) bool) {
+	for _, c := range p.removeIdleExcept(keep) {
+		_ = c.Close()
+	}
+}
+
+// removeIdleExcept removes and returns the idle connections to targets for which keep
+// returns false.
+func (p *pool) removeIdleExcept(keep func(target string) bool) []*conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	var removed []*conn
 	for target, conns := range p.idle {
-		if keep(target) {
-			continue
-		}
-		for _, c := range conns {
-			_ = c.Close()
+		if !keep(target) {
+			removed = append(removed, conns...)
+			delete(p.idle, target)
 		}
-		delete(p.idle, target)
 	}
+	return removed
 }
 
 // close closes all idle connections, and makes put close those that follow.
