--- a/internal/proof/bmsoak/fleet_test.go
+++ b/internal/proof/bmsoak/fleet_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"basilmoor.example/basilmoor/internal/standin/bmstandinplatform"
 )
@@ -64,6 +65,7 @@
 	replicas map[string]*bmstandinplatform.Replica
 	targets  []*proxy // one in front of each replica
 	hosts    []*host
+	maxFiles int // limit of open files of each host's process; 0 for that of the test
 
 	mu      sync.Mutex
 	version int
@@ -176,6 +178,7 @@
 			route("stream/long", "streaming", "engines", 3, longLimit),
 			route("again", "idempotent", "services", 2, 4*time.Second),
 			route("once", "non_idempotent", "services", 1, 4*time.Second),
+			route("silent", "non_idempotent", "services", 1, time.Minute),
 		},
 		"backends": []any{
 			map[string]any{"name": "engines", "engine": map[string]any{"slots": 4, "stride": 1}},
@@ -238,7 +241,7 @@
 		"zone":         "z1",
 		"listen_addrs": map[string]any{"frontend": h.callers, "ready": h.ready},
 		"port_range":   []int{firstPeerPort, lastPeerPort},
-		"limits":       map[string]any{"cpu_fraction": 1, "memory_mb": 256},
+		"limits":       map[string]any{"cpu_fraction": 1, "memory_mb": 256, "max_fds": h.fleet.maxFiles},
 		"bounds": map[string]any{
 			"drain_ms": 2000, "grace_s": grace.Seconds(), "revoke_ms": revokeBound.Milliseconds(), "retry_ratio": 0.5,
 			"retry_window_s": 10, "retry_slack": 100, "quota_window_s": 8,
@@ -271,7 +274,22 @@
 	h.process = exec.Command(h.fleet.binary, "entry", "-settings", h.settings)
 	h.process.Stdout = log
 	h.process.Stderr = log
-	return h.process.Start()
+	if err := h.process.Start(); err != nil {
+		return err
+	}
+	return h.limitFiles()
+}
+
+// limitFiles limits the open files of the process that was just started.
+func (h *host) limitFiles() error {
+	if h.fleet.maxFiles == 0 {
+		return nil
+	}
+	limit := unix.Rlimit{
+		Cur: uint64(h.fleet.maxFiles),
+		Max: uint64(h.fleet.maxFiles),
+	}
+	return unix.Prlimit(h.process.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil)
 }
 
 func (h *host) run() {
--- a/internal/standin/bmstandinplatform/replica.go
+++ b/internal/standin/bmstandinplatform/replica.go
@@ -23,6 +23,10 @@
 // SilentPath is the path of requests that a replica runs without an answer.
 const SilentPath = StreamPrefix + "silent"
 
+// SilentPrefix is the path prefix of further requests that a replica runs without an
+// answer.
+const SilentPrefix = "/silent/"
+
 // LongPrefix is the path prefix of long streams. The number of their events is the
 // next segment of the path.
 const LongPrefix = StreamPrefix + "long/"
@@ -182,7 +186,7 @@
 		r.Stop()
 		panic(http.ErrAbortHandler)
 	}
-	if q.URL.Path == SilentPath {
+	if q.URL.Path == SilentPath || strings.HasPrefix(q.URL.Path, SilentPrefix) {
 		<-q.Context().Done()
 		return
 	}
