Move the listener of entry hosts to a package of its own

The accept queue of a planned stop and the counters of failed accept calls have nothing of an entry host, and basilmoor node needs them as well.

--- a/internal/node/bmentrynode/listener.go
+++ b/internal/node/bmentrynode/listener.go
@@ -5,38 +5,20 @@
 	"math"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
-	"github.com/rs/zerolog"
-	"golang.org/x/sys/unix"
 
 	"basilmoor.example/basilmoor"
-	"basilmoor.example/basilmoor/internal/core/bmclock"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
+	"basilmoor.example/basilmoor/internal/node/bmlistener"
 	"basilmoor.example/basilmoor/internal/request/bmentry"
 )
 
-const (
-	// acceptQueueTime is how long a listener that closes still accepts the
-	// connections that wait in the system's queue.
-	acceptQueueTime basilmoor.Millis = 100
-
-	// newConnTime is how long a connection on which nothing was received may
-	// still be about to send a request.
-	newConnTime basilmoor.Millis = 500
-)
-
-// listenerConfig holds the dependencies of a listener.
-type listenerConfig struct {
-	Name    string // in logs and metrics
-	Address string
-	Clock   basilmoor.Clock
-	Metrics *bmmetrics.Registry
-	Log     zerolog.Logger
-}
+// newConnTime is how long a connection on which nothing was received may
+// still be about to send a request.
+const newConnTime basilmoor.Millis = 500
 
 // listener is an HTTP server together with its open network listener.
 type listener struct {
@@ -44,7 +26,7 @@
 	clock       basilmoor.Clock
 	metrics     *bmmetrics.Registry
 	server      *http.Server
-	netListener *queueListener
+	netListener *bmlistener.Listener
 	closed      atomic.Bool
 
 	mu   sync.Mutex
@@ -52,11 +34,7 @@
 	busy map[net.Conn]basilmoor.Millis // by connection, until when it may have a request without a response
 }
 
-func newListener(cfg listenerConfig, server *http.Server) (*listener, error) {
-	nl, err := net.Listen("tcp", cfg.Address)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen")
-	}
+func newListener(cfg bmlistener.Config, server *http.Server) (*listener, error) {
 	l := &listener{
 		name:    cfg.Name,
 		clock:   cfg.Clock,
@@ -64,13 +42,14 @@
 		server:  server,
 		busy:    map[net.Conn]basilmoor.Millis{},
 	}
-	l.netListener = &queueListener{
-		TCPListener: nl.(*net.TCPListener), // as for every "tcp" network
-		failures:    newAcceptFailures(cfg, l.connCounts),
+	cfg.ConnCounts = l.connCounts
+	var err error
+	if l.netListener, _, err = bmlistener.Listen(cfg); err != nil {
+		return nil, err
 	}
 	server.ConnState = l.trackConn
 	server.ConnContext = l.connContext
-	server.ErrorLog = newServerLog(cfg)
+	server.ErrorLog = bmlistener.NewServerLog(cfg)
 	return l, nil
 }
 
@@ -163,78 +142,5 @@
 // established is empty, but keeps the open ones.
 func (l *listener) close() {
 	l.closed.Store(true)
-	l.netListener.closeAfterQueue()
-}
-
-// queueListener is a listener that can be closed without a reset of the
-// connections that wait to be accepted.
-type queueListener struct {
-	*net.TCPListener
-	failures *acceptFailures
-	closing  atomic.Bool
-}
-
-// Accept implements net.Listener.
-func (l *queueListener) Accept() (net.Conn, error) {
-	c, err := l.TCPListener.Accept()
-	if !l.closing.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
-		l.failures.record(err)
-		return c, err
-	}
-	// Connections may have been established since the deadline, before this
-	// goroutine ran.
-	if c := l.acceptEstablished(); c != nil {
-		return c, nil
-	}
-	_ = l.Close()
-	return nil, net.ErrClosed
-}
-
-// acceptEstablished returns a connection that is established already, or nil if
-// there is none.
-func (l *queueListener) acceptEstablished() net.Conn {
-	raw, err := l.SyscallConn()
-	if err != nil {
-		return nil
-	}
-	var fd int
-	var acceptErr error
-	err = raw.Control(func(listening uintptr) {
-		fd, acceptErr = acceptNext(func() (int, error) {
-			fd, _, err := unix.Accept4(int(listening), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-			return fd, err
-		})
-	})
-	if err != nil || acceptErr != nil {
-		return nil
-	}
-	f := os.NewFile(uintptr(fd), "accepted")
-	defer func() { _ = f.Close() }()
-	c, err := net.FileConn(f)
-	if err != nil {
-		return nil
-	}
-	return c
-}
-
-// acceptNext calls accept until it returns a connection or fails for another reason
-// than a signal or one connection that its peer has aborted: others may wait behind
-// that one.
-func acceptNext(accept func() (fd int, err error)) (int, error) {
-	for {
-		fd, err := accept()
-		if errors.Is(err, unix.ECONNABORTED) || errors.Is(err, unix.EINTR) {
-			continue
-		}
-		return fd, err
-	}
-}
-
-// closeAfterQueue makes Accept return the connections of the next
-// acceptQueueTime and then close the listener.
-func (l *queueListener) closeAfterQueue() {
-	l.closing.Store(true)
-	if l.SetDeadline(bmclock.WallDeadline(acceptQueueTime)) != nil {
-		_ = l.Close()
-	}
+	l.netListener.CloseAfterQueue()
 }
--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -15,6 +15,7 @@
 	"basilmoor.example/basilmoor/internal/core/bmclock"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmview"
+	"basilmoor.example/basilmoor/internal/node/bmlistener"
 	"basilmoor.example/basilmoor/internal/request/bmcrash"
 	"basilmoor.example/basilmoor/internal/request/bmentry"
 	"basilmoor.example/basilmoor/internal/request/bmexchange"
@@ -172,8 +173,8 @@
 	return nil
 }
 
-func (n *Node) listenerConfig(name, address string) listenerConfig {
-	return listenerConfig{
+func (n *Node) listenerConfig(name, address string) bmlistener.Config {
+	return bmlistener.Config{
 		Name:    name,
 		Address: address,
 		Clock:   n.clock,
--- a/internal/node/bmentrynode/serve.go
+++ b/internal/node/bmentrynode/serve.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/node/bmlistener"
 	"basilmoor.example/basilmoor/internal/request/bmentry"
 )
 
@@ -29,7 +30,7 @@
 	// drainIdleTime is how long no connection may have a request before a
 	// stopping node ends. It covers requests that were sent on a connection
 	// while it was idle, and the connections that are still accepted.
-	drainIdleTime = 2 * acceptQueueTime
+	drainIdleTime = 2 * bmlistener.AcceptQueueTime
 
 	// drainPollPeriod is the period at which a stopping node checks the
 	// number of requests in progress, and answerPollPeriod that at which it checks
@@ -82,7 +83,7 @@
 	return bmentry.DrainTimes{
 		Began:          began,
 		Withdrawn:      withdrawn,
-		ListenerClosed: min(withdrawn+drainPollPeriod+acceptQueueTime, end),
+		ListenerClosed: min(withdrawn+drainPollPeriod+bmlistener.AcceptQueueTime, end),
 		End:            end,
 	}
 }
--- a/internal/node/bmentrynode/accept_failures.go
+++ b/internal/node/bmlistener/failures.go
@@ -1,4 +1,4 @@
-package bmentrynode
+package bmlistener
 
 import (
 	stdlog "log"
@@ -33,13 +33,13 @@
 	loggedAt basilmoor.Millis // time of the last line about them
 }
 
-func newAcceptFailures(cfg listenerConfig, connCounts func() (open, busy int)) *acceptFailures {
+func newAcceptFailures(cfg Config) *acceptFailures {
 	return &acceptFailures{
 		name:       cfg.Name,
 		clock:      cfg.Clock,
 		metrics:    cfg.Metrics,
 		log:        cfg.Log,
-		connCounts: connCounts,
+		connCounts: cfg.ConnCounts,
 	}
 }
 
@@ -108,7 +108,9 @@
 	log  zerolog.Logger
 }
 
-func newServerLog(cfg listenerConfig) *stdlog.Logger {
+// NewServerLog returns a logger for the HTTP server of a listener, which writes to the
+// structured log.
+func NewServerLog(cfg Config) *stdlog.Logger {
 	return stdlog.New(&serverLog{
 		name: cfg.Name,
 		log:  cfg.Log,
