Bound the connections of a process by the sockets of its settings

Cause: max_fds was read and nothing used it. Callers keep a connection for up to 12 s and open a new one for each retry; 3,885 of 3,900 sockets were callers' connections, 224 of them with a request. net/http then pauses for up to 1 s after each failed accept call, and the next free descriptor goes to whoever asks first.

Change: the sockets are divided among callers, targets and a reserve for other hosts, the store and probes. At the limit the connection of a caller that has been idle the longest makes room, then one on which nothing came; if all have a request, the next ones are answered 503 (too-many-connections) at once. A request that was read on a connection while that was being closed is not run. Idle connections to targets make room for new ones.

Why it works: each descriptor that is taken belongs to a bounded part, and what has no request gives way, so an accept call finds a descriptor as long as the process reads.

--- a/internal/node/bmentrynode/listener.go
+++ b/internal/node/bmentrynode/listener.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -16,10 +14,6 @@
 	"basilmoor.example/basilmoor/internal/request/bmentry"
 )
 
-// newConnTime is how long a connection on which nothing was received may
-// still be about to send a request.
-const newConnTime basilmoor.Millis = 500
-
 // listener is an HTTP server together with its open network listener.
 type listener struct {
 	name        string
@@ -27,26 +21,27 @@
 	metrics     *bmmetrics.Registry
 	server      *http.Server
 	netListener *bmlistener.Listener
+	handler     http.Handler
+	refuse      http.Handler // serves requests on connections beyond the limit
 	closed      atomic.Bool
-
-	mu   sync.Mutex
-	open int                           // connections that were accepted and are not closed
-	busy map[net.Conn]basilmoor.Millis // by connection, until when it may have a request without a response
 }
 
-func newListener(cfg bmlistener.Config, server *http.Server) (*listener, error) {
+// newListener opens a listener for a server. refuse serves the requests on connections
+// beyond the limit; its responses must close them.
+func newListener(cfg bmlistener.Config, server *http.Server, refuse http.Handler) (*listener, error) {
 	l := &listener{
 		name:    cfg.Name,
 		clock:   cfg.Clock,
 		metrics: cfg.Metrics,
 		server:  server,
-		busy:    map[net.Conn]basilmoor.Millis{},
+		handler: server.Handler,
+		refuse:  refuse,
 	}
-	cfg.ConnCounts = l.connCounts
 	var err error
 	if l.netListener, _, err = bmlistener.Listen(cfg); err != nil {
 		return nil, err
 	}
+	server.Handler = http.HandlerFunc(l.serveAdmitted)
 	server.ConnState = l.trackConn
 	server.ConnContext = l.connContext
 	server.ErrorLog = bmlistener.NewServerLog(cfg)
@@ -58,58 +53,46 @@
 	return "listener-" + l.name
 }
 
+// connKey is the key of a connection in the context of its requests.
+type connKey struct{}
+
 // connContext records a connection and when it was accepted.
 func (l *listener) connContext(ctx context.Context, c net.Conn) context.Context {
-	return bmentry.WithConn(ctx, c, l.clock.Now())
+	return bmentry.WithConn(context.WithValue(ctx, connKey{}, c), c, l.clock.Now())
 }
 
-// trackConn records the connections that may have a request without a response:
-// those that were just accepted and those whose request is being read or served.
-func (l *listener) trackConn(c net.Conn, state http.ConnState) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		l.open++
-		l.busy[c] = l.clock.Now() + newConnTime
-	case http.StateActive:
-		l.busy[c] = math.MaxInt64
-	case http.StateIdle:
-		delete(l.busy, c)
-	case http.StateClosed, http.StateHijacked:
-		l.open--
-		delete(l.busy, c)
+// serveAdmitted serves a request, unless the limit of connections forbids it.
+func (l *listener) serveAdmitted(w http.ResponseWriter, r *http.Request) {
+	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	switch l.netListener.Conns().Admission(c) {
+	case bmlistener.Admitted:
+		l.handler.ServeHTTP(w, r)
+	case bmlistener.Excess:
+		l.refuse.ServeHTTP(w, r)
+	case bmlistener.Closed:
+		panic(http.ErrAbortHandler)
 	}
 }
 
+// trackConn records the state of a connection.
+func (l *listener) trackConn(c net.Conn, state http.ConnState) {
+	l.netListener.Conns().SetState(c, state, l.clock.Now())
+}
+
 // busyConns returns the number of connections that may have a request without a
 // response.
 func (l *listener) busyConns() int {
-	_, busy := l.connCounts()
+	_, busy := l.netListener.Conns().Counts(l.clock.Now())
 	return busy
 }
 
 // setGauges updates the gauges of the listener's connections.
 func (l *listener) setGauges() {
-	open, busy := l.connCounts()
+	open, busy := l.netListener.Conns().Counts(l.clock.Now())
 	l.metrics.Set("connections.open."+l.name, int64(open))
 	l.metrics.Set("connections.busy."+l.name, int64(busy))
 }
 
-// connCounts returns the number of open connections, and of those that may have a
-// request without a response.
-func (l *listener) connCounts() (open, busy int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.clock.Now()
-	for _, until := range l.busy {
-		if now < until {
-			busy++
-		}
-	}
-	return l.open, busy
-}
-
 // Serve implements suture.Service.
 func (l *listener) Serve(ctx context.Context) error {
 	done := make(chan error, 1)
--- a/internal/node/bmentrynode/listener_test.go
+++ b/internal/node/bmentrynode/listener_test.go
@@ -28,6 +28,8 @@
 		Clock:   clock,
 		Metrics: bmmetrics.NewRegistry(),
 		Log:     zerolog.Nop(),
+
+		MaxConns: 100,
 	}
 }
 
@@ -36,7 +38,7 @@
 func newNoContentListener(clock basilmoor.Clock) (*listener, error) {
 	return newListener(testListenerConfig(clock), &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
-	})
+	}, http.NotFoundHandler())
 }
 
 // Guards against a planned stop that resets the connections whose requests were
@@ -82,7 +84,7 @@
 			assert.True(t, known)
 			recorded <- at
 		}),
-	})
+	}, http.NotFoundHandler())
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -154,7 +156,7 @@
 	require.NoError(t, err)
 	defer c.Close()
 	require.Eventually(t, func() bool { return l.busyConns() == 1 }, eventTimeout, time.Millisecond)
-	clock.Advance(newConnTime)
+	clock.Advance(bmlistener.NewConnTime)
 	require.Zero(t, l.busyConns())
 	cancel()
 	require.ErrorIs(t, <-ended, context.Canceled)
--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -115,7 +115,8 @@
 		DisableBroker:  s.LocalScheduling,
 		AssumeSpending: !s.FirstStart,
 	}, n.metrics, log)
-	exchange, closeExchange := bmexchange.New(n.clock, deps.Inspector, n.metrics)
+	budget := bmlistener.NewBudget(s.MaxSockets)
+	exchange, closeExchange := bmexchange.New(n.clock, deps.Inspector, n.metrics, budget.Targets)
 	n.exchange = exchange
 	n.addCleanup(closeExchange)
 	n.retries = bmentry.NewRetryLimiter(n.clock, s.RetryRatio, s.RetryWindow)
@@ -133,14 +134,14 @@
 	})
 	n.registrar = newRegistrar(n.clock, deps.Store, s.MinLease, func() (string, []byte, error) { return deps.Registration(self) }, log)
 	n.recorder = bmgrant.NewRecorder(n.clock, deps.Store, deps.RecordKeys, n.broker, log)
-	if err := n.listen(s); err != nil {
+	if err := n.listen(s, budget); err != nil {
 		n.close()
 		return nil, nil, err
 	}
 	return n, n.close, nil
 }
 
-func (n *Node) listen(s Settings) error {
+func (n *Node) listen(s Settings, budget bmlistener.Budget) error {
 	callers := &http.Server{
 		Handler:           n.handler,
 		ReadHeaderTimeout: headerTimeout.Duration(),
@@ -148,21 +149,21 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	var err error
-	if n.callerListener, err = newListener(n.listenerConfig("callers", s.CallersAddress), callers); err != nil {
+	if n.callerListener, err = newListener(n.listenerConfig("callers", s.CallersAddress, budget.Callers), callers, http.HandlerFunc(n.handler.ServeExcess)); err != nil {
 		return errors.Wrap(err, "listener for callers")
 	}
 	n.addCleanup(n.callerListener.close)
-	if n.readyListener, err = newListener(n.listenerConfig("ready", s.ReadyAddress), &http.Server{
+	if n.readyListener, err = newListener(n.listenerConfig("ready", s.ReadyAddress, bmlistener.ProbeConns), &http.Server{
 		Handler:           http.HandlerFunc(n.serveReady),
 		ReadHeaderTimeout: headerTimeout.Duration(),
-	}); err != nil {
+	}, http.HandlerFunc(serveUnavailable)); err != nil {
 		return errors.Wrap(err, "listener for readiness probes")
 	}
 	n.addCleanup(n.readyListener.close)
-	if n.metricsListener, err = newListener(n.listenerConfig("metrics", s.metricsAddress()), &http.Server{
+	if n.metricsListener, err = newListener(n.listenerConfig("metrics", s.metricsAddress(), bmlistener.ProbeConns), &http.Server{
 		Handler:           http.HandlerFunc(n.serveMetrics),
 		ReadHeaderTimeout: headerTimeout.Duration(),
-	}); err != nil {
+	}, http.HandlerFunc(serveUnavailable)); err != nil {
 		return errors.Wrap(err, "listener for metrics")
 	}
 	n.addCleanup(n.metricsListener.close)
@@ -173,13 +174,14 @@
 	return nil
 }
 
-func (n *Node) listenerConfig(name, address string) bmlistener.Config {
+func (n *Node) listenerConfig(name, address string, maxConns int) bmlistener.Config {
 	return bmlistener.Config{
-		Name:    name,
-		Address: address,
-		Clock:   n.clock,
-		Metrics: n.metrics,
-		Log:     n.log,
+		Name:     name,
+		Address:  address,
+		Clock:    n.clock,
+		Metrics:  n.metrics,
+		Log:      n.log,
+		MaxConns: maxConns,
 	}
 }
 
--- a/internal/node/bmentrynode/settings.go
+++ b/internal/node/bmentrynode/settings.go
@@ -26,7 +26,7 @@
 	LastPort       int
 
 	MemoryBytes int64   // memory limit of the process
-	MaxFiles    int     // limit of open files and sockets
+	MaxSockets  int     // limit of open sockets; 0 for the limit of open files of the process
 	CPUFraction float64 // number of cores, usually less than 1
 	LinkMbps    float64 // bandwidth of the host's link
 
--- a/internal/node/bmlistener/failures.go
+++ b/internal/node/bmlistener/failures.go
@@ -25,7 +25,7 @@
 	clock      basilmoor.Clock
 	metrics    *bmmetrics.Registry
 	log        zerolog.Logger
-	connCounts func() (open, busy int)
+	connCounts func(now basilmoor.Millis) (open, busy int)
 
 	mu       sync.Mutex
 	count    int              // failures since the last accepted connection
@@ -33,13 +33,13 @@
 	loggedAt basilmoor.Millis // time of the last line about them
 }
 
-func newAcceptFailures(cfg Config) *acceptFailures {
+func newAcceptFailures(cfg Config, connCounts func(now basilmoor.Millis) (open, busy int)) *acceptFailures {
 	return &acceptFailures{
 		name:       cfg.Name,
 		clock:      cfg.Clock,
 		metrics:    cfg.Metrics,
 		log:        cfg.Log,
-		connCounts: cfg.ConnCounts,
+		connCounts: connCounts,
 	}
 }
 
@@ -63,7 +63,7 @@
 	f.count++
 	if f.count == 1 || now-f.loggedAt >= failureLogPeriod {
 		f.loggedAt = now
-		open, busy := f.connCounts()
+		open, busy := f.connCounts(now)
 		f.log.Warn().
 			Err(err).
 			Str("listener", f.name).
--- a/internal/node/bmlistener/failures_test.go
+++ b/internal/node/bmlistener/failures_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
+	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/core/bmclock"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 )
@@ -18,13 +19,12 @@
 	clock := bmclock.NewManual(1000)
 	var log strings.Builder
 	cfg := Config{
-		Name:       "test",
-		Clock:      clock,
-		Metrics:    bmmetrics.NewRegistry(),
-		Log:        zerolog.New(&log),
-		ConnCounts: func() (open, busy int) { return 7, 3 },
+		Name:    "test",
+		Clock:   clock,
+		Metrics: bmmetrics.NewRegistry(),
+		Log:     zerolog.New(&log),
 	}
-	f := newAcceptFailures(cfg)
+	f := newAcceptFailures(cfg, func(basilmoor.Millis) (open, busy int) { return 7, 3 })
 	takeLog := func() string {
 		defer log.Reset()
 		return log.String()
--- a/internal/node/bmlistener/listener.go
+++ b/internal/node/bmlistener/listener.go
@@ -1,7 +1,9 @@
 // Package bmlistener accepts the connections of a process.
 //
-// Invariants: a listener that is closed for a planned stop first accepts what has been
-// established; each failed accept call is counted by its reason.
+// Invariants: the number of open connections of a listener is bounded, and those
+// without a request make room for others; a listener that is closed for a planned stop
+// first accepts what has been established; each failed accept call is counted by its
+// reason.
 package bmlistener
 
 import (
@@ -30,15 +32,19 @@
 	Metrics *bmmetrics.Registry
 	Log     zerolog.Logger
 
-	// ConnCounts returns the number of open connections, and of those that may have
-	// a request without a response, for the log.
-	ConnCounts func() (open, busy int)
+	// MaxConns is the number of connections that are served at the same time.
+	MaxConns int
 }
 
-// Listener is a TCP listener that can be closed without a reset of the connections
-// that wait to be accepted. It is safe for concurrent use.
+// Listener is a TCP listener that limits its connections, and that can be closed
+// without a reset of the connections that wait to be accepted. It is safe for
+// concurrent use.
 type Listener struct {
 	*net.TCPListener
+	clock    basilmoor.Clock
+	metrics  *bmmetrics.Registry
+	name     string
+	conns    *Conns
 	failures *acceptFailures
 	closing  atomic.Bool
 }
@@ -49,15 +55,52 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "listen")
 	}
+	conns := NewConns(cfg.MaxConns)
 	listener := &Listener{
 		TCPListener: l.(*net.TCPListener), // as for every "tcp" network
-		failures:    newAcceptFailures(cfg),
+		clock:       cfg.Clock,
+		metrics:     cfg.Metrics,
+		name:        cfg.Name,
+		conns:       conns,
+		failures:    newAcceptFailures(cfg, conns.Counts),
 	}
 	return listener, func() { _ = listener.Close() }, nil
 }
 
+// Conns returns the open connections. The owner of the listener must report the
+// changes of their states.
+func (l *Listener) Conns() *Conns {
+	return l.conns
+}
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.acceptNext()
+		if err != nil {
+			return nil, err
+		}
+		evict, added := l.conns.Add(c, l.clock.Now())
+		if added {
+			l.closeForLimit(evict, "evicted")
+			return c, nil
+		}
+		l.closeForLimit(c, "rejected")
+	}
+}
+
+// closeForLimit closes a connection because of the limit of connections, and counts it.
+func (l *Listener) closeForLimit(c net.Conn, reason string) {
+	if c == nil {
+		return
+	}
+	l.metrics.Add("connections."+reason+"."+l.name, 1)
+	_ = c.Close()
+}
+
+// acceptNext waits for a connection. While the listener closes, it returns those that
+// are established already, and then net.ErrClosed.
+func (l *Listener) acceptNext() (net.Conn, error) {
 	c, err := l.TCPListener.Accept()
 	if !l.closing.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 		l.failures.record(err)
@@ -82,7 +125,7 @@
 	var fd int
 	var acceptErr error
 	err = raw.Control(func(listening uintptr) {
-		fd, acceptErr = acceptNext(func() (int, error) {
+		fd, acceptErr = acceptUnaborted(func() (int, error) {
 			fd, _, err := unix.Accept4(int(listening), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 			return fd, err
 		})
@@ -99,10 +142,10 @@
 	return c
 }
 
-// acceptNext calls accept until it returns a connection or fails for another reason
+// acceptUnaborted calls accept until it returns a connection or fails for another reason
 // than a signal or one connection that its peer has aborted: others may wait behind
 // that one.
-func acceptNext(accept func() (fd int, err error)) (int, error) {
+func acceptUnaborted(accept func() (fd int, err error)) (int, error) {
 	for {
 		fd, err := accept()
 		if errors.Is(err, unix.ECONNABORTED) || errors.Is(err, unix.EINTR) {
--- a/internal/node/bmlistener/listener_test.go
+++ b/internal/node/bmlistener/listener_test.go
@@ -17,12 +17,12 @@
 func listenForTest(t *testing.T) *Listener {
 	t.Helper()
 	l, closeListener, err := Listen(Config{
-		Name:       "test",
-		Address:    "127.0.0.1:0",
-		Clock:      bmclock.NewSystem(),
-		Metrics:    bmmetrics.NewRegistry(),
-		Log:        zerolog.Nop(),
-		ConnCounts: func() (open, busy int) { return 0, 0 },
+		Name:     "test",
+		Address:  "127.0.0.1:0",
+		Clock:    bmclock.NewSystem(),
+		Metrics:  bmmetrics.NewRegistry(),
+		Log:      zerolog.Nop(),
+		MaxConns: 4,
 	})
 	require.NoError(t, err)
 	t.Cleanup(closeListener)
@@ -48,7 +48,7 @@
 
 // Guards against a planned stop that resets the connections which wait to be accepted
 // behind one that its caller has aborted.
-func TestAcceptNextSkipsAbortedConnections(t *testing.T) {
+func TestAcceptUnabortedSkipsAbortedConnections(t *testing.T) {
 	type result struct {
 		fd  int
 		err error
@@ -66,7 +66,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			left := tt.results
-			fd, err := acceptNext(func() (int, error) {
+			fd, err := acceptUnaborted(func() (int, error) {
 				r := left[0]
 				left = left[1:]
 				return r.fd, r.err
--- a/internal/request/bmentry/handler.go
+++ b/internal/request/bmentry/handler.go
@@ -92,6 +92,22 @@
 	c.serve()
 }
 
+// ServeExcess refuses a request on a connection beyond the limit of the host, and closes
+// the connection. The request has not run.
+func (h *Handler) ServeExcess(w http.ResponseWriter, r *http.Request) {
+	c := &call{
+		handler:   h,
+		w:         w,
+		r:         r,
+		arrivedAt: h.cfg.Clock.Now(),
+	}
+	if info, err := h.cfg.Protocol.Decode(r.Header); err == nil {
+		c.info = info
+	}
+	w.Header().Set("Connection", "close")
+	c.finish(newRetryableError(basilmoor.ReasonTooManyConns, shortRetryAfter, "the host serves as many connections as it can"))
+}
+
 // call is the state of one caller's request. Only the goroutine that serves the
 // request uses it.
 type call struct {
--- a/internal/request/bmentry/handler_test.go
+++ b/internal/request/bmentry/handler_test.go
@@ -205,7 +205,7 @@
 	}
 	metrics := bmmetrics.NewRegistry()
 	f.metrics = metrics
-	exchange, closeExchange := bmexchange.New(clock, testProtocol{}, metrics)
+	exchange, closeExchange := bmexchange.New(clock, testProtocol{}, metrics, 100)
 	t.Cleanup(closeExchange)
 	f.retries = NewRetryLimiter(clock, 0, basilmoor.Minute)
 	f.retries.SetSlack(100)
--- a/internal/request/bmexchange/client.go
+++ b/internal/request/bmexchange/client.go
@@ -47,13 +47,14 @@
 	pool      *pool
 }
 
-// New returns a client, and a function that closes its idle connections.
-func New(clock basilmoor.Clock, inspector ResponseInspector, metrics *bmmetrics.Registry) (*Client, func()) {
+// New returns a client, and a function that closes its idle connections. Idle
+// connections are closed before a new one exceeds maxConns.
+func New(clock basilmoor.Clock, inspector ResponseInspector, metrics *bmmetrics.Registry, maxConns int) (*Client, func()) {
 	c := &Client{
 		clock:     clock,
 		inspector: inspector,
 		metrics:   metrics,
-		pool:      newPool(clock),
+		pool:      newPool(clock, maxConns),
 	}
 	return c, c.pool.close
 }
--- a/internal/request/bmexchange/client_test.go
+++ b/internal/request/bmexchange/client_test.go
@@ -120,7 +120,7 @@
 
 func newTestClient(t *testing.T) *Client {
 	t.Helper()
-	c, closeClient := New(bmclock.NewSystem(), testInspector{}, bmmetrics.NewRegistry())
+	c, closeClient := New(bmclock.NewSystem(), testInspector{}, bmmetrics.NewRegistry(), 100)
 	t.Cleanup(closeClient)
 	return c
 }
--- a/internal/request/bmexchange/pool.go
+++ b/internal/request/bmexchange/pool.go
@@ -23,8 +23,9 @@
 
 // pool holds idle connections for reuse.
 type pool struct {
-	clock  basilmoor.Clock
-	dialer net.Dialer
+	clock    basilmoor.Clock
+	dialer   net.Dialer
+	maxConns int // from which idle connections make room for new ones
 
 	mu     sync.Mutex
 	open   int                // connections, idle or not
@@ -32,9 +33,10 @@
 	closed bool
 }
 
-func newPool(clock basilmoor.Clock) *pool {
+func newPool(clock basilmoor.Clock, maxConns int) *pool {
 	return &pool{
-		clock: clock,
+		clock:    clock,
+		maxConns: maxConns,
 		dialer: net.Dialer{
 			Timeout: dialTimeout.Duration(),
 		},
@@ -54,6 +56,9 @@
 		}
 		_ = c.Close()
 	}
+	if c := p.popExcess(); c != nil {
+		_ = c.Close()
+	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", t.Address)
 	if err != nil {
 		return nil, false, err
@@ -97,6 +102,28 @@
 	return c
 }
 
+// popExcess removes and returns the connection that has been idle the longest, if there
+// is no room for one more. It returns nil if there is room, or if none is idle.
+func (p *pool) popExcess() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open < p.maxConns {
+		return nil
+	}
+	oldest := ""
+	for target, conns := range p.idle {
+		if len(conns) > 0 && (oldest == "" || conns[0].idleSince < p.idle[oldest][0].idleSince) {
+			oldest = target
+		}
+	}
+	if oldest == "" {
+		return nil
+	}
+	c := p.idle[oldest][0]
+	p.idle[oldest] = p.idle[oldest][1:]
+	return c
+}
+
 // put adds a connection to the pool for the given time, or closes it if the
 // pool has no room.
 func (p *pool) put(c *conn, idleTimeout basilmoor.Millis) {
--- a/outcome.go
+++ b/outcome.go
@@ -44,6 +44,7 @@
 	ReasonTargetRefused     Reason = "target-refused"
 	ReasonTargetUnreachable Reason = "target-unreachable"
 	ReasonCallerLeft        Reason = "caller-left"
+	ReasonTooManyConns      Reason = "too-many-connections"
 )
 
 // Reasons for failures after dispatch.
