Try failed accept calls again, and open a dead listener again

Cause: net/http ends its accept loop at the first error that it does not take for temporary (of all but descriptors, signals and timeouts), and closes the listener. The supervisor starts the service again on the closed listener, which fails at once, and pauses after five failures. The host stayed ready, since readiness asked only for the age of the view, and took no connection for good.

Change: Accept returns an error only after the listener was closed. It tries again 10 ms after any other error, where net/http waits for up to 1 s, and replaces the socket if its calls fail for 1 s for no shortage of descriptors or memory. A host whose accept calls fail for 1 s is not ready.

TestAcceptingEndsWithFailures guards the readiness.

--- a/internal/node/bmentrynode/serve.go
+++ b/internal/node/bmentrynode/serve.go
@@ -47,6 +47,9 @@
 		return false
 	default:
 	}
+	if !n.callerListener.netListener.Accepting() {
+		return false
+	}
 	age, known := n.keeper.Age()
 	return known && n.keeper.View().Table != nil && age < n.settings.Load().maxViewAge()
 }
--- a/internal/node/bmlistener/failures.go
+++ b/internal/node/bmlistener/failures.go
@@ -2,7 +2,6 @@
 
 import (
 	stdlog "log"
-	"net"
 	"strings"
 	"sync"
 
@@ -45,9 +44,6 @@
 
 // record records the result of an accept call.
 func (f *acceptFailures) record(err error) {
-	if errors.Is(err, net.ErrClosed) {
-		return
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err == nil {
@@ -88,6 +84,24 @@
 	f.count = 0
 }
 
+// duration returns for how long accept calls have failed; 0 after one that succeeded.
+func (f *acceptFailures) duration() basilmoor.Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.count == 0 {
+		return 0
+	}
+	return f.clock.Now() - f.since
+}
+
+// isShortage reports whether an accept call failed for want of descriptors or memory.
+func isShortage(err error) bool {
+	return acceptFailureReason(err) != reasonOther
+}
+
+// reasonOther is the reason of all failures but those for want of a resource.
+const reasonOther = "other"
+
 // acceptFailureReason classifies an error of an accept call.
 func acceptFailureReason(err error) string {
 	switch {
@@ -96,7 +110,7 @@
 	case errors.Is(err, unix.ENOBUFS) || errors.Is(err, unix.ENOMEM):
 		return "memory"
 	}
-	return "other"
+	return reasonOther
 }
 
 // maxServerLogBytes bounds a line of an HTTP server, which may hold a stack.
--- a/internal/node/bmlistener/listener.go
+++ b/internal/node/bmlistener/listener.go
@@ -1,15 +1,17 @@
 // Package bmlistener accepts the connections of a process.
 //
 // Invariants: the number of open connections of a listener is bounded, and those
-// without a request make room for others; a listener that is closed for a planned stop
+// without a request make room for others; accept calls are tried again after any error,
+// and a dead socket is opened again; a listener that is closed for a planned stop
 // first accepts what has been established; each failed accept call is counted by its
 // reason.
 package bmlistener
 
 import (
+	"context"
 	"net"
 	"os"
-	"sync/atomic"
+	"sync"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -20,9 +22,18 @@
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 )
 
-// AcceptQueueTime is how long a listener that closes still accepts the connections that
-// wait in the system's queue.
-const AcceptQueueTime basilmoor.Millis = 100
+const (
+	// AcceptQueueTime is how long a listener that closes still accepts the connections
+	// that wait in the system's queue.
+	AcceptQueueTime basilmoor.Millis = 100
+
+	// acceptRetryDelay is the pause after a failed accept call. net/http would wait
+	// up to 1 s.
+	acceptRetryDelay basilmoor.Millis = 10
+
+	// maxAcceptFailure is how long accept calls may fail until the host is not ready.
+	maxAcceptFailure = basilmoor.Second
+)
 
 // Config holds the settings and dependencies of a Listener.
 type Config struct {
@@ -37,34 +48,81 @@
 }
 
 // Listener is a TCP listener that limits its connections, and that can be closed
-// without a reset of the connections that wait to be accepted. It is safe for
-// concurrent use.
+// without a reset of the connections that wait to be accepted. Accept fails only after
+// it was closed. It is safe for concurrent use.
 type Listener struct {
-	*net.TCPListener
 	clock    basilmoor.Clock
 	metrics  *bmmetrics.Registry
+	log      zerolog.Logger
 	name     string
+	address  string
 	conns    *Conns
 	failures *acceptFailures
-	closing  atomic.Bool
+
+	mu      sync.Mutex
+	tcp     *net.TCPListener // replaced if it is dead
+	closing bool             // CloseAfterQueue or Close was called
+	closed  bool             // Close was called
 }
 
 // Listen opens a listener, and returns a function that closes it at once.
 func Listen(cfg Config) (*Listener, func(), error) {
-	l, err := net.Listen("tcp", cfg.Address)
+	tcp, err := listenTCP(cfg.Address)
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "listen")
+		return nil, nil, err
 	}
 	conns := NewConns(cfg.MaxConns)
-	listener := &Listener{
-		TCPListener: l.(*net.TCPListener), // as for every "tcp" network
-		clock:       cfg.Clock,
-		metrics:     cfg.Metrics,
-		name:        cfg.Name,
-		conns:       conns,
-		failures:    newAcceptFailures(cfg, conns.Counts),
+	l := &Listener{
+		clock:    cfg.Clock,
+		metrics:  cfg.Metrics,
+		log:      cfg.Log,
+		name:     cfg.Name,
+		address:  tcp.Addr().String(),
+		conns:    conns,
+		failures: newAcceptFailures(cfg, conns.Counts),
+		tcp:      tcp,
+	}
+	return l, func() { _ = l.Close() }, nil
+}
+
+func listenTCP(address string) (*net.TCPListener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
 	}
-	return listener, func() { _ = listener.Close() }, nil
+	return l.(*net.TCPListener), nil // as for every "tcp" network
+}
+
+// Addr implements net.Listener.
+func (l *Listener) Addr() net.Addr {
+	return l.socket().Addr()
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closing = true
+	l.closed = true
+	return l.tcp.Close()
+}
+
+// Accepting reports whether connections are accepted, as far as is known: accept calls
+// have not failed for as long as maxAcceptFailure.
+func (l *Listener) Accepting() bool {
+	return l.failures.duration() < maxAcceptFailure
+}
+
+func (l *Listener) socket() *net.TCPListener {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tcp
+}
+
+func (l *Listener) states() (closing, closed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closing, l.closed
 }
 
 // Conns returns the open connections. The owner of the listener must report the
@@ -99,26 +157,59 @@
 }
 
 // acceptNext waits for a connection. While the listener closes, it returns those that
-// are established already, and then net.ErrClosed.
+// are established already, and then net.ErrClosed. It tries again after other errors: a
+// host that is ready must accept connections as soon as it can.
 func (l *Listener) acceptNext() (net.Conn, error) {
-	c, err := l.TCPListener.Accept()
-	if !l.closing.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+	for {
+		socket := l.socket()
+		c, err := socket.Accept()
+		closing, closed := l.states()
+		switch {
+		case err == nil:
+			l.failures.record(nil)
+			return c, nil
+		case closed:
+			return nil, net.ErrClosed
+		case closing && errors.Is(err, os.ErrDeadlineExceeded):
+			// Connections may have been established since the deadline, before this
+			// goroutine ran.
+			if c := acceptEstablished(socket); c != nil {
+				return c, nil
+			}
+			_ = l.Close()
+			return nil, net.ErrClosed
+		}
 		l.failures.record(err)
-		return c, err
+		if !closing && !isShortage(err) && !l.Accepting() {
+			l.reopen(socket)
+		}
+		_ = l.clock.Sleep(context.Background(), acceptRetryDelay)
 	}
-	// Connections may have been established since the deadline, before this
-	// goroutine ran.
-	if c := l.acceptEstablished(); c != nil {
-		return c, nil
+}
+
+// reopen replaces a socket whose accept calls fail for no shortage of descriptors or
+// memory, so that they would fail for good.
+func (l *Listener) reopen(dead *net.TCPListener) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closing {
+		return
+	}
+	_ = dead.Close()
+	tcp, err := listenTCP(l.address)
+	if err != nil {
+		l.log.Error().Err(err).Str("listener", l.name).Msg("opening the listener again failed")
+		return
 	}
-	_ = l.Close()
-	return nil, net.ErrClosed
+	l.metrics.Add("connections.listener-reopened."+l.name, 1)
+	l.log.Warn().Str("listener", l.name).Msg("listener opened again")
+	l.tcp = tcp
 }
 
 // acceptEstablished returns a connection that is established already, or nil if
 // there is none.
-func (l *Listener) acceptEstablished() net.Conn {
-	raw, err := l.SyscallConn()
+func acceptEstablished(socket *net.TCPListener) net.Conn {
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return nil
 	}
@@ -155,11 +246,14 @@
 	}
 }
 
-// CloseAfterQueue makes Accept return the connections of the next
-// AcceptQueueTime and then close the listener.
+// CloseAfterQueue makes Accept return the connections of the next AcceptQueueTime and
+// then close the listener.
 func (l *Listener) CloseAfterQueue() {
-	l.closing.Store(true)
-	if l.SetDeadline(bmclock.WallDeadline(AcceptQueueTime)) != nil {
-		_ = l.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closing = true
+	if l.tcp.SetDeadline(bmclock.WallDeadline(AcceptQueueTime)) != nil {
+		l.closed = true
+		_ = l.tcp.Close()
 	}
 }
--- a/internal/node/bmlistener/listener_test.go
+++ b/internal/node/bmlistener/listener_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -13,6 +14,9 @@
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 )
 
+// eventTimeout limits the wait for an event whose duration is not under test.
+const eventTimeout = 20 * time.Second
+
 // listenForTest returns a listener on a free port.
 func listenForTest(t *testing.T) *Listener {
 	t.Helper()
@@ -33,8 +37,8 @@
 // after the last wait for one had ended and before the listener is closed.
 func TestCloseServesWhatArrivesLast(t *testing.T) {
 	l := listenForTest(t)
-	l.closing.Store(true)
-	require.NoError(t, l.SetDeadline(time.Now().Add(-time.Second)))
+	l.closing = true
+	require.NoError(t, l.tcp.SetDeadline(time.Now().Add(-time.Second)))
 	c, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
 	defer c.Close()
@@ -76,3 +80,48 @@
 		})
 	}
 }
+
+// Guards against a listener that accepts nothing for good, while its host is ready, once
+// an accept call has failed with an error that net/http does not take for temporary.
+func TestDeadListenerOpensAgain(t *testing.T) {
+	l := listenForTest(t)
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
+	}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(l) }()
+	get := func() error {
+		resp, err := http.Get("http://" + l.Addr().String())
+		if err != nil {
+			return err
+		}
+		return resp.Body.Close()
+	}
+	require.NoError(t, get())
+
+	raw, err := l.socket().SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		require.NoError(t, unix.Shutdown(int(fd), unix.SHUT_RDWR))
+	}))
+	http.DefaultClient.CloseIdleConnections()
+	require.Eventually(t, func() bool { return get() == nil }, eventTimeout, 10*time.Millisecond, "a connection is accepted")
+	require.True(t, l.Accepting())
+	require.NoError(t, server.Close())
+	require.ErrorIs(t, <-done, http.ErrServerClosed)
+}
+
+// Guards against a host that is ready while its accept calls fail.
+func TestAcceptingEndsWithFailures(t *testing.T) {
+	clock := bmclock.NewManual(0)
+	l := listenForTest(t)
+	l.failures.clock = clock
+	require.True(t, l.Accepting())
+	l.failures.record(unix.EMFILE)
+	clock.Advance(maxAcceptFailure - 1)
+	require.True(t, l.Accepting())
+	clock.Advance(1)
+	require.False(t, l.Accepting())
+	l.failures.record(nil)
+	require.True(t, l.Accepting())
+}
