Use the bounded listener for peers and for basilmoor node

The same causes elsewhere: the port for peers of both programs, and the ports for callers and operators of basilmoor node. Each ended for good with an error of the accept call that gRPC or net/http does not take for temporary, and basilmoor node bounded its connections by nothing. Its settings name no limit, so that of the process counts. bmlistener moves to internal/core, since peers need it, and prepares the HTTP server of a listener by itself.

Result: the tests of bmlistener, which all these ports share now.

--- /dev/null
+++ b/internal/core/bmlistener/attach.go
@@ -0,0 +1,61 @@
+package bmlistener
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// connKey is the key of a connection in the context of its requests.
+type connKey struct{}
+
+// Attach prepares an HTTP server to serve the listener: it reports the states of its
+// connections, and writes its messages to the structured log. Requests on connections
+// beyond the limit go to refuse, whose responses must close the connection, instead of
+// the server's handler. Attach must be called once, before the server serves.
+func (l *Listener) Attach(server *http.Server, refuse http.Handler) {
+	a := &admitter{
+		conns:   l.conns,
+		handler: server.Handler,
+		refuse:  refuse,
+	}
+	server.Handler = a
+	server.ErrorLog = l.serverLog()
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		l.conns.SetState(c, state, l.clock.Now())
+	}
+	connContext := server.ConnContext
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, c)
+		}
+		return context.WithValue(ctx, connKey{}, c)
+	}
+}
+
+// admitter serves the requests of admitted connections.
+type admitter struct {
+	conns   *Conns
+	handler http.Handler
+	refuse  http.Handler
+}
+
+// ServeHTTP implements http.Handler.
+func (a *admitter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	switch a.conns.Admission(c) {
+	case Admitted:
+		a.handler.ServeHTTP(w, r)
+	case Excess:
+		a.refuse.ServeHTTP(w, r)
+	case Closed:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// RefuseExcess answers 503 and closes the connection. It serves as the handler of
+// connections beyond the limit where their requests are not accounted for.
+func RefuseExcess(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
--- a/internal/node/bmlistener/budget.go
+++ b/internal/core/bmlistener/budget.go
@@ -6,8 +6,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// Budget divides the sockets of a process. The sum of all parts, with the connections
-// that are accepted to be refused and ReserveConns, is at most the number of sockets.
+// Budget divides the sockets of a process. The sum of both parts, with the connections
+// that are accepted to be refused, is at most the number of sockets less a reserve.
 type Budget struct {
 	// Callers is the number of callers' connections that are served.
 	Callers int
--- a/internal/node/bmlistener/conns.go
+++ b/internal/core/bmlistener/conns.go
@@ -174,8 +174,11 @@
 
 // Counts returns the number of open connections, and of those that may have a request
 // without a response: those that were just accepted and those whose request is being
-// read or served.
+// read or served. It returns zeros if s is nil.
 func (s *Conns) Counts(now basilmoor.Millis) (open, busy int) {
+	if s == nil {
+		return 0, 0
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	busy = s.open - s.idle.Len() - s.silent.Len()
--- a/internal/node/bmlistener/failures.go
+++ b/internal/core/bmlistener/failures.go
@@ -122,12 +122,11 @@
 	log  zerolog.Logger
 }
 
-// NewServerLog returns a logger for the HTTP server of a listener, which writes to the
-// structured log.
-func NewServerLog(cfg Config) *stdlog.Logger {
+// serverLog returns a logger for the HTTP server of the listener.
+func (l *Listener) serverLog() *stdlog.Logger {
 	return stdlog.New(&serverLog{
-		name: cfg.Name,
-		log:  cfg.Log,
+		name: l.name,
+		log:  l.log,
 	}, "", 0)
 }
 
--- a/internal/node/bmlistener/listener.go
+++ b/internal/core/bmlistener/listener.go
@@ -43,7 +43,8 @@
 	Metrics *bmmetrics.Registry
 	Log     zerolog.Logger
 
-	// MaxConns is the number of connections that are served at the same time.
+	// MaxConns is the number of connections that are served at the same time; 0 for
+	// no limit, without Attach.
 	MaxConns int
 }
 
@@ -56,7 +57,7 @@
 	log      zerolog.Logger
 	name     string
 	address  string
-	conns    *Conns
+	conns    *Conns // nil without a limit
 	failures *acceptFailures
 
 	mu      sync.Mutex
@@ -71,17 +72,18 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	conns := NewConns(cfg.MaxConns)
 	l := &Listener{
-		clock:    cfg.Clock,
-		metrics:  cfg.Metrics,
-		log:      cfg.Log,
-		name:     cfg.Name,
-		address:  tcp.Addr().String(),
-		conns:    conns,
-		failures: newAcceptFailures(cfg, conns.Counts),
-		tcp:      tcp,
+		clock:   cfg.Clock,
+		metrics: cfg.Metrics,
+		log:     cfg.Log,
+		name:    cfg.Name,
+		address: tcp.Addr().String(),
+		tcp:     tcp,
 	}
+	if cfg.MaxConns > 0 {
+		l.conns = NewConns(cfg.MaxConns)
+	}
+	l.failures = newAcceptFailures(cfg, l.conns.Counts)
 	return l, func() { _ = l.Close() }, nil
 }
 
@@ -125,8 +127,7 @@
 	return l.closing, l.closed
 }
 
-// Conns returns the open connections. The owner of the listener must report the
-// changes of their states.
+// Conns returns the open connections; nil without a limit.
 func (l *Listener) Conns() *Conns {
 	return l.conns
 }
@@ -135,8 +136,8 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.acceptNext()
-		if err != nil {
-			return nil, err
+		if err != nil || l.conns == nil {
+			return c, err
 		}
 		evict, added := l.conns.Add(c, l.clock.Now())
 		if added {
--- a/internal/node/bmlistener/listener_test.go
+++ b/internal/core/bmlistener/listener_test.go
@@ -19,6 +19,11 @@
 
 // listenForTest returns a listener on a free port.
 func listenForTest(t *testing.T) *Listener {
+	t.Helper()
+	return listenWithLimit(t, 4)
+}
+
+func listenWithLimit(t *testing.T, maxConns int) *Listener {
 	t.Helper()
 	l, closeListener, err := Listen(Config{
 		Name:     "test",
@@ -26,7 +31,7 @@
 		Clock:    bmclock.NewSystem(),
 		Metrics:  bmmetrics.NewRegistry(),
 		Log:      zerolog.Nop(),
-		MaxConns: 4,
+		MaxConns: maxConns,
 	})
 	require.NoError(t, err)
 	t.Cleanup(closeListener)
--- a/internal/fleet/bmpeer/peer_test.go
+++ b/internal/fleet/bmpeer/peer_test.go
@@ -6,12 +6,14 @@
 	"sync"
 	"testing"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmmember"
 	"basilmoor.example/basilmoor/internal/fleet/bmpeerpb"
 )
@@ -84,6 +86,8 @@
 	cfg.Address = "127.0.0.1:0"
 	cfg.Secret = "right"
 	cfg.Clock = bmclock.NewManual(0)
+	cfg.Metrics = bmmetrics.NewRegistry()
+	cfg.Log = zerolog.Nop()
 	s, cleanup, err := NewServer(cfg)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/fleet/bmpeer/server.go
+++ b/internal/fleet/bmpeer/server.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
-	"net"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmlistener"
+	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmpeerpb"
 )
 
@@ -36,6 +38,8 @@
 	Secret  string
 	TLS     TLSFiles
 	Clock   basilmoor.Clock
+	Metrics *bmmetrics.Registry
+	Log     zerolog.Logger
 
 	Broker        bmpeerpb.BrokerServer
 	Claims        Committer
@@ -46,7 +50,7 @@
 // Server handles the calls of other nodes.
 type Server struct {
 	grpc     *grpc.Server
-	listener net.Listener
+	listener *bmlistener.Listener
 	clock    basilmoor.Clock
 }
 
@@ -63,7 +67,13 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	listener, err := net.Listen("tcp", cfg.Address)
+	listener, _, err := bmlistener.Listen(bmlistener.Config{
+		Name:    "peers",
+		Address: cfg.Address,
+		Clock:   cfg.Clock,
+		Metrics: cfg.Metrics,
+		Log:     cfg.Log,
+	})
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "listen for peers")
 	}
--- a/internal/node/bmentrynode/listener.go
+++ b/internal/node/bmentrynode/listener.go
@@ -9,8 +9,8 @@
 	"github.com/pkg/errors"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmlistener"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
-	"basilmoor.example/basilmoor/internal/node/bmlistener"
 	"basilmoor.example/basilmoor/internal/request/bmentry"
 )
 
@@ -21,8 +21,6 @@
 	metrics     *bmmetrics.Registry
 	server      *http.Server
 	netListener *bmlistener.Listener
-	handler     http.Handler
-	refuse      http.Handler // serves requests on connections beyond the limit
 	closed      atomic.Bool
 }
 
@@ -34,17 +32,13 @@
 		clock:   cfg.Clock,
 		metrics: cfg.Metrics,
 		server:  server,
-		handler: server.Handler,
-		refuse:  refuse,
 	}
 	var err error
 	if l.netListener, _, err = bmlistener.Listen(cfg); err != nil {
 		return nil, err
 	}
-	server.Handler = http.HandlerFunc(l.serveAdmitted)
-	server.ConnState = l.trackConn
 	server.ConnContext = l.connContext
-	server.ErrorLog = bmlistener.NewServerLog(cfg)
+	l.netListener.Attach(server, refuse)
 	return l, nil
 }
 
@@ -53,30 +47,9 @@
 	return "listener-" + l.name
 }
 
-// connKey is the key of a connection in the context of its requests.
-type connKey struct{}
-
 // connContext records a connection and when it was accepted.
 func (l *listener) connContext(ctx context.Context, c net.Conn) context.Context {
-	return bmentry.WithConn(context.WithValue(ctx, connKey{}, c), c, l.clock.Now())
-}
-
-// serveAdmitted serves a request, unless the limit of connections forbids it.
-func (l *listener) serveAdmitted(w http.ResponseWriter, r *http.Request) {
-	c, _ := r.Context().Value(connKey{}).(net.Conn)
-	switch l.netListener.Conns().Admission(c) {
-	case bmlistener.Admitted:
-		l.handler.ServeHTTP(w, r)
-	case bmlistener.Excess:
-		l.refuse.ServeHTTP(w, r)
-	case bmlistener.Closed:
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// trackConn records the state of a connection.
-func (l *listener) trackConn(c net.Conn, state http.ConnState) {
-	l.netListener.Conns().SetState(c, state, l.clock.Now())
+	return bmentry.WithConn(ctx, c, l.clock.Now())
 }
 
 // busyConns returns the number of connections that may have a request without a
--- a/internal/node/bmentrynode/listener_test.go
+++ b/internal/node/bmentrynode/listener_test.go
@@ -15,8 +15,8 @@
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/core/bmlistener"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
-	"basilmoor.example/basilmoor/internal/node/bmlistener"
 	"basilmoor.example/basilmoor/internal/request/bmentry"
 )
 
--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -13,9 +13,9 @@
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/core/bmlistener"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmview"
-	"basilmoor.example/basilmoor/internal/node/bmlistener"
 	"basilmoor.example/basilmoor/internal/request/bmcrash"
 	"basilmoor.example/basilmoor/internal/request/bmentry"
 	"basilmoor.example/basilmoor/internal/request/bmexchange"
@@ -156,18 +156,18 @@
 	if n.readyListener, err = newListener(n.listenerConfig("ready", s.ReadyAddress, bmlistener.ProbeConns), &http.Server{
 		Handler:           http.HandlerFunc(n.serveReady),
 		ReadHeaderTimeout: headerTimeout.Duration(),
-	}, http.HandlerFunc(serveUnavailable)); err != nil {
+	}, http.HandlerFunc(bmlistener.RefuseExcess)); err != nil {
 		return errors.Wrap(err, "listener for readiness probes")
 	}
 	n.addCleanup(n.readyListener.close)
 	if n.metricsListener, err = newListener(n.listenerConfig("metrics", s.metricsAddress(), bmlistener.ProbeConns), &http.Server{
 		Handler:           http.HandlerFunc(n.serveMetrics),
 		ReadHeaderTimeout: headerTimeout.Duration(),
-	}, http.HandlerFunc(serveUnavailable)); err != nil {
+	}, http.HandlerFunc(bmlistener.RefuseExcess)); err != nil {
 		return errors.Wrap(err, "listener for metrics")
 	}
 	n.addCleanup(n.metricsListener.close)
-	if n.peerServer, err = newPeerServer(s.port(portPeers), n.scheduler); err != nil {
+	if n.peerServer, err = newPeerServer(n.listenerConfig("peers", s.port(portPeers), 0), n.scheduler); err != nil {
 		return errors.Wrap(err, "listener for peers")
 	}
 	n.addCleanup(n.peerServer.close)
--- a/internal/node/bmentrynode/peers.go
+++ b/internal/node/bmentrynode/peers.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 
+	"basilmoor.example/basilmoor/internal/core/bmlistener"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrant"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
 )
@@ -18,10 +19,10 @@
 	netListener net.Listener
 }
 
-func newPeerServer(address string, scheduler *bmgrant.Client) (*peerServer, error) {
-	l, err := net.Listen("tcp", address)
+func newPeerServer(cfg bmlistener.Config, scheduler *bmgrant.Client) (*peerServer, error) {
+	l, _, err := bmlistener.Listen(cfg)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen")
+		return nil, err
 	}
 	p := &peerServer{
 		server:      grpc.NewServer(bmgrant.ServerOptions()...),
--- a/internal/node/bmentrynode/serve.go
+++ b/internal/node/bmentrynode/serve.go
@@ -5,7 +5,7 @@
 	"net/http"
 
 	"basilmoor.example/basilmoor"
-	"basilmoor.example/basilmoor/internal/node/bmlistener"
+	"basilmoor.example/basilmoor/internal/core/bmlistener"
 	"basilmoor.example/basilmoor/internal/request/bmentry"
 )
 
@@ -62,12 +62,6 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// serveUnavailable answers 503 and closes the connection.
-func serveUnavailable(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Connection", "close")
-	w.WriteHeader(http.StatusServiceUnavailable)
-}
-
 // serveMetrics updates the gauges and writes all metrics.
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	n.metrics.Set("requests.in-progress", int64(n.handler.Active()))
--- a/internal/node/bmentrynode/serve_test.go
+++ b/internal/node/bmentrynode/serve_test.go
@@ -54,7 +54,7 @@
 			defer l.netListener.Close()
 			clock.slept = func(now basilmoor.Millis) {
 				if now == tt.written {
-					l.trackConn(conn, http.StateClosed)
+					l.netListener.Conns().SetState(conn, http.StateClosed, now)
 				}
 			}
 			n := &Node{
@@ -64,7 +64,7 @@
 				callerListener: l,
 			}
 			if tt.written > 0 {
-				l.trackConn(conn, http.StateActive)
+				l.netListener.Conns().SetState(conn, http.StateActive, clock.Now())
 			}
 			n.endRequests(context.Background(), limit)
 			require.Equal(t, tt.ended, clock.Now())
--- a/internal/node/bmnode/build.go
+++ b/internal/node/bmnode/build.go
@@ -9,6 +9,7 @@
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/config/bmacceptance"
+	"basilmoor.example/basilmoor/internal/core/bmlistener"
 	"basilmoor.example/basilmoor/internal/fleet/bmmember"
 	"basilmoor.example/basilmoor/internal/fleet/bmpeer"
 	"basilmoor.example/basilmoor/internal/node/bmadmin"
@@ -74,6 +75,8 @@
 		Secret:        n.settings.FleetSecret,
 		TLS:           files,
 		Clock:         n.clock,
+		Metrics:       n.metrics,
+		Log:           n.log,
 		Broker:        service,
 		Claims:        n.committer,
 		Membership:    service,
@@ -245,15 +248,15 @@
 	mux.Handle("/", n.gateway)
 	server := n.gateway.Server()
 	server.Handler = mux
-	callers, err := listen(n.settings.CallersAddress, server)
+	callers, err := listen(n.listenerConfig("callers", n.settings.CallersAddress, bmlistener.NewBudget(0).Callers), server, http.HandlerFunc(n.gateway.ServeExcess))
 	if err != nil {
 		return errors.Wrap(err, "callers")
 	}
 	n.onClose(func() { _ = callers.listener.Close() })
-	admin, err := listen(n.settings.AdminAddress, &http.Server{
+	admin, err := listen(n.listenerConfig("admin", n.settings.AdminAddress, maxAdminConns), &http.Server{
 		Handler:           bmadmin.New(n, n.settings.OperatorTokens, n.log),
 		ReadHeaderTimeout: adminHeaderTimeout.Duration(),
-	})
+	}, http.HandlerFunc(bmlistener.RefuseExcess))
 	if err != nil {
 		return errors.Wrap(err, "administration")
 	}
@@ -264,3 +267,18 @@
 }
 
 const adminHeaderTimeout = 10 * basilmoor.Second
+
+// maxAdminConns is the number of operators' connections that are served at the same
+// time.
+const maxAdminConns = 64
+
+func (n *Node) listenerConfig(name, address string, maxConns int) bmlistener.Config {
+	return bmlistener.Config{
+		Name:     name,
+		Address:  address,
+		Clock:    n.clock,
+		Metrics:  n.metrics,
+		Log:      n.log,
+		MaxConns: maxConns,
+	}
+}
--- a/internal/node/bmnode/node.go
+++ b/internal/node/bmnode/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 
@@ -13,6 +12,7 @@
 	"basilmoor.example/basilmoor/internal/config/bmacceptance"
 	"basilmoor.example/basilmoor/internal/config/bmfollower"
 	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/core/bmlistener"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmmember"
 	"basilmoor.example/basilmoor/internal/fleet/bmpeer"
@@ -114,7 +114,7 @@
 
 // ready reports whether the load balancer may send requests to this host.
 func (n *Node) ready() bool {
-	if n.stopping.Load() || n.follower.Isolated() {
+	if n.stopping.Load() || n.follower.Isolated() || !n.callerServer.listener.Accepting() {
 		return false
 	}
 	_, ok := n.follower.Catalog()
@@ -132,15 +132,18 @@
 // httpServer is an HTTP server together with its open listener.
 type httpServer struct {
 	server   *http.Server
-	listener net.Listener
+	listener *bmlistener.Listener
 	stopped  atomic.Bool // shutdown was called
 }
 
-func listen(address string, server *http.Server) (*httpServer, error) {
-	l, err := net.Listen("tcp", address)
+// listen opens a listener for a server. refuse serves the requests on connections beyond
+// the limit.
+func listen(cfg bmlistener.Config, server *http.Server, refuse http.Handler) (*httpServer, error) {
+	l, _, err := bmlistener.Listen(cfg)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen")
+		return nil, err
 	}
+	l.Attach(server, refuse)
 	return &httpServer{
 		server:   server,
 		listener: l,
--- a/internal/request/bmgateway/gateway.go
+++ b/internal/request/bmgateway/gateway.go
@@ -173,6 +173,13 @@
 	}
 }
 
+// ServeExcess refuses a request on a connection beyond the limit of the host, and closes
+// the connection. The request has not run.
+func (g *Gateway) ServeExcess(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Connection", "close")
+	g.writeRefusal(w, newNotRunProblem(basilmoor.ReasonTooManyConns, "the host serves as many connections as it can"))
+}
+
 func (g *Gateway) writeRefusal(w http.ResponseWriter, p problem) {
 	g.cfg.Metrics.Refusal(p.reason)
 	g.cfg.Metrics.Outcome(p.outcome)
--- a/internal/request/bmgateway/problem.go
+++ b/internal/request/bmgateway/problem.go
@@ -136,6 +136,11 @@
 		title:      "The request is held back because targets died while running it",
 		retryAfter: 0,
 	},
+	basilmoor.ReasonTooManyConns: {
+		status:     http.StatusServiceUnavailable,
+		title:      "The host has no room for the connection",
+		retryAfter: basilmoor.Second,
+	},
 	basilmoor.ReasonStopping: {
 		status:     http.StatusServiceUnavailable,
 		title:      "The host is stopping",
--- a/internal/schedule/bmscheduler/cluster_test.go
+++ b/internal/schedule/bmscheduler/cluster_test.go
@@ -152,6 +152,8 @@
 		Address: "127.0.0.1:0",
 		Secret:  "secret",
 		Clock:   f.clock,
+		Metrics: n.metrics,
+		Log:     zerolog.Nop(),
 		Broker:  service,
 	})
 	require.NoError(f.t, err)
