--- a/internal/proof/bmsoak/callers_test.go
+++ b/internal/proof/bmsoak/callers_test.go
@@ -167,9 +167,11 @@
 // check compares the responses that callers received with what replicas ran.
 func (c *callers) check(t *testing.T, key *toggledKey) {
 	runs := map[string]int{}
-	for _, r := range c.fleet.replicas {
+	for id, r := range c.fleet.replicas {
 		for _, run := range r.Runs() {
 			runs[run.Attempt]++
+			isStream := strings.HasPrefix(run.Path, bmstandinplatform.StreamPrefix)
+			assert.Equal(t, isStream, c.fleet.entries[id]["backend"] == "engines", "%s ran %s, which is another pool's", id, run.Path)
 			assert.Empty(t, run.Key, "the API key of %s reached a replica", run.Attempt)
 			assert.Equal(t, "w", run.Tenant, "workspace of %s", run.Attempt)
 		}
--- a/internal/proof/bmsoak/fleet_test.go
+++ b/internal/proof/bmsoak/fleet_test.go
@@ -63,7 +63,8 @@
 	binary   string
 	store    *bmstandinplatform.Store
 	replicas map[string]*bmstandinplatform.Replica
-	targets  []*proxy // one in front of each replica
+	entries  map[string]map[string]any // of the replicas in the store
+	targets  []*proxy                  // one in front of each replica
 	hosts    []*host
 	maxFiles int // limit of open files of each host's process; 0 for that of the test
 
@@ -106,6 +107,7 @@
 		binary:   binary,
 		store:    store,
 		replicas: map[string]*bmstandinplatform.Replica{},
+		entries:  map[string]map[string]any{},
 		keys: map[string]bool{
 			"key-kept": true,
 		},
@@ -141,7 +143,8 @@
 	p := newProxy(f.t, r.Address())
 	f.replicas[id] = r
 	f.targets = append(f.targets, p)
-	f.store.Put("servers/"+id, bmstandinplatform.EntryAt(p.address(), pool, "ready"))
+	f.entries[id] = bmstandinplatform.EntryAt(p.address(), pool, "ready")
+	f.store.Put("servers/"+id, f.entries[id])
 }
 
 // writeConfiguration writes the next version of the desired state, with the
--- a/internal/proof/bmsoak/soak_test.go
+++ b/internal/proof/bmsoak/soak_test.go
@@ -169,6 +169,7 @@
 			j.changeKey()
 		}},
 		{"toggle the key", j.changeKey},
+		{"odd entries of another writer", func() { j.writeOddEntries(rng, duration) }},
 	}
 	f := faults[rng.IntN(len(faults))]
 	return f.name, f.run
--- a/internal/standin/bmstandinplatform/replica.go
+++ b/internal/standin/bmstandinplatform/replica.go
@@ -135,12 +135,14 @@
 // such as that of a proxy.
 func EntryAt(address, pool, lifecycle string) map[string]any {
 	return map[string]any{
-		"backend":   pool,
-		"address":   address,
-		"zone":      "z1",
-		"version":   "v1",
-		"slots":     4,
-		"lifecycle": lifecycle,
+		"backend":      pool,
+		"address":      address,
+		"zone":         "z1",
+		"version":      "v1",
+		"slots":        4,
+		"lifecycle":    lifecycle,
+		"cold_left_ms": 0,
+		"seq_num":      1,
 	}
 }
 
