Bound what all responses of a host keep together

What can happen here: a head, an interim response, a line of a chunk or a trailer without end is cut off at 64 KiB or less, and a body is passed on as it comes. Each read searched the whole event again for its end, so that the time grew with the square of its length.

Cause: bounds for one response, none for their sum. Change: events without an end and plain responses that are kept for a retry share a twelfth of the memory of the settings, beyond 16 KiB for each; beyond it an event is broken, and a plain response is passed on without being kept. An event is at most 256 KiB. Only what is new is searched.

--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -33,6 +33,10 @@
 	// of Settings.MemoryBytes.
 	memoryLimitFraction = 0.6
 
+	// memoryPerBuffers is the number of parts of Settings.MemoryBytes of which one may
+	// hold what responses keep. A buffer that grows takes three times its size.
+	memoryPerBuffers = 12
+
 	// gcPercent is the heap growth in percent that triggers a garbage
 	// collection.
 	gcPercent = 100
@@ -131,6 +135,8 @@
 		Metrics:    n.metrics,
 		Log:        log,
 		MaxViewAge: func() basilmoor.Millis { return n.settings.Load().maxViewAge() },
+
+		BufferBytes: s.MemoryBytes / memoryPerBuffers,
 	})
 	n.registrar = newRegistrar(n.clock, deps.Store, s.MinLease, func() (string, []byte, error) { return deps.Registration(self) }, log)
 	n.recorder = bmgrant.NewRecorder(n.clock, deps.Store, deps.RecordKeys, n.broker, log)
--- a/internal/proof/bmsoak/fleet_test.go
+++ b/internal/proof/bmsoak/fleet_test.go
@@ -50,6 +50,9 @@
 	// stop right after it took one can finish it within the grace.
 	longLimit = 7 * time.Second
 
+	// hostMemory is the value of the setting memory_mb, in bytes.
+	hostMemory int64 = 256 << 20
+
 	// recoveryTimeout bounds each wait for a host to become ready, at the start
 	// and after the last fault.
 	recoveryTimeout = 30 * time.Second
@@ -179,6 +182,7 @@
 		"routes": []any{
 			route("stream", "streaming", "engines", 3, 4*time.Second),
 			route("stream/long", "streaming", "engines", 3, longLimit),
+			route("stream/flood", "streaming", "engines", 1, floodLimit),
 			route("again", "idempotent", "services", 2, 4*time.Second),
 			route("once", "non_idempotent", "services", 1, 4*time.Second),
 			route("silent", "non_idempotent", "services", 1, time.Minute),
@@ -244,7 +248,7 @@
 		"zone":         "z1",
 		"listen_addrs": map[string]any{"frontend": h.callers, "ready": h.ready},
 		"port_range":   []int{firstPeerPort, lastPeerPort},
-		"limits":       map[string]any{"cpu_fraction": 1, "memory_mb": 256, "max_fds": h.fleet.maxFiles},
+		"limits":       map[string]any{"cpu_fraction": 1, "memory_mb": hostMemory >> 20, "max_fds": h.fleet.maxFiles},
 		"bounds": map[string]any{
 			"drain_ms": 2000, "grace_s": grace.Seconds(), "revoke_ms": revokeBound.Milliseconds(), "retry_ratio": 0.5,
 			"retry_window_s": 10, "retry_slack": 100, "quota_window_s": 8,
--- a/internal/request/bmentry/handler.go
+++ b/internal/request/bmentry/handler.go
@@ -50,6 +50,10 @@
 	// MaxViewAge returns the age of the view from which requests that
 	// need a key are rejected, because the key may have been revoked since.
 	MaxViewAge func() basilmoor.Millis
+
+	// BufferBytes bounds what all responses together keep in memory, beyond a small
+	// part for each; 0 for a default.
+	BufferBytes int64
 }
 
 // Handler is the HTTP handler for callers' requests. It is safe for concurrent
@@ -57,6 +61,7 @@
 type Handler struct {
 	cfg       Config
 	estimator *outputEstimator
+	buffers   *bufferBudget
 	active    atomic.Int64
 
 	drainTimes    atomic.Pointer[DrainTimes] // nil before a planned stop
@@ -69,6 +74,7 @@
 	h := &Handler{
 		cfg:       cfg,
 		estimator: newOutputEstimator(),
+		buffers:   newBufferBudget(cfg.BufferBytes),
 	}
 	h.requestsEnded, h.endRequests = context.WithCancel(context.Background())
 	return h
--- a/internal/request/bmentry/relay.go
+++ b/internal/request/bmentry/relay.go
@@ -48,12 +48,15 @@
 // relayResponse relays a response that is not an event stream. A 5xx response
 // of a route that allows retries is returned as a *serverError instead.
 func (c *call) relayResponse(permit basilmoor.Permit, resp *bmexchange.Response, sent basilmoor.Millis) error {
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
+	buf := c.handler.buffers.newBuffer()
+	defer buf.release()
+	body, whole, err := readBuffered(resp, buf)
 	if err != nil {
 		c.observeFailure(permit, err, len(body) > 0)
 		return err
 	}
-	if len(body) == maxBufferedBytes {
+	if !whole {
+		buf.release()
 		return c.relayLarge(permit, resp, body, sent)
 	}
 	survived, err := c.confirmEnd(permit, resp, len(body) > 0)
@@ -75,6 +78,30 @@
 	return relay()
 }
 
+// readBuffered reads a response as long as it is below maxBufferedBytes and buf allows it.
+// whole tells whether the end was reached.
+func readBuffered(r io.Reader, buf *buffer) (body []byte, whole bool, err error) {
+	body = make([]byte, 0, readBufferBytes)
+	for len(body) < maxBufferedBytes {
+		if len(body) == cap(body) {
+			size := min(2*cap(body), maxBufferedBytes)
+			if !buf.resize(size) {
+				return body, false, nil
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, true, nil
+		}
+		if err != nil {
+			return body, false, err
+		}
+	}
+	return body, false, nil
+}
+
 // relayLarge relays a response that is too large to buffer. The bytes in head
 // were read already.
 func (c *call) relayLarge(permit basilmoor.Permit, resp *bmexchange.Response, head []byte, sent basilmoor.Millis) error {
@@ -160,7 +187,9 @@
 		call:        c,
 		control:     http.NewResponseController(c.w),
 		lastEventID: c.info.LastEventID,
+		buffer:      c.handler.buffers.newBuffer(),
 	}
+	defer s.buffer.release()
 	err := s.relayEvents(permit, resp, sent)
 	for err != nil && s.canResume(ctx, err) {
 		c.handler.cfg.Metrics.Retry(basilmoor.ReasonTargetFailed)
@@ -186,6 +215,7 @@
 	longestPause   basilmoor.Millis // longest time between arrivals
 	unreachedCount int              // attempts to resume that reached no target
 	partial        []byte           // incomplete event received so far
+	buffer         *buffer          // of partial
 }
 
 // relayEvents relays one target's part of the stream. Only complete events are
@@ -197,7 +227,7 @@
 	chunk := make([]byte, readBufferBytes)
 	for {
 		n, err := resp.Read(chunk)
-		if len(s.partial)+n > maxEventBytes {
+		if size := len(s.partial) + n; size > maxEventBytes || !s.buffer.resize(size) {
 			c.handler.cfg.Metrics.Add("streams.event-too-long", 1)
 			return s.broken(permit, resp, &eventTooLongError{}, s.eventCount > countBefore)
 		}
@@ -252,7 +282,7 @@
 
 	// maxEventBytes bounds an event of a stream, which is kept until it is
 	// complete.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 256 << 10
 )
 
 // truncatedEventError means that a target ended a stream in the middle of an
@@ -330,10 +360,26 @@
 	return n
 }
 
+// maxSeparatorBytes is the length of the longest of eventSeparators.
+const maxSeparatorBytes = 3
+
+// appendToEvent appends data to an incomplete event, and returns with it the length of
+// the complete events at its start. What was received before holds no separator and is
+// not searched again: that would take a time that grows with the square of the event's
+// length.
+func appendToEvent(partial, data []byte) (all []byte, complete int) {
+	from := max(len(partial)-(maxSeparatorBytes-1), 0)
+	all = append(partial, data...)
+	if n := completeEventBytes(all[from:]); n > 0 {
+		complete = from + n
+	}
+	return all, complete
+}
+
 // writeEvents relays the events that data completes and keeps the rest.
 func (s *stream) writeEvents(resp *bmexchange.Response, data []byte) error {
-	s.partial = append(s.partial, data...)
-	n := completeEventBytes(s.partial)
+	var n int
+	s.partial, n = appendToEvent(s.partial, data)
 	if n == 0 {
 		return nil
 	}
--- a/internal/standin/bmstandinplatform/replica.go
+++ b/internal/standin/bmstandinplatform/replica.go
@@ -192,6 +192,10 @@
 		<-q.Context().Done()
 		return
 	}
+	if strings.HasPrefix(q.URL.Path, FloodPrefix) {
+		serveFlood(w, q)
+		return
+	}
 	w.Header().Set("X-Response-Signature", "sig-"+r.ID)
 	attempt := q.Header.Get("X-Attempt-Id")
 	if !strings.HasPrefix(q.URL.Path, StreamPrefix) {
