Test that a stopping host answers what it passes on late

TestDrainAdmission has the edges of the admission; TestPlannedStopAnswersLateRequests now shows the answers to requests that are passed on 6.0 and 6.4 s after the signal of a grace of 8 s, to targets that answer and that are silent. No logic is changed.

--- a/internal/node/bmentrynode/stop_test.go
+++ b/internal/node/bmentrynode/stop_test.go
@@ -83,6 +83,49 @@
 	}
 }
 
+// Guards against a request that a stopping host takes late in its grace and passes on,
+// and whose connection ends without an answer.
+func TestPlannedStopAnswersLateRequests(t *testing.T) {
+	const (
+		stopGrace = 8 * basilmoor.Second
+		limit     = basilmoor.Second
+	)
+	tests := map[string]struct {
+		sentAfter basilmoor.Millis // time from the signal to the request
+		path      string
+		runs      int
+		status    int
+	}{
+		"a target that answers":          {sentAfter: 6000, path: "/lookup/x", runs: 1, status: http.StatusOK},
+		"a target that is silent":        {sentAfter: 6000, path: bmstandinplatform.SilentPath, runs: 1, status: http.StatusGatewayTimeout},
+		"silent, as late as may be":      {sentAfter: 6400, path: bmstandinplatform.SilentPath, runs: 1, status: http.StatusGatewayTimeout},
+		"later than it may be passed on": {sentAfter: 6600, path: bmstandinplatform.SilentPath, runs: 0, status: http.StatusServiceUnavailable},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleetWithTimes(t, 2, stopGrace, basilmoor.Minute)
+			leaving := f.nodes[0]
+			late := openConn(t, leaving)
+			held := make(chan response, 1)
+			inProgress := openConn(t, leaving)
+			before := len(f.runs())
+			go func() { held <- inProgress.exchange(bmstandinplatform.EndlessPath) }()
+			f.eventually("in progress", func() bool { return len(f.runs()) > before })
+			leaving.stop()
+			f.eventually("stopping", func() bool { return !leaving.ready() })
+			before = len(f.runs())
+			leaving.clock.advance(tt.sentAfter)
+			a := late.exchangeWithin(tt.path, limit)
+			require.NoError(t, a.err)
+			require.Equal(t, tt.status, a.status, a.body)
+			require.Len(t, f.runs(), before+tt.runs)
+			leaving.clock.advance(stopGrace)
+			require.NoError(t, <-leaving.done)
+			require.Error(t, (<-held).err)
+		})
+	}
+}
+
 // Guards against a host without requests that ends as soon as it closes its listener
 // and resets the connections that wait to be accepted.
 func TestIdleStopWaitsForTheAcceptQueue(t *testing.T) {
@@ -137,7 +180,12 @@
 
 // exchange sends a request with a time limit of 9 s and reads the whole response.
 func (c *callerConn) exchange(path string) response {
-	_, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: "+hostname+"\r\nAuthorization: Token k\r\nX-Attempt-Id: a%s\r\nX-Deadline-Ms: 9000\r\nX-Token-Usage: 100,5\r\n\r\n", path, c.LocalAddr())
+	return c.exchangeWithin(path, 9*basilmoor.Second)
+}
+
+// exchangeWithin sends a request with a time limit and reads the whole response.
+func (c *callerConn) exchangeWithin(path string, limit basilmoor.Millis) response {
+	_, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: "+hostname+"\r\nAuthorization: Token k\r\nX-Attempt-Id: a%s\r\nX-Deadline-Ms: %d\r\nX-Token-Usage: 100,5\r\n\r\n", path, c.LocalAddr(), limit)
 	if err != nil {
 		return response{
 			err: err,
