--- a/internal/core/bmlistener/conns.go
+++ b/internal/core/bmlistener/conns.go
@@ -37,7 +37,8 @@
 // Conns holds the open connections of a listener and limits their number. At the limit
 // it chooses for closing the connection that has been idle the longest, or the oldest
 // one on which nothing was received for a while; if there is none, the next connections
-// are accepted as Excess. It is safe for concurrent use. The methods take the time on the host's clock.
+// are accepted as Excess. Its methods take the time on the host's clock. It is safe for
+// concurrent use.
 type Conns struct {
 	limit     int // connections that are served
 	maxExcess int // connections beyond the limit
@@ -124,19 +125,27 @@
 // before and on which nothing was received, and marks it as closed. It returns nil if
 // there is none. s.mu is held.
 func (s *Conns) evict(acceptedBy basilmoor.Millis) net.Conn {
-	front := s.idle.Front()
-	if front == nil {
-		front = s.silent.Front()
-	}
-	if front == nil || front.Value.(*connEntry).list == s.silent && front.Value.(*connEntry).since > acceptedBy {
-		return nil
+	e := first(s.idle)
+	if e == nil {
+		e = first(s.silent)
+		if e == nil || e.since > acceptedBy {
+			return nil
+		}
 	}
-	e := front.Value.(*connEntry)
 	s.release(e)
 	e.admission = Closed
 	return e.conn
 }
 
+// first returns the first connection of a list, or nil if it is empty.
+func first(l *list.List) *connEntry {
+	front := l.Front()
+	if front == nil {
+		return nil
+	}
+	return front.Value.(*connEntry)
+}
+
 // SetState records a change of the HTTP server's state of a connection.
 func (s *Conns) SetState(c net.Conn, state http.ConnState, now basilmoor.Millis) {
 	s.mu.Lock()
