Send nothing to targets that say that they leave or want nothing

A target that said Server-Leaving: 1 got every request until its entry said draining, and its Retry-After changed no decision, so that requests and retries were spent on targets that turn them away.

Change: the host that got such an answer sends its target nothing until a later process of it is listed, or until the time is over. bmholdoff keeps this without I/O; demands exclude such targets, and a grant for one is returned unused. If a pool has no other target, a request waits if one takes requests again within its objective, and otherwise gets 503 with the time until then.

Result: TestLeavingReplicaGetsNoRequests failed before (11 requests instead of 1) and TestAllReplicasAskForAPause as well (a request that could wait was refused; one more reached the target). TestReplicaThatAsksForAPause and TestReplicaThatStartsAgainIsUsed pass before and after. TestNoticesInAnyOrder draws notices, pauses, restarts and listings.

--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -20,6 +20,7 @@
 	"basilmoor.example/basilmoor/internal/request/bmentry"
 	"basilmoor.example/basilmoor/internal/request/bmexchange"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrant"
+	"basilmoor.example/basilmoor/internal/schedule/bmholdoff"
 )
 
 const (
@@ -76,6 +77,7 @@
 	scheduler  *bmgrant.Client
 	peerServer *peerServer
 	exchange   *bmexchange.Client
+	holdOffs   *bmholdoff.Table
 	retries    *bmentry.RetryLimiter
 	handler    *bmentry.Handler
 	registrar  *registrar
@@ -120,7 +122,14 @@
 		AssumeSpending: !s.FirstStart,
 	}, n.metrics, log)
 	budget := bmlistener.NewBudget(s.MaxSockets)
-	exchange, closeExchange := bmexchange.New(n.clock, deps.Inspector, n.metrics, budget.Targets)
+	n.holdOffs = bmholdoff.New()
+	exchange, closeExchange := bmexchange.New(bmexchange.Config{
+		Clock:     n.clock,
+		Inspector: deps.Inspector,
+		Metrics:   n.metrics,
+		MaxConns:  budget.Targets,
+		OnNotice:  n.recordNotice,
+	})
 	n.exchange = exchange
 	n.addCleanup(closeExchange)
 	n.retries = bmentry.NewRetryLimiter(n.clock, s.RetryRatio, s.RetryWindow)
@@ -132,6 +141,7 @@
 		Exchange:   n.exchange,
 		Retries:    n.retries,
 		Crashes:    crashes,
+		HoldOffs:   n.holdOffs,
 		Metrics:    n.metrics,
 		Log:        log,
 		MaxViewAge: func() basilmoor.Millis { return n.settings.Load().maxViewAge() },
@@ -239,6 +249,27 @@
 		known[t.Name] = true
 	}
 	n.exchange.CloseIdleExcept(func(target string) bool { return known[target] })
+	for _, name := range n.holdOffs.Forget(n.clock.Now(), func(target string) bool { return known[target] }) {
+		n.log.Info().Str("target", name).Msg("target takes requests again")
+	}
+}
+
+// recordNotice records what a target has said about further requests.
+func (n *Node) recordNotice(target basilmoor.Target, notice bmholdoff.Notice) {
+	if !n.holdOffs.Record(n.clock.Now(), target, notice) {
+		return
+	}
+	if notice.Leaving {
+		n.metrics.Add("holdoffs.leaving", 1)
+	} else {
+		n.metrics.Add("holdoffs.retry-after", 1)
+	}
+	n.log.Warn().
+		Str("target", target.Name).
+		Str("pool", target.Pool).
+		Bool("leaving", notice.Leaving).
+		Int64("retry-after-ms", int64(notice.RetryAfter)).
+		Msg("target takes no requests from this host")
 }
 
 // spareRetryHosts is added to the number of hosts that share the retry slack. It
--- a/internal/request/bmentry/handler.go
+++ b/internal/request/bmentry/handler.go
@@ -35,6 +35,18 @@
 	Suspect(key uint64) bool
 }
 
+// HoldOffs tells which targets must not be sent requests, because they said so. The
+// times are on the host's clock.
+type HoldOffs interface {
+	// Blocks reports whether a target must not be sent a request.
+	Blocks(now basilmoor.Millis, target basilmoor.Target) bool
+
+	// Split returns the names of those targets that must not be sent requests. If
+	// that are all of them, wait is the time until one may be sent requests again;
+	// never is set if there is no such time.
+	Split(now basilmoor.Millis, targets []basilmoor.Target) (blocked []string, wait basilmoor.Millis, never bool)
+}
+
 // Config holds the dependencies of a Handler.
 type Config struct {
 	Clock      basilmoor.Clock
@@ -44,6 +56,7 @@
 	Exchange   *bmexchange.Client
 	Retries    *RetryLimiter
 	Crashes    CrashSuspects
+	HoldOffs   HoldOffs
 	Metrics    *bmmetrics.Registry
 	Log        zerolog.Logger
 
--- a/internal/request/bmentry/handler_test.go
+++ b/internal/request/bmentry/handler_test.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -28,41 +27,9 @@
 	"basilmoor.example/basilmoor/internal/fleet/bmview"
 	"basilmoor.example/basilmoor/internal/request/bmcrash"
 	"basilmoor.example/basilmoor/internal/request/bmexchange"
+	"basilmoor.example/basilmoor/internal/schedule/bmholdoff"
 )
 
-// testProtocol implements Protocol and bmexchange.ResponseInspector with short
-// headers.
-type testProtocol struct{}
-
-func (testProtocol) Decode(h http.Header) (RequestInfo, error) {
-	limit, err := strconv.Atoi(cmp.Or(h.Get("Limit"), "0"))
-	return RequestInfo{
-		ID:          h.Get("Id"),
-		TimeLimit:   basilmoor.Millis(limit),
-		Key:         h.Get("Key"),
-		LastEventID: h.Get("Last"),
-		SharedParts: h.Values("Part"),
-	}, err
-}
-
-func (testProtocol) RequestHeader(_ http.Header, info ForwardInfo) http.Header {
-	return http.Header{
-		"Target":    []string{info.Target},
-		"Workspace": []string{info.Workspace},
-		"Last":      []string{info.LastEventID},
-	}
-}
-
-func (testProtocol) ResponseHeader(h http.Header) http.Header { return h.Clone() }
-
-func (testProtocol) SetRetryAfter(h http.Header, after basilmoor.Millis) {
-	h.Set("Retry-After", fmt.Sprint(int64(after)))
-}
-
-func (testProtocol) RequestIDOf(http.Header) string { return "1" }
-
-func (testProtocol) NotRun(_ int, h http.Header) bool { return h.Get("Not-Run") != "" }
-
 // testViews returns a fixed view with a settable age.
 type testViews struct {
 	view *bmview.View
@@ -165,6 +132,7 @@
 // testFleet is a handler with targets of given behaviours, which the scheduler
 // grants in order.
 type testFleet struct {
+	holdOffs  *bmholdoff.Table
 	url       string
 	close     func() // stops the server after its requests have ended
 	drop      func() // closes the callers' connections, as the end of the process does
@@ -205,7 +173,13 @@
 	}
 	metrics := bmmetrics.NewRegistry()
 	f.metrics = metrics
-	exchange, closeExchange := bmexchange.New(clock, testProtocol{}, metrics, 100)
+	f.holdOffs = bmholdoff.New()
+	exchange, closeExchange := bmexchange.New(bmexchange.Config{
+		Clock:     clock,
+		Inspector: testProtocol{},
+		Metrics:   metrics,
+		MaxConns:  100,
+	})
 	t.Cleanup(closeExchange)
 	f.retries = NewRetryLimiter(clock, 0, basilmoor.Minute)
 	f.retries.SetSlack(100)
@@ -213,6 +187,7 @@
 	f.handler = New(Config{
 		Clock:      clock,
 		Crashes:    f.crashes,
+		HoldOffs:   f.holdOffs,
 		ViewSource: f.views,
 		Protocol:   testProtocol{},
 		Scheduler:  f.scheduler,
--- a/internal/request/bmentry/relay.go
+++ b/internal/request/bmentry/relay.go
@@ -480,6 +480,15 @@
 		})
 		return errCrashSuspect
 	}
+	if target := permit.Target(); c.isHeldOff(target) {
+		permit.Observe(basilmoor.Observation{
+			Stage: basilmoor.StageReturned,
+		})
+		return &bmexchange.UnsentError{
+			Target: target.Name,
+			Err:    errors.New("the target takes no requests from this host"),
+		}
+	}
 	resp, sent, err := c.dispatch(ctx, permit, s.lastEventID)
 	if err != nil {
 		return err
--- a/internal/request/bmentry/run.go
+++ b/internal/request/bmentry/run.go
@@ -31,11 +31,14 @@
 		if c.isCrashSuspect() {
 			return c.notSentError(basilmoor.ReasonCrashSuspect, errCrashSuspect)
 		}
+		if err := c.awaitTarget(ctx); err != nil {
+			return err
+		}
 		permit, err := c.acquireGrant(ctx)
 		if err != nil {
 			return c.grantError(ctx, err)
 		}
-		if c.isCrashSuspect() {
+		if c.isCrashSuspect() || c.isHeldOff(permit.Target()) {
 			// The news came while the request waited.
 			permit.Observe(basilmoor.Observation{
 				Stage: basilmoor.StageReturned,
@@ -206,7 +209,7 @@
 		FirstByteTimeout: c.route.StreamIdleTimeout,
 		Deadline:         deadline - c.arrivedAt,
 		OnlyInTime:       shortened,
-		Excluded:         c.excludedTargets,
+		Excluded:         c.unwantedTargets(),
 		BodyBytes:        len(c.body),
 		CrashKeys:        c.crashKeys(),
 	}
--- a/internal/request/bmexchange/client.go
+++ b/internal/request/bmexchange/client.go
@@ -14,6 +14,7 @@
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
+	"basilmoor.example/basilmoor/internal/schedule/bmholdoff"
 )
 
 // ResponseInspector interprets the response headers of the targets' protocol.
@@ -25,6 +26,25 @@
 	// NotRun reports whether a response states that the target did not run
 	// the request and won't.
 	NotRun(status int, h http.Header) bool
+
+	// NoticeOf returns what a response says about further requests to its target.
+	// valid is false if a part of it could not be understood.
+	NoticeOf(status int, h http.Header) (n bmholdoff.Notice, valid bool)
+}
+
+// Config holds the settings and dependencies of a Client.
+type Config struct {
+	Clock     basilmoor.Clock
+	Inspector ResponseInspector
+	Metrics   *bmmetrics.Registry
+
+	// MaxConns is the number of connections from which idle ones make room for new
+	// ones.
+	MaxConns int
+
+	// OnNotice is called with what a target's response says about further requests,
+	// before the response is returned; it may be nil.
+	OnNotice func(target basilmoor.Target, n bmholdoff.Notice)
 }
 
 // Request is a request to a target.
@@ -44,17 +64,18 @@
 	clock     basilmoor.Clock
 	inspector ResponseInspector
 	metrics   *bmmetrics.Registry
+	onNotice  func(target basilmoor.Target, n bmholdoff.Notice)
 	pool      *pool
 }
 
-// New returns a client, and a function that closes its idle connections. Idle
-// connections are closed before a new one exceeds maxConns.
-func New(clock basilmoor.Clock, inspector ResponseInspector, metrics *bmmetrics.Registry, maxConns int) (*Client, func()) {
+// New returns a client, and a function that closes its idle connections.
+func New(cfg Config) (*Client, func()) {
 	c := &Client{
-		clock:     clock,
-		inspector: inspector,
-		metrics:   metrics,
-		pool:      newPool(clock, maxConns),
+		clock:     cfg.Clock,
+		inspector: cfg.Inspector,
+		metrics:   cfg.Metrics,
+		onNotice:  cfg.OnNotice,
+		pool:      newPool(cfg.Clock, cfg.MaxConns),
 	}
 	return c, c.pool.close
 }
@@ -142,6 +163,7 @@
 	if writeErr != nil {
 		r.notReusable = true
 	}
+	r.client.notice(req.Target, r.Status, r.Header)
 	if r.client.inspector.NotRun(r.Status, r.Header) {
 		r.drain()
 		return &RefusedError{
@@ -156,6 +178,17 @@
 	return nil
 }
 
+// notice passes on what the response of a target says about further requests.
+func (c *Client) notice(target basilmoor.Target, status int, h http.Header) {
+	n, valid := c.inspector.NoticeOf(status, h)
+	if !valid {
+		c.metrics.Add("exchange.notices-not-understood", 1)
+	}
+	if c.onNotice != nil {
+		c.onNotice(target, n)
+	}
+}
+
 // readHeader reads response headers until they belong to the request. What comes
 // before them is skipped up to a limit.
 func (r *Response) readHeader(req Request) error {
--- a/internal/request/bmexchange/client_test.go
+++ b/internal/request/bmexchange/client_test.go
@@ -17,6 +17,7 @@
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/core/bmclock"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
+	"basilmoor.example/basilmoor/internal/schedule/bmholdoff"
 )
 
 // testInspector implements ResponseInspector with short headers.
@@ -26,6 +27,10 @@
 
 func (testInspector) NotRun(_ int, h http.Header) bool { return h.Get("Not-Run") != "" }
 
+func (testInspector) NoticeOf(int, http.Header) (bmholdoff.Notice, bool) {
+	return bmholdoff.Notice{}, true
+}
+
 // scriptedTarget answers its nth request with the bytes that script returns, or
 // closes the connection if there are none.
 type scriptedTarget struct {
@@ -120,7 +125,12 @@
 
 func newTestClient(t *testing.T) *Client {
 	t.Helper()
-	c, closeClient := New(bmclock.NewSystem(), testInspector{}, bmmetrics.NewRegistry(), 100)
+	c, closeClient := New(Config{
+		Clock:     bmclock.NewSystem(),
+		Inspector: testInspector{},
+		Metrics:   bmmetrics.NewRegistry(),
+		MaxConns:  100,
+	})
 	t.Cleanup(closeClient)
 	return c
 }
--- a/internal/standin/bmstandinplatform/replica.go
+++ b/internal/standin/bmstandinplatform/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -70,9 +71,21 @@
 	ID     string
 	server *httptest.Server
 
-	mu      sync.Mutex
-	runs    []Run
-	crashed chan struct{} // closed when a run crashes the replica
+	mu       sync.Mutex
+	runs     []Run
+	arrivals []Arrival
+	leaving  bool
+	fullTill time.Time     // until when requests are turned away
+	crashed  chan struct{} // closed when a run crashes the replica
+}
+
+// Arrival records a request that reached a replica, run or not.
+type Arrival struct {
+	Attempt string
+	At      time.Time
+	// TurnedAwayUntil is when the replica, which turned the request away, wants
+	// requests again; zero if it was not turned away.
+	TurnedAwayUntil time.Time
 }
 
 // Run records a request that a replica ran.
@@ -146,6 +159,46 @@
 	}
 }
 
+// SetLeaving makes the replica say in all its answers that it leaves, or stop saying so.
+func (r *Replica) SetLeaving(leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = leaving
+}
+
+// TurnAway makes the replica turn requests away for a time, in whole seconds, and say for
+// how long.
+func (r *Replica) TurnAway(seconds int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fullTill = time.Now().Add(time.Duration(seconds) * time.Second)
+}
+
+// Arrivals returns the requests that reached the replica.
+func (r *Replica) Arrivals() []Arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Arrival(nil), r.arrivals...)
+}
+
+// recordArrival records a request, and returns for how many seconds it is turned away, 0
+// if it is not, and whether the replica leaves.
+func (r *Replica) recordArrival(attempt string) (turnedAway int, leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	a := Arrival{
+		Attempt: attempt,
+		At:      now,
+	}
+	if left := r.fullTill.Sub(now); left > 0 {
+		turnedAway = int(math.Ceil(left.Seconds()))
+		a.TurnedAwayUntil = now.Add(time.Duration(turnedAway) * time.Second)
+	}
+	r.arrivals = append(r.arrivals, a)
+	return turnedAway, r.leaving
+}
+
 // Runs returns the requests that the replica ran.
 func (r *Replica) Runs() []Run {
 	r.mu.Lock()
@@ -176,6 +229,16 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	turnedAway, leaving := r.recordArrival(q.Header.Get("X-Attempt-Id"))
+	if leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	if turnedAway > 0 {
+		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set("Retry-After", strconv.Itoa(turnedAway))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	run := Run{
 		Attempt: q.Header.Get("X-Attempt-Id"),
 		Tenant:  q.Header.Get("X-Tenant-Id"),
