--- /dev/null
+++ b/internal/request/bmentry/stream.go
@@ -0,0 +1,336 @@
+package bmentry
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/config/bmrouting"
+	"basilmoor.example/basilmoor/internal/request/bmexchange"
+)
+
+// relayStream relays events as they arrive. If the target fails and the route
+// allows it, another target resumes the stream.
+func (c *call) relayStream(ctx context.Context, permit basilmoor.Permit, resp *bmexchange.Response, sent basilmoor.Millis) error {
+	s := &stream{
+		call:        c,
+		control:     http.NewResponseController(c.w),
+		lastEventID: c.info.LastEventID,
+		buffer:      c.handler.buffers.newBuffer(),
+	}
+	defer s.buffer.release()
+	err := s.relayEvents(permit, resp, sent)
+	for err != nil && s.canResume(ctx, err) {
+		c.handler.cfg.Metrics.Retry(basilmoor.ReasonTargetFailed)
+		err = s.resume(ctx)
+	}
+	if err != nil && s.headerSent {
+		return &partialRelayError{
+			Err: err,
+		}
+	}
+	return err
+}
+
+// stream is the state of an event stream that is relayed to a caller, possibly
+// from several targets in turn.
+type stream struct {
+	call           *call
+	control        *http.ResponseController
+	headerSent     bool   // status and headers were written
+	lastEventID    string // of the last event that was relayed
+	eventCount     int
+	lastArrival    basilmoor.Millis // of the latest events; 0 before the first
+	longestPause   basilmoor.Millis // longest time between arrivals
+	unreachedCount int              // attempts to resume that reached no target
+	partial        []byte           // incomplete event received so far
+	buffer         *buffer          // of partial
+}
+
+// relayEvents relays one target's part of the stream. Only complete events are
+// relayed, because another target would resume after the last complete one.
+func (s *stream) relayEvents(permit basilmoor.Permit, resp *bmexchange.Response, sent basilmoor.Millis) error {
+	c := s.call
+	s.partial = s.partial[:0]
+	countBefore := s.eventCount
+	chunk := make([]byte, readBufferBytes)
+	for {
+		n, err := resp.Read(chunk)
+		if size := len(s.partial) + n; size > maxEventBytes || !s.buffer.resize(size) {
+			c.handler.cfg.Metrics.Add("streams.event-too-long", 1)
+			return s.broken(permit, resp, &eventTooLongError{}, s.eventCount > countBefore)
+		}
+		if n > 0 {
+			if s.eventCount == countBefore {
+				permit.Observe(basilmoor.Observation{
+					Stage:   basilmoor.StageFirstToken,
+					Elapsed: c.handler.cfg.Clock.Now() - sent,
+				})
+			}
+			if err := s.writeEvents(resp, chunk[:n]); err != nil {
+				c.observeFailure(permit, err, true)
+				return &callerLeftError{
+					Err: err,
+				}
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return s.end(permit, resp, sent, s.eventCount-countBefore)
+		}
+		if err != nil {
+			c.observeFailure(permit, err, s.eventCount > countBefore)
+			return err
+		}
+	}
+}
+
+// end ends one target's part of the stream, which brought the given number of events.
+func (s *stream) end(permit basilmoor.Permit, resp *bmexchange.Response, sent basilmoor.Millis, events int) error {
+	c := s.call
+	if !resp.EndMarked() {
+		s.logUnmarkedEnd(events)
+	}
+	if s.truncated(resp, events) {
+		c.handler.cfg.Metrics.Add("streams.truncated", 1)
+		return s.broken(permit, resp, &truncatedEventError{}, events > 0)
+	}
+	survived, err := c.confirmEnd(permit, resp, events > 0)
+	if err != nil {
+		return err
+	}
+	if s.headerSent && !c.endsWithConn && !resp.EndMarked() {
+		c.observeFinished(permit, resp, sent, c.tokensInEvents(events), survived)
+		return resp.Broken(&unmarkedEndError{})
+	}
+	return s.finish(permit, resp, sent, events, survived)
+}
+
+const (
+	// readBufferBytes is room for several events.
+	readBufferBytes = 4 << 10
+
+	// maxEventBytes bounds an event of a stream, which is kept until it is
+	// complete.
+	maxEventBytes = 256 << 10
+)
+
+// truncatedEventError means that a target ended a stream in the middle of an
+// event.
+type truncatedEventError struct{}
+
+func (e *truncatedEventError) Error() string {
+	return "the stream ended in the middle of an event"
+}
+
+// unmarkedEndError means that the rest of a stream ended with its connection, while the
+// chunks in which the stream began would tell the caller that it is complete.
+type unmarkedEndError struct{}
+
+func (e *unmarkedEndError) Error() string {
+	return "the rest of the stream ended without a last chunk"
+}
+
+// eventTooLongError means that a target sent an event without an end.
+type eventTooLongError struct{}
+
+func (e *eventTooLongError) Error() string {
+	return "an event of the stream is too long"
+}
+
+// truncated reports whether a target's part of the stream, of the given number of
+// events, ended with an incomplete one, or with its connection before the first one.
+func (s *stream) truncated(resp *bmexchange.Response, events int) bool {
+	if len(bytes.TrimSpace(s.partial)) == 0 {
+		return events == 0 && !resp.EndMarked()
+	}
+	return s.eventCount > 0 || !resp.EndMarked() || strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// logUnmarkedEnd counts and logs the end of a target's part of the stream, of the given
+// number of events, that ended with its connection: where in the events it came tells
+// whether the target has broken it off.
+func (s *stream) logUnmarkedEnd(events int) {
+	place := "after-event"
+	switch {
+	case len(bytes.TrimSpace(s.partial)) > 0:
+		place = "in-event"
+	case events == 0:
+		place = "before-first-event"
+	}
+	cfg := &s.call.handler.cfg
+	cfg.Metrics.Add("streams.unmarked-end."+place, 1)
+	cfg.Log.Info().
+		Str("request", s.call.info.ID).
+		Str("target", s.call.lastTarget).
+		Str("place", place).
+		Int("events", events).
+		Msg("stream ended with its connection")
+}
+
+// broken reports the failure of a target whose stream is not valid.
+func (s *stream) broken(permit basilmoor.Permit, resp *bmexchange.Response, cause error, answered bool) error {
+	err := resp.Broken(cause)
+	s.call.observeFailure(permit, err, answered)
+	return err
+}
+
+// eventSeparators are the ends of an event: the end of its last line and a blank line,
+// which may end with LF or CR LF.
+var eventSeparators = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
+// completeEventBytes returns the length of the complete events at the start of data.
+func completeEventBytes(data []byte) int {
+	n := 0
+	for _, sep := range eventSeparators {
+		if i := bytes.LastIndex(data, sep); i >= 0 {
+			n = max(n, i+len(sep))
+		}
+	}
+	return n
+}
+
+// maxSeparatorBytes is the length of the longest of eventSeparators.
+const maxSeparatorBytes = 3
+
+// appendToEvent appends data to an incomplete event, and returns with it the length of
+// the complete events at its start. What was received before holds no separator and is
+// not searched again: that would take a time that grows with the square of the event's
+// length.
+func appendToEvent(partial, data []byte) (all []byte, complete int) {
+	from := max(len(partial)-(maxSeparatorBytes-1), 0)
+	all = append(partial, data...)
+	if n := completeEventBytes(all[from:]); n > 0 {
+		complete = from + n
+	}
+	return all, complete
+}
+
+// writeEvents relays the events that data completes and keeps the rest.
+func (s *stream) writeEvents(resp *bmexchange.Response, data []byte) error {
+	var n int
+	s.partial, n = appendToEvent(s.partial, data)
+	if n == 0 {
+		return nil
+	}
+	complete := s.partial[:n]
+	if !s.headerSent {
+		s.headerSent = true
+		s.call.writeHeader(resp)
+	}
+	if _, err := s.call.w.Write(complete); err != nil {
+		return err
+	}
+	if err := s.control.Flush(); err != nil {
+		return err
+	}
+	s.trackEvents(complete)
+	s.recordPause()
+	s.partial = append(s.partial[:0], s.partial[n:]...)
+	return nil
+}
+
+// recordPause updates the longest time between arrivals of events.
+func (s *stream) recordPause() {
+	now := s.call.handler.cfg.Clock.Now()
+	if s.lastArrival > 0 {
+		s.longestPause = max(s.longestPause, now-s.lastArrival)
+	}
+	s.lastArrival = now
+}
+
+// trackEvents counts complete events and keeps the id of the last one.
+func (s *stream) trackEvents(events []byte) {
+	for _, sep := range eventSeparators {
+		s.eventCount += bytes.Count(events, sep)
+	}
+	for len(events) > 0 {
+		var line []byte
+		line, events, _ = bytes.Cut(events, []byte("\n"))
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			s.lastEventID = string(bytes.TrimSpace(id))
+		}
+	}
+}
+
+// finish relays the bytes after the last complete event and records the end of
+// the stream. events is the number of events from the last target.
+func (s *stream) finish(permit basilmoor.Permit, resp *bmexchange.Response, sent basilmoor.Millis, events int, survived bool) error {
+	if !s.headerSent {
+		s.headerSent = true
+		s.call.writeHeader(resp)
+	}
+	if len(s.partial) > 0 {
+		if _, err := s.call.w.Write(s.partial); err != nil {
+			return &callerLeftError{
+				Err: err,
+			}
+		}
+	}
+	s.call.handler.cfg.Metrics.Observe("longest-pause-ms."+s.call.metricSuffix(), s.longestPause)
+	s.call.handler.estimator.observe(s.call.route.Name, s.call.tokensInEvents(s.eventCount))
+	s.call.observeFinished(permit, resp, sent, s.call.tokensInEvents(events), survived)
+	return nil
+}
+
+// canResume reports whether another target may resume the stream after err. It
+// counts the failed attempt.
+func (s *stream) canResume(ctx context.Context, err error) bool {
+	c := s.call
+	if !s.headerSent || c.route.RetryPolicy != bmrouting.RetryResume || ctx.Err() != nil {
+		return false
+	}
+	c.exclude(c.lastTarget)
+	var unsent *bmexchange.UnsentError
+	if errors.As(err, &unsent) {
+		s.unreachedCount++
+		return s.unreachedCount <= maxUnreachedTargets
+	}
+	var broken *bmexchange.BrokenError
+	if errors.As(err, &broken) {
+		c.possibleRuns++
+	}
+	var refused *bmexchange.RefusedError
+	if broken == nil && !errors.As(err, &refused) {
+		return false
+	}
+	return c.possibleRuns < c.route.MaxAttempts && !c.isCrashSuspect() && c.consumeRetry(ctx)
+}
+
+// resume requests the rest of the stream from another target and relays it.
+func (s *stream) resume(ctx context.Context) error {
+	c := s.call
+	permit, err := c.acquireGrant(ctx)
+	if err != nil {
+		return err
+	}
+	if c.isCrashSuspect() {
+		permit.Observe(basilmoor.Observation{
+			Stage: basilmoor.StageReturned,
+		})
+		return errCrashSuspect
+	}
+	if target := permit.Target(); c.isHeldOff(target) {
+		permit.Observe(basilmoor.Observation{
+			Stage: basilmoor.StageReturned,
+		})
+		return &bmexchange.UnsentError{
+			Target: target.Name,
+			Err:    errors.New("the target takes no requests from this host"),
+		}
+	}
+	resp, sent, err := c.dispatch(ctx, permit, s.lastEventID)
+	if err != nil {
+		return err
+	}
+	defer resp.Close()
+	if resp.Status != http.StatusOK {
+		c.observeFinished(permit, resp, sent, 0, false)
+		return errors.Errorf("target %s answered the request to resume the stream with status %d", c.lastTarget, resp.Status)
+	}
+	return s.relayEvents(permit, resp, sent)
+}
