Take a success without the target's signature for a broken response

Cause: the exchange relayed every 2xx that carried the id of the request. A response without the signature that a replica adds (missing, empty, twice, or its header wrong by a letter) reached the caller as a success.

Change: bmexchange returns a broken response for such a success, so that the request is sent again only where its route allows it, and ends with 502 otherwise. exchange.unsigned-successes counts them.

--- a/internal/request/bmentry/handler_test.go
+++ b/internal/request/bmentry/handler_test.go
@@ -113,6 +113,7 @@
 const (
 	answersOK        = "ok"
 	answers500       = "500"
+	answersUnsigned  = "unsigned" // reports success without a signature
 	refuses          = "refuses"
 	breaksOff        = "breaks off"                   // closes the connection without a response
 	breaksStream     = "breaks its stream"            // closes the connection after two and a half events
@@ -263,6 +264,9 @@
 	switch behaviour {
 	case answersOK:
 		fmt.Fprintf(w, "from %s for %q", r.Header.Get("Target"), r.Header.Get("Workspace"))
+	case answersUnsigned:
+		w.Header().Set("Unsigned", "1")
+		fmt.Fprint(w, "id: 1\ndata: x\n\n")
 	case answers500:
 		w.WriteHeader(http.StatusInternalServerError)
 		fmt.Fprint(w, "own failure")
@@ -380,6 +384,9 @@
 		"again: retried after a 500":               {path: "/again/x", behaviours: []string{answers500, answersOK}, status: 200, runs: []string{"t0", "t1"}},
 		"again: the last 500 is relayed":           {path: "/again/x", behaviours: []string{answers500, answers500, answersOK}, status: 500, runs: []string{"t0", "t1"}},
 		"again: retried after a broken connection": {path: "/again/x", behaviours: []string{breaksOff, answersOK}, status: 200, runs: []string{"t0", "t1"}},
+		"once: a success without a signature":      {path: "/once/x", behaviours: []string{answersUnsigned, answersOK}, status: 502, runs: []string{"t0"}},
+		"again: a success without a signature":     {path: "/again/x", behaviours: []string{answersUnsigned, answersOK}, status: 200, runs: []string{"t0", "t1"}},
+		"stream: without a signature":              {path: "/stream/x", behaviours: []string{answersUnsigned}, status: 502, runs: []string{"t0"}},
 		"again: run, then refused":                 {path: "/again/x", behaviours: []string{breaksOff, refuses}, status: 502, runs: []string{"t0"}},
 		"again: run, then no target":               {path: "/again/x", behaviours: []string{breaksOff}, status: 502, runs: []string{"t0"}},
 		"stream: broken before the first event":    {path: "/stream/x", behaviours: []string{breaksOff, streamsRemaining}, status: 502, runs: []string{"t0"}},
--- a/internal/request/bmentry/protocol_test.go
+++ b/internal/request/bmentry/protocol_test.go
@@ -43,6 +43,8 @@
 
 func (testProtocol) NotRun(_ int, h http.Header) bool { return h.Get("Not-Run") != "" }
 
+func (testProtocol) Signed(h http.Header) bool { return h.Get("Unsigned") == "" }
+
 func (testProtocol) NoticeOf(int, http.Header) (bmholdoff.Notice, bool) {
 	return bmholdoff.Notice{}, true
 }
--- a/internal/request/bmexchange/client.go
+++ b/internal/request/bmexchange/client.go
@@ -27,6 +27,10 @@
 	// the request and won't.
 	NotRun(status int, h http.Header) bool
 
+	// Signed reports whether a response carries the signature with which a target
+	// confirms that it ran the request.
+	Signed(h http.Header) bool
+
 	// NoticeOf returns what a response says about further requests to its target.
 	// valid is false if a part of it could not be understood.
 	NoticeOf(status int, h http.Header) (n bmholdoff.Notice, valid bool)
@@ -175,9 +179,17 @@
 	if writeErr != nil {
 		return r.newBrokenError(writeErr)
 	}
+	if isSuccess(r.Status) && !r.client.inspector.Signed(r.Header) {
+		r.client.metrics.Add("exchange.unsigned-successes", 1)
+		return r.Broken(&UnsignedError{})
+	}
 	return nil
 }
 
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 // notice passes on what the response of a target says about further requests.
 func (c *Client) notice(target basilmoor.Target, status int, h http.Header) {
 	n, valid := c.inspector.NoticeOf(status, h)
--- a/internal/request/bmexchange/client_test.go
+++ b/internal/request/bmexchange/client_test.go
@@ -27,6 +27,8 @@
 
 func (testInspector) NotRun(_ int, h http.Header) bool { return h.Get("Not-Run") != "" }
 
+func (testInspector) Signed(h http.Header) bool { return h.Get("Unsigned") == "" }
+
 func (testInspector) NoticeOf(int, http.Header) (bmholdoff.Notice, bool) {
 	return bmholdoff.Notice{}, true
 }
@@ -238,6 +240,7 @@
 		"last chunk missing":                 "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n4\r\nfour\r\n",
 		"truncated headers":                  "HTTP/1.1 200 OK\r\nId: 1\r\nCont",
 		"only a response to another request": okResponse("0", "old"),
+		"success without a signature":        "HTTP/1.1 200 OK\r\nId: 1\r\nUnsigned: 1\r\nContent-Length: 4\r\n\r\nfour",
 	}
 	for name, answer := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/request/bmexchange/errors.go
+++ b/internal/request/bmexchange/errors.go
@@ -41,6 +41,14 @@
 	return "the target sent more bytes than allowed"
 }
 
+// UnsignedError means that a target reported success without its signature. The
+// response may be that of another process, and must not be taken for a success.
+type UnsignedError struct{}
+
+func (e *UnsignedError) Error() string {
+	return "the response reports success without the target's signature"
+}
+
 // BrokenError means that a request was sent, at least in part, and that its
 // response is missing or truncated. The target may have run it.
 type BrokenError struct {
