Decide on a request by the view of its last byte

Cause: admit took the routes and keys before it read the body, and the age of the view after it. A request whose key was taken away while its body arrived ran, however late its last byte was sent.

Change: the table is taken again once the whole body has arrived.

--- a/internal/request/bmentry/handler.go
+++ b/internal/request/bmentry/handler.go
@@ -229,7 +229,6 @@
 		return newRetryableError(basilmoor.ReasonNoConfiguration, shortRetryAfter, "no desired state yet")
 	}
 	table := view.Table
-	c.configVersion = table.Version()
 	info, err := cfg.Protocol.Decode(c.r.Header)
 	if err != nil {
 		return newFinalError(http.StatusBadRequest, basilmoor.ReasonMalformed, err.Error())
@@ -241,6 +240,10 @@
 	if err := c.readBody(table.Limits()); err != nil {
 		return err
 	}
+	// The caller sends the request until the last byte of its body: a key or route
+	// that was removed before then must not be served.
+	table = cfg.ViewSource.View().Table
+	c.configVersion = table.Version()
 	age, known := cfg.ViewSource.Age()
 	stale := !known || age >= cfg.MaxViewAge()
 	route, ok := table.Route(c.r.Host, c.r.URL.Path)
