Count the deaths of incarnations, not of names

Cause: three different names were needed to hold a request back, so one that crashed the same target again and again, which starts each time under its name, was never held back.

Change: a death is that of the incarnation (name and start) that the slot was granted on. Targets that do not tell when they started count by name, as before.

--- a/catalog.go
+++ b/catalog.go
@@ -1,5 +1,7 @@
 package basilmoor
 
+import "strconv"
+
 // Tier is a priority class of requests.
 type Tier struct {
 	Name string `json:"name" yaml:"name"`
@@ -122,6 +124,15 @@
 	Leaving bool `json:"leaving,omitempty" yaml:"leaving,omitempty"`
 }
 
+// Incarnation identifies the process of the target: a target that starts again under
+// its name is another incarnation. It is the name if the start is not known.
+func (t Target) Incarnation() string {
+	if t.Born == 0 {
+		return t.Name
+	}
+	return t.Name + "@" + strconv.FormatInt(t.Born, 10)
+}
+
 // WithLeaving returns a copy of t with Leaving set to leaving.
 func (t Target) WithLeaving(leaving bool) Target {
 	t.Leaving = leaving
--- a/internal/schedule/bmgrant/quarantine.go
+++ b/internal/schedule/bmgrant/quarantine.go
@@ -194,7 +194,7 @@
 			OnTrial:   r.onTrial,
 		})
 	}
-	if h, ok := p.quarantine.Died(now, t.spec.Name, blamed); ok {
+	if h, ok := p.quarantine.Died(now, reported.incarnation, blamed); ok {
 		p.refuseKeys([]uint64{h.Key})
 		p.news.holds = append(p.news.holds, h)
 	}
--- a/internal/schedule/bmgrant/quarantine_test.go
+++ b/internal/schedule/bmgrant/quarantine_test.go
@@ -208,3 +208,32 @@
 	require.Equal(t, bmquarantine.Limited, p.quarantine.Level([]uint64{2}))
 	require.True(t, p.quarantine.Admits([]uint64{2}), "the request is still counted")
 }
+
+// Guards against a request that crashes one target again and again, which starts each
+// time under its name: the third death convicts it.
+func TestDeathsOfOneTarget(t *testing.T) {
+	tests := map[string]struct {
+		born []int64
+		held bool
+	}{
+		"three incarnations": {born: []int64{1, 2, 3}, held: true},
+		"two incarnations":   {born: []int64{1, 2, 2}},
+		"unknown starts":     {born: []int64{0, 0, 0}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := quarantinePool()
+			now := basilmoor.Millis(0)
+			for i, born := range tt.born {
+				spec := testTarget("a", 2)
+				spec.Born = born
+				p.SetTargets(now, []basilmoor.Target{spec})
+				id := string(rune('1' + i))
+				sendTo(t, p, now, "a", withKeys(testDemand(id, 0), 10))
+				report(p, now+100, id, basilmoor.StageFailed, 0)
+				now += 10 * basilmoor.Second
+			}
+			require.Equal(t, tt.held, len(p.takeQuarantineNews().holds) > 0)
+		})
+	}
+}
--- a/internal/schedule/bmgrant/target.go
+++ b/internal/schedule/bmgrant/target.go
@@ -54,10 +54,11 @@
 
 // grantedRequest is a request that holds a slot.
 type grantedRequest struct {
-	demand     basilmoor.Demand
-	grantedAt  basilmoor.Millis
-	dispatched bool
-	firstToken basilmoor.Millis // time to first token; 0 until it is reported
+	demand      basilmoor.Demand
+	incarnation string // of the target when the slot was granted
+	grantedAt   basilmoor.Millis
+	dispatched  bool
+	firstToken  basilmoor.Millis // time to first token; 0 until it is reported
 
 	// From its grant until it is settled, the death of its target blames the request.
 	// It is settled by an answer, by such a death, or when it has ended without either
@@ -149,6 +150,7 @@
 }
 
 func (t *target) add(r *grantedRequest) {
+	r.incarnation = t.spec.Incarnation()
 	t.inFlight[r.demand.Request] = r
 	if r.firstToken == 0 {
 		t.backlog += r.demand.PromptTokens
--- a/internal/schedule/bmquarantine/quarantine.go
+++ b/internal/schedule/bmquarantine/quarantine.go
@@ -42,7 +42,8 @@
 	retention = 10 * basilmoor.Minute
 
 	// minTargets and minGenerations convict a key. In a pool of two targets that
-	// return under the same names, more generations replace the third name.
+	// return under the same names, and do not tell when they started, more generations
+	// replace the third name.
 	minTargets          = 3
 	minGenerations      = 3
 	minGenerationsOfTwo = 5
@@ -84,7 +85,7 @@
 	OnTrial bool
 }
 
-// Hold is a convicted key with the targets that died under it.
+// Hold is a convicted key with the incarnations of targets that died under it.
 type Hold struct {
 	Key     uint64
 	Targets []string
@@ -209,8 +210,8 @@
 	}
 }
 
-// Died records that a target died while it ran requests that had not answered. It
-// convicts at most one key, because a death has one cause. The second result is
+// Died records that an incarnation of a target died while it ran requests that had not
+// answered. It convicts at most one key, because a death has one cause. The second result is
 // false if there is none.
 func (q *Quarantine) Died(now basilmoor.Millis, target string, runs []Run) (Hold, bool) {
 	q.blame(now, target, runs)
