--- a/internal/operator/bmcli/apply.go
+++ b/internal/operator/bmcli/apply.go
@@ -95,10 +95,15 @@
 	if len(args) != 1 {
 		return nil, errors.New("exactly one release note is needed, as a file name or -")
 	}
-	if args[0] == "-" {
+	return readInput(args[0], stdin)
+}
+
+// readInput reads the named file, or standard input if the name is -.
+func readInput(name string, stdin io.Reader) ([]byte, error) {
+	if name == "-" {
 		return io.ReadAll(stdin)
 	}
-	return os.ReadFile(args[0])
+	return os.ReadFile(name)
 }
 
 // rolloutWaiter waits until every host of the fleet has a configuration version
--- a/internal/operator/bmcli/main.go
+++ b/internal/operator/bmcli/main.go
@@ -69,6 +69,11 @@
 			synopsis: "check a release note without sending it",
 			run:      runCheck,
 		},
+		{
+			name:     "check-state",
+			synopsis: "check a desired state of the users' platform without sending it",
+			run:      runCheckState,
+		},
 		{
 			name:     "status",
 			synopsis: "show versions, hosts and targets",
@@ -116,7 +121,7 @@
 	fmt.Fprintf(w, "basilmoor schedules requests from many workspaces onto targets of different kinds.\n\n")
 	fmt.Fprintf(w, "usage: basilmoor COMMAND [flags]\n\ncommands:\n")
 	for _, c := range commands() {
-		fmt.Fprintf(w, "  %-8s  %s\n", c.name, c.synopsis)
+		fmt.Fprintf(w, "  %-11s  %s\n", c.name, c.synopsis)
 	}
 	fmt.Fprintf(w, "\nbasilmoor COMMAND -h lists the flags and environment variables of a command.\n")
 }
