Record the source of a refusal

Refusals for quota and shortage rest on state of different age: the sums of the broker, the share of a host without a broker, spending that is assumed after a start, the forecast of a pool. The reason alone did not tell them apart. The refusal now names its source on the wire, in the line that ends a request and in a counter.

--- a/internal/core/bmmetrics/metrics.go
+++ b/internal/core/bmmetrics/metrics.go
@@ -2,7 +2,7 @@
 // based on go-metrics.
 //
 // Invariants: counters never decrease. A metric name consists of a fixed prefix
-// and a reason of the root package, or a pool and a rank, which bounds the number
+// and a reason or source of the root package, or a pool and a rank, which bounds the number
 // of metrics.
 package bmmetrics
 
@@ -34,6 +34,13 @@
 	r.Add("refusals."+string(reason), 1)
 }
 
+// RefusalSource counts a refused request by the source of the refusal, if it has one.
+func (r *Registry) RefusalSource(source basilmoor.RefusalSource) {
+	if source != "" {
+		r.Add("refusals.source."+string(source), 1)
+	}
+}
+
 // Retry counts another attempt before dispatch.
 func (r *Registry) Retry(reason basilmoor.Reason) {
 	r.Add("retries."+string(reason), 1)
--- a/internal/request/bmentry/handler.go
+++ b/internal/request/bmentry/handler.go
@@ -150,6 +150,7 @@
 	excludedTargets []string
 	keys            []uint64 // of crashKeys, once computed
 	lastTarget      string   // name of the target granted last
+	refusalSource   basilmoor.RefusalSource
 	endsWithConn    bool     // the answer has no length or chunks: the caller sees its end in that of the connection
 }
 
@@ -176,8 +177,10 @@
 		c.closeInOrder()
 		c.logEnd("done", "", http.StatusOK)
 	case errors.As(err, &answer):
+		c.refusalSource = answer.Source
 		c.logEnd("answered", answer.Reason, answer.Status)
 		c.handler.cfg.Metrics.Refusal(answer.Reason)
+		c.handler.cfg.Metrics.RefusalSource(answer.Source)
 		answer.write(c.w, c.handler.cfg.Protocol, c.handler.draining())
 	default:
 		// Part of a response was relayed, or the caller disconnected.
@@ -206,6 +209,7 @@
 		Str("request", c.info.ID).
 		Str("outcome", outcome).
 		Str("reason", string(reason)).
+		Str("source", string(c.refusalSource)).
 		Int("status", status).
 		Str("target", c.lastTarget).
 		Int("prompt-tokens", c.info.PromptTokens).
--- a/internal/request/bmentry/status_error.go
+++ b/internal/request/bmentry/status_error.go
@@ -18,6 +18,7 @@
 type statusError struct {
 	Status     int
 	Reason     basilmoor.Reason
+	Source     basilmoor.RefusalSource
 	RetryAfter basilmoor.Millis // 0 for no hint
 	Detail     string
 }
@@ -58,7 +59,9 @@
 		return newRetryableError(basilmoor.ReasonStopping, stoppingRetryAfter, refusal.Error())
 	}
 	if refusal != nil {
-		return newRetryableError(refusal.Refusal.Reason, max(refusal.Refusal.RetryAfter, shortRetryAfter), refusal.Error())
+		answer := newRetryableError(refusal.Refusal.Reason, max(refusal.Refusal.RetryAfter, shortRetryAfter), refusal.Error())
+		answer.Source = refusal.Refusal.Source
+		return answer
 	}
 	return newRetryableError(basilmoor.ReasonDeadline, 0, err.Error())
 }
--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -314,17 +314,30 @@
 func (b *Broker) submit(now basilmoor.Millis, d basilmoor.Demand) {
 	p, ok := b.pools[d.Pool]
 	if !ok {
-		b.refuse(d.Request, basilmoor.ReasonNoTarget, minRetryAfter)
+		b.refuse(basilmoor.Refusal{
+			Request:    d.Request,
+			Reason:     basilmoor.ReasonNoTarget,
+			RetryAfter: minRetryAfter,
+		})
 		return
 	}
 	if anySuspect(b.crashes, d.CrashKeys) {
-		b.refuse(d.Request, basilmoor.ReasonCrashSuspect, maxRetryAfter)
+		b.refuse(basilmoor.Refusal{
+			Request:    d.Request,
+			Reason:     basilmoor.ReasonCrashSuspect,
+			RetryAfter: maxRetryAfter,
+		})
 		return
 	}
 	// A demand that is submitted again, with a shorter deadline, has been charged.
 	if !p.Has(d.Request) {
 		if wait, ok := b.quotas.tryCharge(now, d.Workspace, d.Charge); !ok {
-			b.refuse(d.Request, basilmoor.ReasonRateLimit, wait)
+			b.refuse(basilmoor.Refusal{
+				Request:    d.Request,
+				Reason:     basilmoor.ReasonRateLimit,
+				Source:     b.quotas.refusalSource(d.Workspace, d.Charge, basilmoor.SourceBrokerShare),
+				RetryAfter: wait,
+			})
 			return
 		}
 	}
@@ -336,7 +349,7 @@
 	for _, d := range decisions {
 		if d.Refusal != nil {
 			b.refund(*d.Refusal)
-			b.refuse(d.Refusal.Request, d.Refusal.Reason, d.Refusal.RetryAfter)
+			b.refuse(*d.Refusal)
 			continue
 		}
 		host, number := parseRequestID(d.Grant.Request)
@@ -357,16 +370,17 @@
 	b.quotas.charge(b.clock.Now(), r.Workspace, -r.Charge)
 }
 
-func (b *Broker) refuse(id basilmoor.RequestID, reason basilmoor.Reason, retryAfter basilmoor.Millis) {
-	host, number := parseRequestID(id)
+func (b *Broker) refuse(r basilmoor.Refusal) {
+	host, number := parseRequestID(r.Request)
 	s, ok := b.sessions[host]
 	if !ok {
 		return
 	}
 	s.pending.Refusals = append(s.pending.Refusals, &bmgrantpb.Refusal{
 		Number:       number,
-		Reason:       string(reason),
-		RetryAfterMs: int32(retryAfter),
+		Reason:       string(r.Reason),
+		Source:       string(r.Source),
+		RetryAfterMs: int32(r.RetryAfter),
 	})
 	s.wake.signal()
 }
--- a/internal/schedule/bmgrant/client.go
+++ b/internal/schedule/bmgrant/client.go
@@ -289,6 +289,7 @@
 		c.refuse(basilmoor.Refusal{
 			Request:    d.Request,
 			Reason:     basilmoor.ReasonRateLimit,
+			Source:     c.quotas.refusalSource(d.Workspace, d.Charge, basilmoor.SourceHostShare),
 			RetryAfter: wait,
 		})
 		return
--- a/internal/schedule/bmgrant/forecast.go
+++ b/internal/schedule/bmgrant/forecast.go
@@ -55,7 +55,7 @@
 	p.waiting = slices.DeleteFunc(p.waiting, func(q *queuedDemand) bool {
 		wait, found := unservable[q]
 		if found {
-			p.refuse(q.demand, q.expiryReason, wait)
+			p.refuse(q.demand, q.expiryReason, basilmoor.SourceForecast, wait)
 		}
 		return found
 	})
--- a/internal/schedule/bmgrant/pool.go
+++ b/internal/schedule/bmgrant/pool.go
@@ -144,11 +144,11 @@
 		q.expires = max(q.expires, now)
 	}
 	if len(p.waiting) >= maxWaiting {
-		p.refuse(d, basilmoor.ReasonQueueFull, p.drainTime())
+		p.refuse(d, basilmoor.ReasonQueueFull, "", p.drainTime())
 		return p.schedule(now)
 	}
 	if p.excludesAll(d) {
-		p.refuse(d, basilmoor.ReasonNoTarget, p.drainTime())
+		p.refuse(d, basilmoor.ReasonNoTarget, "", p.drainTime())
 		return p.schedule(now)
 	}
 	p.waiting = append(p.waiting, q)
@@ -382,7 +382,7 @@
 		if now <= q.expires {
 			return false
 		}
-		p.refuse(q.demand, q.expiryReason, wait())
+		p.refuse(q.demand, q.expiryReason, basilmoor.SourceExpired, wait())
 		return true
 	})
 }
@@ -467,12 +467,13 @@
 }
 
 // refuse adds a refusal of a demand that may be retried after about wait.
-func (p *Pool) refuse(d basilmoor.Demand, reason basilmoor.Reason, wait basilmoor.Millis) {
+func (p *Pool) refuse(d basilmoor.Demand, reason basilmoor.Reason, source basilmoor.RefusalSource, wait basilmoor.Millis) {
 	p.refusedByTier[d.Tier]++
 	p.decisions = append(p.decisions, basilmoor.Decision{
 		Refusal: &basilmoor.Refusal{
 			Request:    d.Request,
 			Reason:     reason,
+			Source:     source,
 			RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter),
 			Workspace:  d.Workspace,
 			Charge:     d.Charge,
--- a/internal/schedule/bmgrant/quarantine.go
+++ b/internal/schedule/bmgrant/quarantine.go
@@ -62,7 +62,7 @@
 	p.waiting = slices.DeleteFunc(p.waiting, func(q *queuedDemand) bool {
 		held := slices.ContainsFunc(q.demand.CrashKeys, func(k uint64) bool { return slices.Contains(keys, k) })
 		if held {
-			p.refuse(q.demand, basilmoor.ReasonCrashSuspect, maxRetryAfter)
+			p.refuse(q.demand, basilmoor.ReasonCrashSuspect, "", maxRetryAfter)
 		}
 		return held
 	})
--- a/internal/schedule/bmgrant/uplink.go
+++ b/internal/schedule/bmgrant/uplink.go
@@ -148,6 +148,7 @@
 		c.refuse(basilmoor.Refusal{
 			Request:    requestID(c.self.Host, r.GetNumber()),
 			Reason:     basilmoor.Reason(r.GetReason()),
+			Source:     basilmoor.RefusalSource(r.GetSource()),
 			RetryAfter: basilmoor.Millis(r.GetRetryAfterMs()),
 		})
 	}
--- a/outcome.go
+++ b/outcome.go
@@ -47,6 +47,28 @@
 	ReasonTooManyConns      Reason = "too-many-connections"
 )
 
+// RefusalSource is the part of the scheduler's state on which a refusal rests, for
+// reasons that have several. Each has a counter. It is empty for the other reasons.
+type RefusalSource string
+
+// Sources of refusals.
+const (
+	// SourceFleetQuota is the quota of a workspace over all hosts.
+	SourceFleetQuota RefusalSource = "fleet-quota"
+	// SourceBrokerShare is the part of a quota that a broker with a session to some of
+	// the hosts may spend.
+	SourceBrokerShare RefusalSource = "broker-share"
+	// SourceHostShare is the part of a quota that a host without a broker may spend.
+	SourceHostShare RefusalSource = "host-share"
+	// SourceAssumedSpending is spending that hosts assume after a start, because they
+	// don't know what they spent before.
+	SourceAssumedSpending RefusalSource = "assumed-spending"
+	// SourceForecast is the expected wait behind the demands ahead.
+	SourceForecast RefusalSource = "forecast"
+	// SourceExpired is the latest time of a grant, which has passed.
+	SourceExpired RefusalSource = "expired"
+)
+
 // Reasons for failures after dispatch.
 const (
 	ReasonTargetFailed Reason = "target-failed"
--- a/schedule.go
+++ b/schedule.go
@@ -121,6 +121,7 @@
 type Refusal struct {
 	Request RequestID
 	Reason  Reason
+	Source  RefusalSource
 
 	// RetryAfter is a hint to the caller when to retry, 0 for none.
 	RetryAfter Millis
