--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -331,13 +331,8 @@
 	}
 	// A demand that is submitted again, with a shorter deadline, has been charged.
 	if !p.Has(d.Request) {
-		if wait, ok := b.quotas.tryCharge(now, d.Workspace, d.Charge); !ok {
-			b.refuse(basilmoor.Refusal{
-				Request:    d.Request,
-				Reason:     basilmoor.ReasonRateLimit,
-				Source:     b.quotas.refusalSource(d.Workspace, d.Charge, basilmoor.SourceBrokerShare),
-				RetryAfter: wait,
-			})
+		if refusal := b.quotas.admit(now, d, basilmoor.SourceBrokerShare); refusal != nil {
+			b.refuse(*refusal)
 			return
 		}
 	}
--- a/internal/schedule/bmgrant/client.go
+++ b/internal/schedule/bmgrant/client.go
@@ -285,13 +285,8 @@
 		})
 		return
 	}
-	if wait, ok := c.quotas.tryCharge(now, d.Workspace, d.Charge); !ok {
-		c.refuse(basilmoor.Refusal{
-			Request:    d.Request,
-			Reason:     basilmoor.ReasonRateLimit,
-			Source:     c.quotas.refusalSource(d.Workspace, d.Charge, basilmoor.SourceHostShare),
-			RetryAfter: wait,
-		})
+	if refusal := c.quotas.admit(now, d, basilmoor.SourceHostShare); refusal != nil {
+		c.refuse(*refusal)
 		return
 	}
 	e.chargedLocally = true
--- a/internal/schedule/bmgrant/quota.go
+++ b/internal/schedule/bmgrant/quota.go
@@ -5,6 +5,7 @@
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/config/bmrouting"
+	"basilmoor.example/basilmoor/internal/schedule/bmquota"
 )
 
 // Tolerance defines the sliding window in which quotas are enforced, and how much
@@ -45,6 +46,7 @@
 	spent       []spending // ordered by time
 	ownTokens   int        // spent by the hosts of this broker, or by this host
 	fleetTokens int        // spent by all hosts, as recorded by an earlier broker
+	demand      bmquota.Demand
 }
 
 // used returns the tokens that count against this share of the quota: its own
@@ -53,6 +55,14 @@
 	return float64(acc.ownTokens) + float64(acc.fleetTokens)*q.share
 }
 
+// counted returns the tokens of a spending that count against this share of the quota.
+func (q *quotas) counted(s spending) float64 {
+	if s.fleet {
+		return float64(s.tokens) * q.share
+	}
+	return float64(s.tokens)
+}
+
 func (acc *account) add(s spending, tokens int) {
 	if s.fleet {
 		acc.fleetTokens += tokens
@@ -189,11 +199,7 @@
 func (q *quotas) wait(now basilmoor.Millis, acc *account, tokens int) basilmoor.Millis {
 	excess := q.used(acc) + float64(tokens) - q.windowQuota(acc)
 	for _, s := range acc.spent {
-		if s.fleet {
-			excess -= float64(s.tokens) * q.share
-		} else {
-			excess -= float64(s.tokens)
-		}
+		excess -= q.counted(s)
 		if excess <= 0 {
 			return s.at + q.tolerance.Window + spendingResolution - now
 		}
--- a/outcome.go
+++ b/outcome.go
@@ -63,6 +63,9 @@
 	// SourceAssumedSpending is spending that hosts assume after a start, because they
 	// don't know what they spent before.
 	SourceAssumedSpending RefusalSource = "assumed-spending"
+	// SourceHigherTiers is what a workspace is expected to ask for in higher tiers, for
+	// which the rest of its quota is kept.
+	SourceHigherTiers RefusalSource = "higher-tiers"
 	// SourceForecast is the expected wait behind the demands ahead.
 	SourceForecast RefusalSource = "forecast"
 	// SourceExpired is the latest time of a grant, which has passed.
