--- a/internal/request/bmentry/handler.go
+++ b/internal/request/bmentry/handler.go
@@ -151,7 +151,7 @@
 	keys            []uint64 // of crashKeys, once computed
 	lastTarget      string   // name of the target granted last
 	refusalSource   basilmoor.RefusalSource
-	endsWithConn    bool     // the answer has no length or chunks: the caller sees its end in that of the connection
+	endsWithConn    bool // the answer has no length or chunks: the caller sees its end in that of the connection
 }
 
 // serve admits and runs the request, and answers it if that fails.
--- a/internal/schedule/bmgrant/quota_admission.go
+++ b/internal/schedule/bmgrant/quota_admission.go
@@ -42,7 +42,11 @@
 	if free < float64(d.Charge) {
 		return 0
 	}
-	return acc.demand.Wait(now, d.Tier, d.Charge, free, q.releases(acc))
+	return acc.demand.Wait(now, d.Tier, d.Charge, bmquota.Balance{
+		Free:     free,
+		Releases: q.releases(acc),
+		Window:   q.tolerance.Window,
+	})
 }
 
 // releases returns when the spending of the last window leaves it.
--- a/internal/schedule/bmquota/demand.go
+++ b/internal/schedule/bmquota/demand.go
@@ -19,10 +19,6 @@
 	// demandWindow is the time constant of the measured demand.
 	demandWindow = 2 * basilmoor.Second
 
-	// Horizon is the time for which the demand of higher tiers is expected to last, and
-	// so for which tokens are kept for it.
-	Horizon = 2 * basilmoor.Second
-
 	// smallCharge is the fraction of the mean charge in higher tiers up to which a
 	// request is admitted without regard to them: refusing ten such requests makes
 	// room for at most one.
@@ -38,6 +34,13 @@
 	Tokens float64
 }
 
+// Balance is the state of a quota in a sliding window.
+type Balance struct {
+	Free     float64           // tokens that the quota permits now
+	Releases iter.Seq[Release] // ordered by time
+	Window   basilmoor.Millis
+}
+
 // Demand measures what a workspace asks for in each tier, admitted or not. The zero
 // value is ready to use. It is not safe for concurrent use.
 type Demand struct {
@@ -59,31 +62,28 @@
 	d.requests[i] += 1 / float64(demandWindow)
 }
 
-// Wait returns for how long a request has to be refused in favour of higher tiers; 0
-// admits it. free is the number of tokens that the quota permits now, and releases are
-// what leaves the window later, ordered by time. The request is admitted if the quota
-// then still permits what higher tiers are expected to ask for at any time up to the
-// horizon. The returned time is at most the horizon, because the demand after that is
-// unknown.
-func (d *Demand) Wait(now basilmoor.Millis, tier, tokens int, free float64, releases iter.Seq[Release]) basilmoor.Millis {
+// Wait returns for how long a request is refused in favour of higher tiers; 0 admits it.
+// It is admitted if the quota then still permits what the higher tiers ask for at their
+// present rate, at any time until its own tokens leave the window.
+func (d *Demand) Wait(now basilmoor.Millis, tier, tokens int, b Balance) basilmoor.Millis {
 	rate, mean := d.higher(now, tier)
 	if rate == 0 || float64(tokens) <= smallCharge*mean {
 		return 0
 	}
-	left := free - float64(tokens)
+	left := b.Free - float64(tokens)
 	short := basilmoor.Millis(0) // latest time at which the quota is short
-	for r := range releases {
-		after := min(max(r.At-now, 0), Horizon)
+	for r := range b.Releases {
+		after := r.At - now
+		if after >= b.Window {
+			break
+		}
 		if left < rate*float64(after) {
 			short = after
 		}
-		if after == Horizon {
-			return short
-		}
 		left += r.Tokens
 	}
-	if left < rate*float64(Horizon) {
-		return Horizon
+	if left < rate*float64(b.Window) {
+		return b.Window
 	}
 	return short
 }
