--- a/internal/schedule/bmgrant/estimate.go
+++ b/internal/schedule/bmgrant/estimate.go
@@ -97,16 +97,6 @@
 	e.offered[tierIndex(tier)] += work / float64(offeredWindow)
 }
 
-// withinShare records a demand and reports whether it is within its workspace's share of
-// the slots that higher tiers leave to its tier.
-func (p *Pool) withinShare(now basilmoor.Millis, d basilmoor.Demand) bool {
-	work := p.estimates.holdFactor() * float64(p.fastestDuration(d))
-	return p.shares.Offer(now, d.Tier, d.Workspace, work, func() float64 {
-		capacity := p.effectiveSlots(p.lowestTokenLatency())
-		return capacity * p.estimates.freeShare(now, d.Tier, capacity)
-	})
-}
-
 // freeShare returns the fraction of a capacity, in slots, that the tiers above
 // the given one leave free.
 func (e *estimates) freeShare(now basilmoor.Millis, tier int, capacity float64) float64 {
--- a/internal/schedule/bmgrant/pool.go
+++ b/internal/schedule/bmgrant/pool.go
@@ -5,7 +5,6 @@
 	"sync"
 
 	"basilmoor.example/basilmoor"
-	"basilmoor.example/basilmoor/internal/schedule/bmfair"
 	"basilmoor.example/basilmoor/internal/schedule/bmquarantine"
 )
 
@@ -42,10 +41,6 @@
 	lastOnTime basilmoor.Millis // latest time of a grant that meets the objective
 	expires    basilmoor.Millis // latest time of a grant that can still be served
 
-	// beyondShare is set if the workspace asks for more than its share of its tier's
-	// room, and this demand is not within it.
-	beyondShare bool
-
 	// expiryReason is the reason of a refusal because of expires.
 	expiryReason basilmoor.Reason
 }
@@ -64,7 +59,6 @@
 	grantedByTier    map[int]int        // since the last summary
 	refusedByTier    map[int]int        // since the last summary
 	estimates        estimates
-	shares           *bmfair.Shares
 
 	quarantine *bmquarantine.Quarantine
 	settling   []settling        // in the order of their first tokens
@@ -86,7 +80,6 @@
 		grantedByTier: map[int]int{},
 		refusedByTier: map[int]int{},
 		estimates:     newEstimates(),
-		shares:        bmfair.New(),
 		quarantine:    bmquarantine.New(),
 		holdOff:       holdOff,
 	}
@@ -132,7 +125,6 @@
 		lastOnTime:   now + d.Objective - p.firstTokenReserve(d),
 		expires:      now + d.Deadline - p.fastestDuration(d),
 		expiryReason: basilmoor.ReasonDeadline,
-		beyondShare:  !p.withinShare(now, d),
 	}
 	if d.OnlyInTime {
 		// Only the host that stops is too late for the demand.
@@ -435,9 +427,6 @@
 	if a, b := q.demand.WorkspaceRank, other.demand.WorkspaceRank; a != b {
 		return a < b
 	}
-	if q.beyondShare != other.beyondShare {
-		return other.beyondShare
-	}
 	return q.lastOnTime < other.lastOnTime
 }
 
