--- a/internal/schedule/bmgrant/quota.go
+++ b/internal/schedule/bmgrant/quota.go
@@ -15,6 +15,10 @@
 	Window basilmoor.Millis
 	Excess float64 // fraction of what the quota permits in a window
 	Slack  float64 // tokens
+
+	// ReserveForTiers refuses requests of lower tiers while a quota is short, for what
+	// the workspace is expected to ask for in higher ones.
+	ReserveForTiers bool
 }
 
 const (
--- a/internal/schedule/bmgrant/quota_admission.go
+++ b/internal/schedule/bmgrant/quota_admission.go
@@ -15,7 +15,10 @@
 		return nil
 	}
 	q.expire(now, acc)
-	acc.demand.Record(now, d.Tier, d.Charge)
+	if quota := q.windowQuota(acc); float64(d.Charge) <= quota {
+		// A larger charge is admitted only while nothing else is spent.
+		acc.demand.Record(now, d.Tier, d.Charge, quota/float64(max(q.tolerance.Window, 1)))
+	}
 	refusal := &basilmoor.Refusal{
 		Request: d.Request,
 		Reason:  basilmoor.ReasonRateLimit,
@@ -38,6 +41,9 @@
 // higher tiers than d; 0 if d may use them. A demand for which there are none is left to
 // tryCharge.
 func (q *quotas) reservedFor(now basilmoor.Millis, acc *account, d basilmoor.Demand) basilmoor.Millis {
+	if !q.tolerance.ReserveForTiers {
+		return 0
+	}
 	free := q.windowQuota(acc) - q.used(acc)
 	if free < float64(d.Charge) {
 		return 0
--- a/internal/schedule/bmgrant/quota_admission_test.go
+++ b/internal/schedule/bmgrant/quota_admission_test.go
@@ -41,6 +41,37 @@
 	require.Equal(t, [2]basilmoor.RefusalSource{}, admitAll(q, 20_000, 22_000, 20), "after the peak")
 }
 
+// Guards against a reserve that no setting asks for.
+func TestReserveIsOffByDefault(t *testing.T) {
+	q := testQuotas(1000, 1000)
+	q.tolerance.ReserveForTiers = false
+	admitAll(q, 0, 8000, 20)
+	require.NotContains(t, admitAll(q, 8000, 11_000, 100), basilmoor.SourceHigherTiers)
+}
+
+// Guards against a reserve that grows with each repetition of a refused request, or with
+// one that can never be admitted beside others.
+func TestReserveOfRepeatedDemands(t *testing.T) {
+	peak := func(charge, tries, large int, lowAt basilmoor.Millis) basilmoor.Millis {
+		q := testQuotas(1000, 1000)
+		for now := basilmoor.Millis(0); now < 4000; now += 100 {
+			for range tries {
+				q.admit(now, tierDemand(0, charge), basilmoor.SourceHostShare)
+			}
+			if large > 0 {
+				q.admit(now, tierDemand(0, large), basilmoor.SourceHostShare)
+			}
+		}
+		refusal := q.admit(lowAt, tierDemand(1, 100), basilmoor.SourceHostShare)
+		if refusal == nil {
+			return 0
+		}
+		return refusal.RetryAfter
+	}
+	require.Equal(t, peak(100, 1, 0, 5000), peak(100, 1, 10_000, 5000), "demands over the whole quota")
+	require.Zero(t, peak(300, 1000, 0, 15_000), "repetitions of long ago")
+}
+
 // Guards against a reserve that is wrong after its owner was lost, cut off or paused: a
 // reserve for demand that nobody has seen, or one for demand of long ago.
 func TestReserveAfterFaults(t *testing.T) {
--- a/internal/schedule/bmgrant/quota_test.go
+++ b/internal/schedule/bmgrant/quota_test.go
@@ -27,7 +27,8 @@
 
 func testQuotas(rate, burst float64) *quotas {
 	q := newQuotas(Tolerance{
-		Window: testWindow,
+		Window:          testWindow,
+		ReserveForTiers: true,
 	})
 	q.set(limited(rate, burst))
 	return q
--- a/internal/schedule/bmquota/demand.go
+++ b/internal/schedule/bmquota/demand.go
@@ -49,8 +49,10 @@
 	at       basilmoor.Millis  // of the latest request
 }
 
-// Record adds a request.
-func (d *Demand) Record(now basilmoor.Millis, tier, tokens int) {
+// Record adds a request of a workspace with a quota, in tokens per ms. No tier counts for
+// more than that: callers that repeat refused requests ask for more than they can be
+// granted.
+func (d *Demand) Record(now basilmoor.Millis, tier, tokens int, quota float64) {
 	decay := d.decay(now)
 	for i := range maxTiers {
 		d.tokens[i] *= decay
@@ -58,7 +60,7 @@
 	}
 	d.at = now
 	i := tierIndex(tier)
-	d.tokens[i] += float64(tokens) / float64(demandWindow)
+	d.tokens[i] = min(d.tokens[i]+float64(tokens)/float64(demandWindow), quota)
 	d.requests[i] += 1 / float64(demandWindow)
 }
 
--- a/internal/schedule/bmquota/demand_test.go
+++ b/internal/schedule/bmquota/demand_test.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	testWindow = 8 * basilmoor.Second
-	testQuota  = 9000.0 // tokens in a window
-	usualRate  = 500    // tokens a second
+	testWindow    = 8 * basilmoor.Second
+	testQuota     = 9000.0                          // tokens in a window
+	testQuotaRate = testQuota / float64(testWindow) // tokens per ms
+	usualRate     = 500                             // tokens a second
 )
 
 // ask is one request of a workspace.
@@ -104,7 +105,7 @@
 func byDemand() rule {
 	var d Demand
 	return func(a ask, b Balance) bool {
-		d.Record(a.at, a.tier, a.tokens)
+		d.Record(a.at, a.tier, a.tokens, testQuotaRate)
 		return d.Wait(a.at, a.tier, a.tokens, b) == 0
 	}
 }
@@ -193,7 +194,7 @@
 		t.Run(name, func(t *testing.T) {
 			var d Demand
 			for at := basilmoor.Millis(0); at < 4*basilmoor.Second; at += 100 {
-				d.Record(at, 0, 100)
+				d.Record(at, 0, 100, testQuotaRate)
 			}
 			now := 4*basilmoor.Second + c.after
 			require.Equal(t, c.wait, d.Wait(now, c.tier, c.tokens, scarce))
@@ -206,7 +207,7 @@
 func TestWaitEndsWithReleases(t *testing.T) {
 	var d Demand
 	for at := basilmoor.Millis(0); at < 20*basilmoor.Second; at += 100 {
-		d.Record(at, 0, 100)
+		d.Record(at, 0, 100, testQuotaRate)
 	}
 	b := Balance{
 		Free: 1000,
