Bound the memory that callers' requests may take

Clients that do not keep to the limits end a process by its memory: a body with a length is allocated whole before its first byte, one without grows without a common bound, each request is copied once more to send it, and net/http parses heads of many short lines, which take many times their size, on each connection at the same time. The listeners for probes and operators accept heads of 1 MiB, those for other hosts header lists of 16 MiB.

A budget of a quarter of the memory is shared by all connections of callers, beyond 16 KiB for each. A connection takes from it as bytes of a head or a body arrive, before they are kept. While it is used up, a request that makes no progress is evicted, the oldest first, and then one that arrives with a lower rank; if that is not enough, the request is refused with 503 no-memory: it has not run. A head without room has its connection closed. Receive buffers are 32 KiB, a send copies at most 64 KiB of a body, and heads for probes, operators and other hosts are limited.

The node gets the setting memory-mb. TestWrongSettingIsNamed needs an invalid value for each setting, so it gets one more.

--- a/internal/core/bmlistener/attach.go
+++ b/internal/core/bmlistener/attach.go
@@ -4,6 +4,9 @@
 	"context"
 	"net"
 	"net/http"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
 )
 
 // connKey is the key of a connection in the context of its requests.
@@ -22,6 +25,9 @@
 	server.Handler = a
 	server.ErrorLog = l.serverLog()
 	server.ConnState = func(c net.Conn, state http.ConnState) {
+		if c, ok := c.(*callerConn); ok {
+			c.setState(state)
+		}
 		l.conns.SetState(c, state, l.clock.Now())
 	}
 	connContext := server.ConnContext
@@ -43,6 +49,9 @@
 // ServeHTTP implements http.Handler.
 func (a *admitter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	if c, ok := c.(*callerConn); ok && c.account.Evicted() {
+		panic(http.ErrAbortHandler)
+	}
 	switch a.conns.Admission(c) {
 	case Admitted:
 		a.handler.ServeHTTP(w, r)
@@ -59,3 +68,15 @@
 	w.Header().Set("Connection", "close")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
+
+// refusedReadTime is how long the rest of a refused request is read before its connection
+// is closed. Bytes that were not read would reset the connection, and the client would not
+// see the answer. net/http bounds their number.
+const refusedReadTime basilmoor.Millis = 100
+
+// CloseUnread makes the server close the connection after the answer to a request whose
+// body was not read to its end.
+func CloseUnread(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(w).SetReadDeadline(bmclock.WallDeadline(refusedReadTime))
+}
--- a/internal/core/bmlistener/budget.go
+++ b/internal/core/bmlistener/budget.go
@@ -22,6 +22,9 @@
 	// sockets that are being closed.
 	reserveDivisor = 4
 
+	// ProbeHeaderBytes limits the heads of probes and of operators' calls.
+	ProbeHeaderBytes = 8 << 10
+
 	// ProbeConns is the number of connections of a listener for probes.
 	ProbeConns = 16
 )
--- /dev/null
+++ b/internal/core/bmlistener/conn.go
@@ -0,0 +1,143 @@
+package bmlistener
+
+import (
+	"bytes"
+	"context"
+	"math"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/core/bmmemory"
+)
+
+const (
+	// receiveBufferBytes is the size of the receive buffer of a caller's connection. The
+	// system counts twice of it, and counts what was not read as memory of the process.
+	receiveBufferBytes = 32 << 10
+
+	// headCopies is the number of copies of a request's head that are held: as it was
+	// parsed, and as it is sent.
+	headCopies = 2
+
+	// headLineBytes is what each line of a head takes beside its text.
+	headLineBytes = 256
+
+	// headRank is the rank of a request whose head has not been read: below all others.
+	headRank = math.MaxInt
+)
+
+// errNoRoom ends a connection whose head has no room. net/http answers nothing to it.
+var errNoRoom = &net.OpError{
+	Op:  "read",
+	Err: bmmemory.ErrNoRoom,
+}
+
+// callerConn is a connection whose requests take memory of a budget. Read counts the
+// bytes of a head as they arrive, since net/http parses them before any handler runs.
+type callerConn struct {
+	*net.TCPConn
+	listener *Listener
+	account  *bmmemory.Account
+	inHead   atomic.Bool // the bytes that are read belong to a head
+}
+
+func newCallerConn(l *Listener, tcp *net.TCPConn, budget *bmmemory.Budget) *callerConn {
+	c := &callerConn{
+		TCPConn:  tcp,
+		listener: l,
+	}
+	c.inHead.Store(true)
+	c.account = budget.NewAccount(c.interrupt)
+	return c
+}
+
+// interrupt makes reads fail.
+func (c *callerConn) interrupt() {
+	_ = c.SetReadDeadline(bmclock.WallDeadline(0))
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && c.inHead.Load() && !c.countHead(p[:n]) {
+		c.listener.recordNoRoom()
+		return 0, errNoRoom
+	}
+	return n, err
+}
+
+// countHead takes the memory for a part of a head.
+func (c *callerConn) countHead(part []byte) bool {
+	cost := int64(headCopies*len(part) + headLineBytes*bytes.Count(part, []byte{'\n'}))
+	now := c.listener.clock.Now()
+	if !c.account.Grow(cost, headRank, now) {
+		return false
+	}
+	c.account.Received(len(part), now)
+	return true
+}
+
+// setState follows the HTTP server's state of the connection. It is called by the
+// goroutine that serves it. The server is active once it has read a head, before another
+// goroutine watches the connection for its end.
+func (c *callerConn) setState(state http.ConnState) {
+	switch state {
+	case http.StateActive:
+		c.inHead.Store(false)
+		c.account.Complete()
+	case http.StateIdle:
+		c.account.Release()
+		c.inHead.Store(true)
+	case http.StateClosed, http.StateHijacked:
+		c.account.Release()
+	}
+}
+
+// AccountOf returns the memory account of the connection of a request; nil if it has none.
+func AccountOf(ctx context.Context) *bmmemory.Account {
+	c, ok := ctx.Value(connKey{}).(*callerConn)
+	if !ok {
+		return nil
+	}
+	return c.account
+}
+
+// limitReceiveBuffer sets the size of the receive buffers of the connections that a
+// listening socket will accept.
+func limitReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	var setErr error
+	err := raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+	})
+	if err == nil {
+		err = setErr
+	}
+	return errors.Wrap(err, "receive buffer")
+}
+
+// noRoomLogPeriod is the shortest time between two lines about heads without room.
+const noRoomLogPeriod = basilmoor.Second
+
+// recordNoRoom counts a connection whose head has no room, and logs it once in a while.
+func (l *Listener) recordNoRoom() {
+	l.metrics.Add("connections.no-memory."+l.name, 1)
+	now := l.clock.Now()
+	last := l.noRoomLoggedAt.Load()
+	if now-basilmoor.Millis(last) < noRoomLogPeriod || !l.noRoomLoggedAt.CompareAndSwap(last, int64(now)) {
+		return
+	}
+	stats := l.memory.Stats()
+	l.log.Warn().
+		Str("listener", l.name).
+		Int64("used-bytes", stats.Used).
+		Int64("evicted", stats.Evicted).
+		Int64("refused", stats.Refused).
+		Msg("no memory for the head of a request")
+}
--- a/internal/core/bmlistener/listener.go
+++ b/internal/core/bmlistener/listener.go
@@ -12,6 +12,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -19,6 +20,7 @@
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/core/bmmemory"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 )
 
@@ -46,6 +48,10 @@
 	// MaxConns is the number of connections that are served at the same time; 0 for
 	// no limit, without Attach.
 	MaxConns int
+
+	// Memory is what the requests on the connections may take together; nil for no
+	// limit, without Attach. With it, receive buffers are small as well.
+	Memory *bmmemory.Budget
 }
 
 // Listener is a TCP listener that limits its connections, and that can be closed
@@ -57,9 +63,12 @@
 	log      zerolog.Logger
 	name     string
 	address  string
-	conns    *Conns // nil without a limit
+	conns    *Conns           // nil without a limit
+	memory   *bmmemory.Budget // nil without a limit
 	failures *acceptFailures
 
+	noRoomLoggedAt atomic.Int64 // time of the last line about a head without room
+
 	mu      sync.Mutex
 	tcp     *net.TCPListener // replaced if it is dead
 	closing bool             // CloseAfterQueue or Close was called
@@ -68,7 +77,7 @@
 
 // Listen opens a listener, and returns a function that closes it at once.
 func Listen(cfg Config) (*Listener, func(), error) {
-	tcp, err := listenTCP(cfg.Address)
+	tcp, err := listenTCP(cfg.Address, cfg.Memory != nil)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -79,6 +88,7 @@
 		name:    cfg.Name,
 		address: tcp.Addr().String(),
 		tcp:     tcp,
+		memory:  cfg.Memory,
 	}
 	if cfg.MaxConns > 0 {
 		l.conns = NewConns(cfg.MaxConns)
@@ -87,8 +97,12 @@
 	return l, func() { _ = l.Close() }, nil
 }
 
-func listenTCP(address string) (*net.TCPListener, error) {
-	l, err := net.Listen("tcp", address)
+func listenTCP(address string, smallBuffers bool) (*net.TCPListener, error) {
+	var cfg net.ListenConfig
+	if smallBuffers {
+		cfg.Control = limitReceiveBuffer
+	}
+	l, err := cfg.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
@@ -136,8 +150,14 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.acceptNext()
-		if err != nil || l.conns == nil {
-			return c, err
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := c.(*net.TCPConn); ok && l.memory != nil {
+			c = newCallerConn(l, tcp, l.memory)
+		}
+		if l.conns == nil {
+			return c, nil
 		}
 		evict, added := l.conns.Add(c, l.clock.Now())
 		if added {
@@ -197,7 +217,7 @@
 		return
 	}
 	_ = dead.Close()
-	tcp, err := listenTCP(l.address)
+	tcp, err := listenTCP(l.address, l.memory != nil)
 	if err != nil {
 		l.log.Error().Err(err).Str("listener", l.name).Msg("opening the listener again failed")
 		return
--- a/internal/fleet/bmpeer/server.go
+++ b/internal/fleet/bmpeer/server.go
@@ -26,6 +26,9 @@
 	// gRPC's bandwidth estimation, which adds two pings to every short call.
 	windowBytes = 1 << 20
 
+	// maxHeaderBytes limits the header fields of a call.
+	maxHeaderBytes = 16 << 10
+
 	// gracefulStopTimeout is the time that calls in progress get to finish when
 	// the server stops.
 	gracefulStopTimeout = 2 * basilmoor.Second
@@ -86,6 +89,7 @@
 			grpc.MaxRecvMsgSize(maxMessageBytes),
 			grpc.StaticStreamWindowSize(windowBytes),
 			grpc.StaticConnWindowSize(windowBytes),
+			grpc.MaxHeaderListSize(maxHeaderBytes),
 		),
 		listener: listener,
 		clock:    cfg.Clock,
--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -14,6 +14,7 @@
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/core/bmclock"
 	"basilmoor.example/basilmoor/internal/core/bmlistener"
+	"basilmoor.example/basilmoor/internal/core/bmmemory"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmview"
 	"basilmoor.example/basilmoor/internal/request/bmcrash"
@@ -38,6 +39,10 @@
 	// hold what responses keep. A buffer that grows takes three times its size.
 	memoryPerBuffers = 12
 
+	// memoryPerRequests is the number of parts of Settings.MemoryBytes of which one may
+	// hold callers' requests, beyond a small part for each connection.
+	memoryPerRequests = 4
+
 	// gcPercent is the heap growth in percent that triggers a garbage
 	// collection.
 	gcPercent = 100
@@ -82,6 +87,7 @@
 	handler    *bmentry.Handler
 	registrar  *registrar
 	recorder   *bmgrant.Recorder
+	memory     *bmmemory.Budget // of callers' requests
 
 	callerListener  *listener
 	readyListener   *listener
@@ -101,6 +107,7 @@
 		stopping: make(chan struct{}),
 	}
 	n.settings.Store(&s)
+	n.memory = bmmemory.NewBudget(s.MemoryBytes / memoryPerRequests)
 	s.logAssumed(log)
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
 	debug.SetGCPercent(gcPercent)
@@ -165,13 +172,16 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	var err error
-	if n.callerListener, err = newListener(n.listenerConfig("callers", s.CallersAddress, budget.Callers), callers, http.HandlerFunc(n.handler.ServeExcess)); err != nil {
+	callersConfig := n.listenerConfig("callers", s.CallersAddress, budget.Callers)
+	callersConfig.Memory = n.memory
+	if n.callerListener, err = newListener(callersConfig, callers, http.HandlerFunc(n.handler.ServeExcess)); err != nil {
 		return errors.Wrap(err, "listener for callers")
 	}
 	n.addCleanup(n.callerListener.close)
 	if n.readyListener, err = newListener(n.listenerConfig("ready", s.ReadyAddress, bmlistener.ProbeConns), &http.Server{
 		Handler:           http.HandlerFunc(n.serveReady),
 		ReadHeaderTimeout: headerTimeout.Duration(),
+		MaxHeaderBytes:    bmlistener.ProbeHeaderBytes,
 	}, http.HandlerFunc(bmlistener.RefuseExcess)); err != nil {
 		return errors.Wrap(err, "listener for readiness probes")
 	}
@@ -179,6 +189,7 @@
 	if n.metricsListener, err = newListener(n.listenerConfig("metrics", s.metricsAddress(), bmlistener.ProbeConns), &http.Server{
 		Handler:           http.HandlerFunc(n.serveMetrics),
 		ReadHeaderTimeout: headerTimeout.Duration(),
+		MaxHeaderBytes:    bmlistener.ProbeHeaderBytes,
 	}, http.HandlerFunc(bmlistener.RefuseExcess)); err != nil {
 		return errors.Wrap(err, "listener for metrics")
 	}
--- a/internal/node/bmentrynode/serve.go
+++ b/internal/node/bmentrynode/serve.go
@@ -70,6 +70,7 @@
 	}
 	n.metrics.Set("view.hosts", int64(len(n.keeper.View().Hosts())))
 	n.callerListener.setGauges()
+	n.setMemoryGauges()
 	inUse, idle := n.exchange.ConnCounts()
 	n.metrics.Set("exchange.in-use-connections", int64(inUse))
 	n.metrics.Set("exchange.idle-connections", int64(idle))
@@ -78,6 +79,14 @@
 	}
 }
 
+// setMemoryGauges updates the gauges of the memory for callers' requests.
+func (n *Node) setMemoryGauges() {
+	stats := n.memory.Stats()
+	n.metrics.Set("memory.used-bytes", stats.Used)
+	n.metrics.Set("memory.evicted-requests", stats.Evicted)
+	n.metrics.Set("memory.refused", stats.Refused)
+}
+
 // drainTimes returns the times of a planned stop that begins at began.
 func (s Settings) drainTimes(began basilmoor.Millis) bmentry.DrainTimes {
 	killMargin := min(maxKillMargin, s.StopGrace/minMarginsPerGrace)
--- a/internal/node/bmnode/build.go
+++ b/internal/node/bmnode/build.go
@@ -248,7 +248,9 @@
 	mux.Handle("/", n.gateway)
 	server := n.gateway.Server()
 	server.Handler = mux
-	callers, err := listen(n.listenerConfig("callers", n.settings.CallersAddress, bmlistener.NewBudget(0).Callers), server, http.HandlerFunc(n.gateway.ServeExcess))
+	callersConfig := n.listenerConfig("callers", n.settings.CallersAddress, bmlistener.NewBudget(0).Callers)
+	callersConfig.Memory = n.memory
+	callers, err := listen(callersConfig, server, http.HandlerFunc(n.gateway.ServeExcess))
 	if err != nil {
 		return errors.Wrap(err, "callers")
 	}
@@ -256,6 +258,7 @@
 	admin, err := listen(n.listenerConfig("admin", n.settings.AdminAddress, maxAdminConns), &http.Server{
 		Handler:           bmadmin.New(n, n.settings.OperatorTokens, n.log),
 		ReadHeaderTimeout: adminHeaderTimeout.Duration(),
+		MaxHeaderBytes:    bmlistener.ProbeHeaderBytes,
 	}, http.HandlerFunc(bmlistener.RefuseExcess))
 	if err != nil {
 		return errors.Wrap(err, "administration")
@@ -266,6 +269,16 @@
 	return nil
 }
 
+const (
+	// memoryLimitFraction is the Go runtime's soft memory limit as a fraction of the
+	// memory of the process.
+	memoryLimitFraction = 0.6
+
+	// memoryPerRequests is the number of parts of the memory of which one may hold
+	// callers' requests, beyond a small part for each connection.
+	memoryPerRequests = 4
+)
+
 const adminHeaderTimeout = 10 * basilmoor.Second
 
 // maxAdminConns is the number of operators' connections that are served at the same
--- a/internal/node/bmnode/node.go
+++ b/internal/node/bmnode/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -13,6 +14,7 @@
 	"basilmoor.example/basilmoor/internal/config/bmfollower"
 	"basilmoor.example/basilmoor/internal/core/bmclock"
 	"basilmoor.example/basilmoor/internal/core/bmlistener"
+	"basilmoor.example/basilmoor/internal/core/bmmemory"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmmember"
 	"basilmoor.example/basilmoor/internal/fleet/bmpeer"
@@ -39,6 +41,7 @@
 	clock    basilmoor.Clock
 	log      zerolog.Logger
 	metrics  *bmmetrics.Registry
+	memory   *bmmemory.Budget // of callers' requests
 
 	store          *bmstore.Client
 	hostList       *bmhostlist.Client
@@ -75,6 +78,9 @@
 		log:      log.With().Str("host", s.Host).Logger(),
 		metrics:  bmmetrics.NewRegistry(),
 	}
+	memoryBytes := int64(s.MemoryMB) << 20
+	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(memoryBytes)))
+	n.memory = bmmemory.NewBudget(memoryBytes / memoryPerRequests)
 	n.crashes = bmcrash.New(n.clock)
 	for _, build := range []func() error{
 		n.buildPlatform,
--- a/internal/node/bmsettings/node.go
+++ b/internal/node/bmsettings/node.go
@@ -36,6 +36,7 @@
 	StoreWrites      int
 	QueueRequests    int
 	QueueBytes       int
+	MemoryMB         int
 	LogLevel         string
 }
 
@@ -66,6 +67,7 @@
 	s.Int(&n.StoreWrites, "store-writes-per-second", 50, 1, 500, "budget of writes to the store")
 	s.Int(&n.QueueRequests, "queue-requests", 20000, 1, 1000000, "bound of waiting requests in a pool")
 	s.Int(&n.QueueBytes, "queue-bytes", 256<<20, 1<<20, 16<<30, "bound of waiting bodies in a pool")
+	s.Int(&n.MemoryMB, "memory-mb", 1024, 64, 1<<20, "memory of the process; a quarter of it may hold callers' requests")
 	s.OneOf(&n.LogLevel, "log-level", "info", []string{"debug", "info", "warn", "error"}, "lowest level that is logged")
 	return s, n
 }
--- a/internal/node/bmsettings/set_test.go
+++ b/internal/node/bmsettings/set_test.go
@@ -64,6 +64,7 @@
 		"store-writes-per-second": "501",
 		"queue-requests":          "none",
 		"queue-bytes":             "1",
+		"memory-mb":               "1",
 		"log-level":               "loud",
 	}
 	for name, value := range tests {
--- a/internal/request/bmentry/conn.go
+++ b/internal/request/bmentry/conn.go
@@ -36,7 +36,7 @@
 // the system if this process ends. With reset false, closing ends it in order.
 func resetOnClose(ctx context.Context, reset bool) {
 	c, _ := ctx.Value(connKey{}).(callerConn)
-	tcp, ok := c.conn.(*net.TCPConn)
+	tcp, ok := c.conn.(interface{ SetLinger(seconds int) error })
 	if !ok {
 		return
 	}
--- a/internal/request/bmentry/handler.go
+++ b/internal/request/bmentry/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -13,6 +14,8 @@
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/config/bmrouting"
 	"basilmoor.example/basilmoor/internal/core/bmclock"
+	"basilmoor.example/basilmoor/internal/core/bmlistener"
+	"basilmoor.example/basilmoor/internal/core/bmmemory"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmview"
 	"basilmoor.example/basilmoor/internal/request/bmexchange"
@@ -238,7 +241,7 @@
 	if limit := table.Limits().HeaderBytes; limit > 0 && bmlimit.HeaderBytes(c.r) > limit {
 		return newFinalError(http.StatusRequestHeaderFieldsTooLarge, basilmoor.ReasonTooLarge, "header over the limit")
 	}
-	if err := c.readBody(table.Limits()); err != nil {
+	if err := c.readBody(table); err != nil {
 		return err
 	}
 	age, known := cfg.ViewSource.Age()
@@ -296,11 +299,13 @@
 
 // readBody reads the whole body before the request is scheduled, so that no
 // target gets a request whose caller disconnected while sending it.
-func (c *call) readBody(limits bmrouting.Limits) error {
+func (c *call) readBody(table *bmrouting.Table) error {
 	if c.r.ContentLength == 0 {
 		return nil
 	}
+	limits := table.Limits()
 	if c.r.ContentLength > limits.BodyBytes {
+		bmlistener.CloseUnread(c.w)
 		return newFinalError(http.StatusRequestEntityTooLarge, basilmoor.ReasonTooLarge, "body over the limit")
 	}
 	controller := http.NewResponseController(c.w)
@@ -309,18 +314,26 @@
 			return errors.Wrap(err, "read deadline")
 		}
 	}
-	var body []byte
-	var err error
-	if n := c.r.ContentLength; n > 0 {
-		body = make([]byte, n)
-		_, err = io.ReadFull(c.r.Body, body)
-	} else {
-		body, err = io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limits.BodyBytes))
+	var reader io.Reader = c.r.Body
+	if c.r.ContentLength < 0 {
+		reader = http.MaxBytesReader(c.w, c.r.Body, limits.BodyBytes)
 	}
+	account := bmlistener.AccountOf(c.r.Context())
+	body, err := account.ReadBody(bmmemory.Body{
+		Reader: reader,
+		Size:   c.r.ContentLength,
+		Limit:  limits.BodyBytes,
+		Rank:   c.bodyRank(table),
+	}, c.handler.cfg.Clock)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
+		bmlistener.CloseUnread(c.w)
 		return newFinalError(http.StatusRequestEntityTooLarge, basilmoor.ReasonTooLarge, "body over the limit")
 	}
+	if errors.Is(err, bmmemory.ErrNoRoom) {
+		bmlistener.CloseUnread(c.w)
+		return newRetryableError(basilmoor.ReasonNoMemory, shortRetryAfter, err.Error())
+	}
 	if err != nil {
 		return &callerLeftError{
 			Err: err,
@@ -330,6 +343,27 @@
 	return errors.Wrap(controller.SetReadDeadline(bmclock.NoDeadline), "read deadline")
 }
 
+// routeRanks is the number of ranks of routes below one rank of a workspace, which takes
+// precedence.
+const routeRanks = 1 << 16
+
+// bodyRank returns the rank by which the body gets memory. Requests that will be refused
+// have the lowest.
+func (c *call) bodyRank(table *bmrouting.Table) int {
+	route, ok := table.Route(c.r.Host, c.r.URL.Path)
+	if !ok {
+		return math.MaxInt
+	}
+	w, known := table.WorkspaceByKey(c.info.Key)
+	switch {
+	case known:
+		return w.Rank*routeRanks + min(route.Rank, routeRanks-1)
+	case table.RequiresKeys() && !route.Public:
+		return math.MaxInt
+	}
+	return route.Rank
+}
+
 // bodyTimeout returns the time allowed for reading a body of any size: the header
 // timeout for each of four header-sized parts.
 func bodyTimeout(l bmrouting.Limits) basilmoor.Millis {
--- a/internal/request/bmexchange/client.go
+++ b/internal/request/bmexchange/client.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmmemory"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/schedule/bmholdoff"
 )
@@ -140,7 +141,7 @@
 	if len(r.Body) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(r.Body))
 	}
-	bw := bufio.NewWriterSize(w, len(r.Body)+readBufferBytes)
+	bw := bufio.NewWriterSize(w, min(len(r.Body), bmmemory.SendBufferBytes)+readBufferBytes)
 	if err := req.Write(bw); err != nil {
 		return err
 	}
--- a/internal/request/bmgateway/parse.go
+++ b/internal/request/bmgateway/parse.go
@@ -10,6 +10,8 @@
 	"github.com/pkg/errors"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmlistener"
+	"basilmoor.example/basilmoor/internal/core/bmmemory"
 	"basilmoor.example/basilmoor/internal/request/bmcrash"
 	"basilmoor.example/basilmoor/internal/request/bmlimit"
 	"basilmoor.example/basilmoor/internal/request/bmrequest"
@@ -83,7 +85,7 @@
 	if p := checkRequestTarget(w, r); p != nil {
 		return nil, p
 	}
-	if p := c.readKind(w, catalog); p != nil {
+	if p := c.readKind(w, catalog, g.cfg.Clock); p != nil {
 		return nil, p
 	}
 	if p := c.readIdempotencyKey(); p != nil {
@@ -150,7 +152,7 @@
 
 // readKind reads the body, finds the kind of the request and sets the parts of
 // the demand that depend on them.
-func (c *call) readKind(w http.ResponseWriter, catalog basilmoor.Catalog) *problem {
+func (c *call) readKind(w http.ResponseWriter, catalog basilmoor.Catalog, clock basilmoor.Clock) *problem {
 	if c.request.URL.Path != ChatPath {
 		kind, ok := catalog.KindByPath(c.request.URL.Path)
 		if !ok {
@@ -159,9 +161,9 @@
 		c.kind = kind
 		c.demand.PromptTokens = kind.ExpectedPromptTokens
 		c.demand.OutputTokens = kind.ExpectedOutputTokens
-		return c.readBody(w)
+		return c.readBody(w, catalog, clock)
 	}
-	if p := c.readBody(w); p != nil {
+	if p := c.readBody(w, catalog, clock); p != nil {
 		return p
 	}
 	b, err := parseChat(c.body)
@@ -192,25 +194,48 @@
 
 // readBody reads the complete body into memory, so that the request doesn't
 // depend on the caller's connection while it waits in the queue.
-func (c *call) readBody(w http.ResponseWriter) *problem {
+func (c *call) readBody(w http.ResponseWriter, catalog basilmoor.Catalog, clock basilmoor.Clock) *problem {
 	if c.request.ContentLength > MaxBodyBytes {
+		bmlistener.CloseUnread(w)
 		return newRefusal(basilmoor.ReasonTooLarge, "the body exceeds 4 MiB")
 	}
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(readTimeout.Duration()))
-	body, err := io.ReadAll(http.MaxBytesReader(w, c.request.Body, MaxBodyBytes))
-	_ = rc.SetReadDeadline(time.Time{})
+	account := bmlistener.AccountOf(c.request.Context())
+	body, err := account.ReadBody(bmmemory.Body{
+		Reader: http.MaxBytesReader(w, c.request.Body, MaxBodyBytes),
+		Size:   c.request.ContentLength,
+		Limit:  MaxBodyBytes,
+		Rank:   c.bodyRank(catalog),
+	}, clock)
+	if errors.Is(err, bmmemory.ErrNoRoom) {
+		bmlistener.CloseUnread(w)
+		return newRefusal(basilmoor.ReasonNoMemory, err.Error())
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
+		bmlistener.CloseUnread(w)
 		return newRefusal(basilmoor.ReasonTooLarge, "the body exceeds 4 MiB")
 	}
 	if err != nil {
 		return newRefusal(basilmoor.ReasonMalformed, "the body broke off")
 	}
+	_ = rc.SetReadDeadline(time.Time{})
 	c.body = body
 	return nil
 }
 
+// bodyRank returns the rank by which the body gets memory: that of the kind's tier, if the
+// kind is known before the body, or else of the workspace's default tier.
+func (c *call) bodyRank(catalog basilmoor.Catalog) int {
+	name := c.kind.Tier
+	if name == "" {
+		name = c.workspace.DefaultTier
+	}
+	tier, _ := catalog.TierByName(name)
+	return tier.Rank
+}
+
 func (c *call) readIdempotencyKey() *problem {
 	h := c.request.Header
 	c.nonIdempotent = c.kind.NonIdempotent || strings.EqualFold(h.Get(HeaderNonIdempotent), "true")
--- a/internal/request/bmgateway/problem.go
+++ b/internal/request/bmgateway/problem.go
@@ -141,6 +141,11 @@
 		title:      "The host has no room for the connection",
 		retryAfter: basilmoor.Second,
 	},
+	basilmoor.ReasonNoMemory: {
+		status:     http.StatusServiceUnavailable,
+		title:      "The host has no memory for the request",
+		retryAfter: basilmoor.Second,
+	},
 	basilmoor.ReasonStopping: {
 		status:     http.StatusServiceUnavailable,
 		title:      "The host is stopping",
--- a/internal/schedule/bmgrant/link.go
+++ b/internal/schedule/bmgrant/link.go
@@ -183,6 +183,9 @@
 	// bufferBytes is the size of a connection's read and write buffers. Batches
 	// are small.
 	bufferBytes = 4 << 10
+
+	// maxHeaderBytes limits the header fields of a call.
+	maxHeaderBytes = 16 << 10
 )
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -199,6 +202,7 @@
 		grpc.StaticConnWindowSize(windowBytes),
 		grpc.ReadBufferSize(bufferBytes),
 		grpc.WriteBufferSize(bufferBytes),
+		grpc.MaxHeaderListSize(maxHeaderBytes),
 	}
 }
 
--- a/outcome.go
+++ b/outcome.go
@@ -45,6 +45,7 @@
 	ReasonTargetUnreachable Reason = "target-unreachable"
 	ReasonCallerLeft        Reason = "caller-left"
 	ReasonTooManyConns      Reason = "too-many-connections"
+	ReasonNoMemory          Reason = "no-memory"
 )
 
 // Reasons for failures after dispatch.
