Make the memory of a host's connections fit, and test that they are released

With receive buffers of 24 KiB and 12 KiB for each connection, the sum of what an entry host may hold fits into 284 MB. The tests of clients that keep to no limits check as well that the program closes connections that have ended.

--- a/internal/core/bmlistener/conn.go
+++ b/internal/core/bmlistener/conn.go
@@ -20,7 +20,7 @@
 const (
 	// receiveBufferBytes is the size of the receive buffer of a caller's connection. The
 	// system counts twice of it, and counts what was not read as memory of the process.
-	receiveBufferBytes = 32 << 10
+	receiveBufferBytes = 24 << 10
 
 	// headCopies is the number of copies of a request's head that are held: as it was
 	// parsed, and as it is sent.
--- a/internal/core/bmmemory/budget.go
+++ b/internal/core/bmmemory/budget.go
@@ -16,7 +16,7 @@
 const (
 	// FreeBytes is what each connection may hold whatever the others hold: more than a
 	// usual request without a prompt takes.
-	FreeBytes = 16 << 10
+	FreeBytes = 12 << 10
 
 	// StallTime is how long a request may arrive at less than progressBytes a StallTime
 	// until it makes room for others.
--- a/internal/proof/bmhostile/hostile_test.go
+++ b/internal/proof/bmhostile/hostile_test.go
@@ -24,15 +24,15 @@
 	smallChunk = 4
 	largeChunk = 64 << 10
 
-	// bodyCrowd is a number of connections whose largest bodies exceed the memory of
+	// callerConns is a number of callers whose largest bodies exceed the memory of
 	// each program.
-	bodyCrowd = 150
+	callerConns = 150
 
-	// probeCrowd is the number of connections that a port for probes serves.
-	probeCrowd = 16
+	// probeConns is the number of connections that a port for probes serves.
+	probeConns = 16
 
-	// peerCrowd is the number of connections to the port for other hosts.
-	peerCrowd = 40
+	// peerConns is the number of connections to the port for other hosts.
+	peerConns = 40
 )
 
 // Guards against a client that ends or hangs a process, or keeps others from being served,
@@ -45,34 +45,36 @@
 		then     func(p *program, c net.Conn) // once all have sent; nil for nothing
 		programs []string
 	}{
-		"head-unfinished":           {port: "callers", conns: bodyCrowd, send: sendUnfinishedHead, programs: []string{"entry", "node"}},
-		"head-over-limit":           {port: "callers", conns: bodyCrowd, send: sendUnfinishedHead, then: sendMoreFields, programs: []string{"entry", "node"}},
-		"head-endless-field":        {port: "callers", conns: bodyCrowd, send: sendEndlessField, programs: []string{"entry", "node"}},
-		"empty-lines":               {port: "callers", conns: bodyCrowd, send: sendEmptyLines, programs: []string{"entry", "node"}},
-		"empty-lines-after-request": {port: "callers", conns: bodyCrowd, send: sendEmptyLinesAfterRequest, programs: []string{"entry", "node"}},
-		"large-chunks-short":        {port: "callers", conns: bodyCrowd, send: sendChunksOf(largeChunk), programs: []string{"entry", "node"}},
-		"small-chunks-short":        {port: "callers", conns: bodyCrowd, send: sendChunksOf(smallChunk), programs: []string{"entry", "node"}},
-		"huge-chunk-size":           {port: "callers", conns: bodyCrowd, send: sendHugeChunkSize, programs: []string{"entry", "node"}},
-		"chunk-extension-endless":   {port: "callers", conns: bodyCrowd, send: sendEndlessExtension, programs: []string{"entry", "node"}},
-		"trailer-endless":           {port: "callers", conns: bodyCrowd, send: sendEndlessTrailer, programs: []string{"entry", "node"}},
-		"answers-unread":            {port: "callers", conns: bodyCrowd, send: sendUnreadRequests, programs: []string{"entry", "node"}},
-		"body-over-limit":           {port: "callers", conns: bodyCrowd, send: sendChunksOf(largeChunk), then: sendMoreChunks, programs: []string{"entry", "node"}},
-		"body-announced-over-limit": {port: "callers", conns: bodyCrowd, send: sendAnnouncedOverLimit, programs: []string{"entry", "node"}},
-		"body-announced-only":       {port: "callers", conns: bodyCrowd, send: sendAnnouncedOnly, programs: []string{"entry", "node"}},
-		"body-sized-short":          {port: "callers", conns: bodyCrowd, send: sendSizedShort, programs: []string{"entry", "node"}},
-		"body-whole-unanswered":     {port: "callers", conns: bodyCrowd, send: sendWholeUnanswered, programs: []string{"entry"}},
-		"ready-head-unfinished":     {port: "ready", conns: probeCrowd, send: sendProbeHead, programs: []string{"entry"}},
-		"metrics-head-unfinished":   {port: "metrics", conns: probeCrowd, send: sendProbeHead, programs: []string{"entry"}},
-		"admin-head-unfinished":     {port: "admin", conns: probeCrowd, send: sendProbeHead, programs: []string{"node"}},
-		"peers-head-unfinished":     {port: "peers", conns: peerCrowd, send: sendHTTP2Head, programs: []string{"entry", "node"}},
+		"head-unfinished":           {port: "callers", conns: callerConns, send: sendUnfinishedHead, programs: []string{"entry", "node"}},
+		"head-over-limit":           {port: "callers", conns: callerConns, send: sendUnfinishedHead, then: sendMoreFields, programs: []string{"entry", "node"}},
+		"head-endless-field":        {port: "callers", conns: callerConns, send: sendEndlessField, programs: []string{"entry", "node"}},
+		"empty-lines":               {port: "callers", conns: callerConns, send: sendEmptyLines, programs: []string{"entry", "node"}},
+		"empty-lines-after-request": {port: "callers", conns: callerConns, send: sendEmptyLinesAfterRequest, programs: []string{"entry", "node"}},
+		"large-chunks-short":        {port: "callers", conns: callerConns, send: sendChunksOf(largeChunk), programs: []string{"entry", "node"}},
+		"small-chunks-short":        {port: "callers", conns: callerConns, send: sendChunksOf(smallChunk), programs: []string{"entry", "node"}},
+		"huge-chunk-size":           {port: "callers", conns: callerConns, send: sendHugeChunkSize, programs: []string{"entry", "node"}},
+		"chunk-extension-endless":   {port: "callers", conns: callerConns, send: sendEndlessExtension, programs: []string{"entry", "node"}},
+		"trailer-endless":           {port: "callers", conns: callerConns, send: sendEndlessTrailer, programs: []string{"entry", "node"}},
+		"answers-unread":            {port: "callers", conns: callerConns, send: sendUnreadRequests, programs: []string{"entry", "node"}},
+		"body-over-limit":           {port: "callers", conns: callerConns, send: sendChunksOf(largeChunk), then: sendMoreChunks, programs: []string{"entry", "node"}},
+		"body-announced-over-limit": {port: "callers", conns: callerConns, send: sendAnnouncedOverLimit, programs: []string{"entry", "node"}},
+		"body-announced-only":       {port: "callers", conns: callerConns, send: sendAnnouncedOnly, programs: []string{"entry", "node"}},
+		"body-sized-short":          {port: "callers", conns: callerConns, send: sendSizedShort, programs: []string{"entry", "node"}},
+		"body-whole-unanswered":     {port: "callers", conns: callerConns, send: sendWholeUnanswered, programs: []string{"entry"}},
+		"ready-head-unfinished":     {port: "ready", conns: probeConns, send: sendProbeHead, programs: []string{"entry"}},
+		"metrics-head-unfinished":   {port: "metrics", conns: probeConns, send: sendProbeHead, programs: []string{"entry"}},
+		"admin-head-unfinished":     {port: "admin", conns: probeConns, send: sendProbeHead, programs: []string{"node"}},
+		"peers-head-unfinished":     {port: "peers", conns: peerConns, send: sendHTTP2Head, programs: []string{"entry", "node"}},
 	}
 	for name, tt := range tests {
-		for _, program := range tt.programs {
-			t.Run(program+"-"+name, func(t *testing.T) {
-				p := programs[program](t)
+		for _, target := range tt.programs {
+			t.Run(target+"-"+name, func(t *testing.T) {
+				p := programs[target](t)
 				idle := p.process.peakBytes(t)
-				p.attack(t, tt.port, tt.conns, tt.send, tt.then)
+				files := p.process.descriptors(t)
+				conns := p.attack(t, tt.port, tt.conns, tt.send, tt.then)
 				p.check(t, tt.port, idle)
+				p.checkReleased(t, conns, files)
 			})
 		}
 	}
@@ -81,25 +83,38 @@
 // attack opens connections, sends on all of them at the same time and returns when all
 // have sent what they could. Each step begins when all have done the one before. The
 // connections stay open.
-func (p *program) attack(t *testing.T, port string, conns int, steps ...func(p *program, c net.Conn)) {
+func (p *program) attack(t *testing.T, port string, n int, steps ...func(p *program, c net.Conn)) []net.Conn {
 	t.Helper()
-	require.LessOrEqual(t, conns, p.conns)
-	crowd := make([]net.Conn, conns)
-	for i := range crowd {
-		crowd[i] = p.dial(t, port)
-		require.NoError(t, crowd[i].SetWriteDeadline(time.Now().Add(waitLimit)))
+	require.LessOrEqual(t, n, p.conns)
+	conns := make([]net.Conn, n)
+	for i := range conns {
+		conns[i] = p.dial(t, port)
+		require.NoError(t, conns[i].SetWriteDeadline(time.Now().Add(waitLimit)))
 	}
 	for _, send := range steps {
 		if send == nil {
 			continue
 		}
 		var wg sync.WaitGroup
-		for _, c := range crowd {
+		for _, c := range conns {
 			wg.Go(func() { send(p, c) })
 		}
 		wg.Wait()
 		p.settle(t, port)
 	}
+	return conns
+}
+
+// checkReleased closes the connections of an attack and checks that the program closes its
+// ends. files is the number of its descriptors before the attack.
+func (p *program) checkReleased(t *testing.T, conns []net.Conn, files int) {
+	t.Helper()
+	const others = 16 // connections that probes, the store and replicas may have by then
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	assert.Eventually(t, func() bool { return p.process.descriptors(t) <= files+others }, waitLimit, 50*time.Millisecond,
+		"the program has closed the connections that have ended")
 }
 
 // check checks the program while the connections of an attack are open. idle is the peak
@@ -163,8 +178,8 @@
 		"body-in-large-chunks": func(p *program) string { return p.chunked(largeChunk) },
 		"body-in-small-chunks": func(p *program) string { return p.chunked(smallChunk) },
 	}
-	for program, start := range programs {
-		t.Run(program, func(t *testing.T) {
+	for name, start := range programs {
+		t.Run(name, func(t *testing.T) {
 			p := start(t)
 			for name, request := range tests {
 				c := p.dial(t, "callers")
--- a/internal/proof/bmhostile/inputs_test.go
+++ b/internal/proof/bmhostile/inputs_test.go
@@ -138,7 +138,7 @@
 
 // sendWholeUnanswered sends a whole request with the largest body that gets no answer.
 func sendWholeUnanswered(p *program, c net.Conn) {
-	_, _ = io.WriteString(c, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", p.waitHead, p.bodyLimit, strings.Repeat("x", p.bodyLimit)))
+	_, _ = io.WriteString(c, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", p.unansweredHead, p.bodyLimit, strings.Repeat("x", p.bodyLimit)))
 }
 
 // sendProbeHead sends an unfinished head with many fields to a port for probes.
--- a/internal/proof/bmhostile/programs_test.go
+++ b/internal/proof/bmhostile/programs_test.go
@@ -27,11 +27,11 @@
 	process *process
 	ports   map[string]string // addresses by name: callers, ready, metrics, peers, admin
 
-	head      string // request line and fields of an ordinary request, without its end
-	waitHead  string // the same for a request that gets no answer; empty if there is none
-	headLimit int    // largest head that is served, in bytes
-	bodyLimit int    // largest body that is served, in bytes
-	conns     int    // connections of callers that the program serves at the same time
+	head           string // request line and fields of an ordinary request, without its end
+	unansweredHead string // the same for a request that gets no answer; empty if there is none
+	headLimit      int    // largest head that is served, in bytes
+	bodyLimit      int    // largest body that is served, in bytes
+	conns          int    // connections of callers that the program serves at the same time
 }
 
 const (
@@ -72,11 +72,11 @@
 			"peers":   ip + ":8003",
 			"metrics": ip + ":8004",
 		},
-		head:      entryHead("/again/"),
-		waitHead:  entryHead(bmstandinplatform.SilentPrefix),
-		headLimit: entryHeadLimit,
-		bodyLimit: entryBodyLimit,
-		conns:     entryConns,
+		head:           entryHead("/again/"),
+		unansweredHead: entryHead(bmstandinplatform.SilentPrefix),
+		headLimit:      entryHeadLimit,
+		bodyLimit:      entryBodyLimit,
+		conns:          entryConns,
 	}
 	settings := filepath.Join(t.TempDir(), "settings.json")
 	raw, err := json.Marshal(map[string]any{
