Read the rest of a refused body, and answer a request evicted after its head

The rest of the body is read without keeping it for at most a second. A request that made room between its head and its handler gets 503 no-memory instead of a closed connection. The clock, a system call, is read only for requests beyond the free part of their connection.

--- a/internal/core/bmlistener/attach.go
+++ b/internal/core/bmlistener/attach.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 
@@ -14,8 +15,9 @@
 
 // Attach prepares an HTTP server to serve the listener: it reports the states of its
 // connections, and writes its messages to the structured log. Requests on connections
-// beyond the limit go to refuse, whose responses must close the connection, instead of
-// the server's handler. Attach must be called once, before the server serves.
+// beyond the limit, and those that had to make room for others after their head was read,
+// go to refuse, whose responses must close the connection, instead of the server's
+// handler. Attach must be called once, before the server serves.
 func (l *Listener) Attach(server *http.Server, refuse http.Handler) {
 	a := &admitter{
 		conns:   l.conns,
@@ -25,7 +27,7 @@
 	server.Handler = a
 	server.ErrorLog = l.serverLog()
 	server.ConnState = func(c net.Conn, state http.ConnState) {
-		if c, ok := c.(*callerConn); ok {
+		if c, ok := c.(*accountedConn); ok {
 			c.setState(state)
 		}
 		l.conns.SetState(c, state, l.clock.Now())
@@ -49,8 +51,9 @@
 // ServeHTTP implements http.Handler.
 func (a *admitter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, _ := r.Context().Value(connKey{}).(net.Conn)
-	if c, ok := c.(*callerConn); ok && c.account.Evicted() {
-		panic(http.ErrAbortHandler)
+	if AccountOf(r.Context()).Evicted() {
+		a.refuse.ServeHTTP(w, r)
+		return
 	}
 	switch a.conns.Admission(c) {
 	case Admitted:
@@ -71,12 +74,16 @@
 
 // refusedReadTime is how long the rest of a refused request is read before its connection
 // is closed. Bytes that were not read would reset the connection, and the client would not
-// see the answer. net/http bounds their number.
-const refusedReadTime basilmoor.Millis = 100
+// see the answer.
+const refusedReadTime = basilmoor.Second
 
-// CloseUnread makes the server close the connection after the answer to a request whose
-// body was not read to its end.
-func CloseUnread(w http.ResponseWriter) {
+// DiscardRest reads up to limit bytes of the body of a request that is refused, without
+// keeping them, and makes the server close the connection after the answer.
+func DiscardRest(w http.ResponseWriter, body io.Reader, limit int64) {
 	w.Header().Set("Connection", "close")
-	_ = http.NewResponseController(w).SetReadDeadline(bmclock.WallDeadline(refusedReadTime))
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(bmclock.WallDeadline(refusedReadTime))
+	_, _ = io.CopyN(io.Discard, body, limit)
+	// net/http reads some more after the answer.
+	_ = controller.SetReadDeadline(bmclock.WallDeadline(0))
 }
--- a/internal/core/bmlistener/conn.go
+++ b/internal/core/bmlistener/conn.go
@@ -33,23 +33,24 @@
 	headRank = math.MaxInt
 )
 
-// errNoRoom ends a connection whose head has no room. net/http answers nothing to it.
+// errNoRoom ends a connection whose head has no room. net/http answers 400, which promises
+// that the request is wrong, to errors of reads that are no net.OpError.
 var errNoRoom = &net.OpError{
 	Op:  "read",
 	Err: bmmemory.ErrNoRoom,
 }
 
-// callerConn is a connection whose requests take memory of a budget. Read counts the
+// accountedConn is a connection whose requests take memory of a budget. Read counts the
 // bytes of a head as they arrive, since net/http parses them before any handler runs.
-type callerConn struct {
+type accountedConn struct {
 	*net.TCPConn
 	listener *Listener
 	account  *bmmemory.Account
 	inHead   atomic.Bool // the bytes that are read belong to a head
 }
 
-func newCallerConn(l *Listener, tcp *net.TCPConn, budget *bmmemory.Budget) *callerConn {
-	c := &callerConn{
+func newAccountedConn(l *Listener, tcp *net.TCPConn, budget *bmmemory.Budget) *accountedConn {
+	c := &accountedConn{
 		TCPConn:  tcp,
 		listener: l,
 	}
@@ -59,12 +60,13 @@
 }
 
 // interrupt makes reads fail.
-func (c *callerConn) interrupt() {
+func (c *accountedConn) interrupt() {
 	_ = c.SetReadDeadline(bmclock.WallDeadline(0))
 }
 
-// Read implements net.Conn.
-func (c *callerConn) Read(p []byte) (int, error) {
+// Read implements net.Conn. net/http also reads from another goroutine, but only while no
+// head is being read, so that the account has one user.
+func (c *accountedConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
 	if n > 0 && c.inHead.Load() && !c.countHead(p[:n]) {
 		c.listener.recordNoRoom()
@@ -74,20 +76,19 @@
 }
 
 // countHead takes the memory for a part of a head.
-func (c *callerConn) countHead(part []byte) bool {
+func (c *accountedConn) countHead(part []byte) bool {
 	cost := int64(headCopies*len(part) + headLineBytes*bytes.Count(part, []byte{'\n'}))
-	now := c.listener.clock.Now()
-	if !c.account.Grow(cost, headRank, now) {
+	if !c.account.Grow(cost, headRank, c.listener.clock) {
 		return false
 	}
-	c.account.Received(len(part), now)
+	c.account.Received(len(part), c.listener.clock)
 	return true
 }
 
 // setState follows the HTTP server's state of the connection. It is called by the
 // goroutine that serves it. The server is active once it has read a head, before another
 // goroutine watches the connection for its end.
-func (c *callerConn) setState(state http.ConnState) {
+func (c *accountedConn) setState(state http.ConnState) {
 	switch state {
 	case http.StateActive:
 		c.inHead.Store(false)
@@ -102,7 +103,7 @@
 
 // AccountOf returns the memory account of the connection of a request; nil if it has none.
 func AccountOf(ctx context.Context) *bmmemory.Account {
-	c, ok := ctx.Value(connKey{}).(*callerConn)
+	c, ok := ctx.Value(connKey{}).(*accountedConn)
 	if !ok {
 		return nil
 	}
--- a/internal/core/bmlistener/listener.go
+++ b/internal/core/bmlistener/listener.go
@@ -155,7 +155,7 @@
 			return nil, err
 		}
 		if tcp, ok := c.(*net.TCPConn); ok && l.memory != nil {
-			c = newCallerConn(l, tcp, l.memory)
+			c = newAccountedConn(l, tcp, l.memory)
 		}
 		if l.conns == nil {
 			return c, nil
--- a/internal/core/bmmemory/body.go
+++ b/internal/core/bmmemory/body.go
@@ -90,13 +90,13 @@
 		return body, err
 	}
 	n, err := r.Read(free)
-	a.Received(n, clock.Now())
+	a.Received(n, clock)
 	return body[:len(body)+n], err
 }
 
 // resize moves a body to a slice of another capacity.
 func (a *Account) resize(body []byte, capacity int64, rank int, clock basilmoor.Clock) ([]byte, error) {
-	if !a.Grow(bodyCost(capacity)-bodyCost(int64(cap(body))), rank, clock.Now()) {
+	if !a.Grow(bodyCost(capacity)-bodyCost(int64(cap(body))), rank, clock) {
 		return nil, ErrNoRoom
 	}
 	return append(make([]byte, 0, capacity), body...), nil
--- a/internal/core/bmmemory/budget.go
+++ b/internal/core/bmmemory/budget.go
@@ -89,12 +89,12 @@
 
 // Grow takes n further bytes for a request of a rank, of which 0 is the highest. It
 // returns false, and takes nothing, if there is no room or the request was evicted.
-func (a *Account) Grow(n int64, rank int, now basilmoor.Millis) bool {
+func (a *Account) Grow(n int64, rank int, clock basilmoor.Clock) bool {
 	if a == nil {
 		return true
 	}
 	size := a.size + n
-	if size > FreeBytes && !a.budget.take(a, size-max(a.size, FreeBytes), rank, now) {
+	if size > FreeBytes && !a.budget.take(a, size-max(a.size, FreeBytes), rank, clock.Now()) {
 		return false
 	}
 	a.size = size
@@ -102,14 +102,14 @@
 }
 
 // Received records that n bytes of the request have arrived.
-func (a *Account) Received(n int, now basilmoor.Millis) {
-	if a == nil {
+func (a *Account) Received(n int, clock basilmoor.Clock) {
+	if a == nil || a.size <= FreeBytes {
 		return
 	}
 	a.unmarked += int64(n)
 	if a.unmarked >= progressBytes {
 		a.unmarked = 0
-		a.progressAt.Store(int64(now))
+		a.progressAt.Store(int64(clock.Now()))
 	}
 }
 
@@ -120,6 +120,7 @@
 		return true
 	}
 	if a.size <= FreeBytes {
+		// It holds nothing of the budget, so that nobody evicts it.
 		return !a.evicted.Load()
 	}
 	a.budget.mu.Lock()
--- a/internal/core/bmmemory/budget_test.go
+++ b/internal/core/bmmemory/budget_test.go
@@ -49,13 +49,13 @@
 			var accounts []*Account
 			for i, h := range tt.holders {
 				a := b.NewAccount(func() { interrupted = i })
-				require.True(t, a.Grow(FreeBytes+share, h.rank, h.progressAt))
+				require.True(t, a.Grow(FreeBytes+share, h.rank, bmclock.NewManual(h.progressAt)))
 				if h.complete {
 					require.True(t, a.Complete())
 				}
 				accounts = append(accounts, a)
 			}
-			assert.Equal(t, tt.granted, b.NewAccount(func() {}).Grow(FreeBytes+share, tt.rank, now))
+			assert.Equal(t, tt.granted, b.NewAccount(func() {}).Grow(FreeBytes+share, tt.rank, bmclock.NewManual(now)))
 			assert.Equal(t, tt.evicted, interrupted)
 			for i, a := range accounts {
 				assert.Equal(t, i == tt.evicted, a.Evicted())
@@ -69,11 +69,11 @@
 func TestTrickleIsNoProgress(t *testing.T) {
 	b := NewBudget(1)
 	a := b.NewAccount(func() {})
-	require.True(t, a.Grow(FreeBytes+1, 0, 0))
+	require.True(t, a.Grow(FreeBytes+1, 0, bmclock.NewManual(0)))
 	for now := range StallTime {
-		a.Received(1, now)
+		a.Received(1, bmclock.NewManual(now))
 	}
-	assert.True(t, b.NewAccount(func() {}).Grow(FreeBytes+1, 0, StallTime))
+	assert.True(t, b.NewAccount(func() {}).Grow(FreeBytes+1, 0, bmclock.NewManual(StallTime)))
 	assert.True(t, a.Evicted())
 }
 
@@ -97,7 +97,7 @@
 			case 1:
 				a.Release()
 			default:
-				a.Grow(rapid.Int64Range(1, limit/2).Draw(t, "bytes"), rapid.IntRange(0, 2).Draw(t, "rank"), now)
+				a.Grow(rapid.Int64Range(1, limit/2).Draw(t, "bytes"), rapid.IntRange(0, 2).Draw(t, "rank"), bmclock.NewManual(now))
 			}
 			used := b.Stats().Used
 			require.LessOrEqual(t, used, int64(limit))
--- a/internal/request/bmentry/handler.go
+++ b/internal/request/bmentry/handler.go
@@ -114,8 +114,8 @@
 	c.serve()
 }
 
-// ServeExcess refuses a request on a connection beyond the limit of the host, and closes
-// the connection. The request has not run.
+// ServeExcess refuses a request on a connection beyond the limit of the host, or one that
+// had to make room for others, and closes the connection. The request has not run.
 func (h *Handler) ServeExcess(w http.ResponseWriter, r *http.Request) {
 	c := &call{
 		handler:   h,
@@ -127,6 +127,10 @@
 		c.info = info
 	}
 	w.Header().Set("Connection", "close")
+	if bmlistener.AccountOf(r.Context()).Evicted() {
+		c.finish(newRetryableError(basilmoor.ReasonNoMemory, shortRetryAfter, bmmemory.ErrNoRoom.Error()))
+		return
+	}
 	c.finish(newRetryableError(basilmoor.ReasonTooManyConns, shortRetryAfter, "the host serves as many connections as it can"))
 }
 
@@ -305,7 +309,7 @@
 	}
 	limits := table.Limits()
 	if c.r.ContentLength > limits.BodyBytes {
-		bmlistener.CloseUnread(c.w)
+		bmlistener.DiscardRest(c.w, c.r.Body, limits.BodyBytes)
 		return newFinalError(http.StatusRequestEntityTooLarge, basilmoor.ReasonTooLarge, "body over the limit")
 	}
 	controller := http.NewResponseController(c.w)
@@ -327,11 +331,11 @@
 	}, c.handler.cfg.Clock)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		bmlistener.CloseUnread(c.w)
+		bmlistener.DiscardRest(c.w, c.r.Body, limits.BodyBytes)
 		return newFinalError(http.StatusRequestEntityTooLarge, basilmoor.ReasonTooLarge, "body over the limit")
 	}
 	if errors.Is(err, bmmemory.ErrNoRoom) {
-		bmlistener.CloseUnread(c.w)
+		bmlistener.DiscardRest(c.w, c.r.Body, limits.BodyBytes)
 		return newRetryableError(basilmoor.ReasonNoMemory, shortRetryAfter, err.Error())
 	}
 	if err != nil {
@@ -357,7 +361,7 @@
 	w, known := table.WorkspaceByKey(c.info.Key)
 	switch {
 	case known:
-		return w.Rank*routeRanks + min(route.Rank, routeRanks-1)
+		return min(w.Rank, routeRanks)*routeRanks + min(route.Rank, routeRanks-1)
 	case table.RequiresKeys() && !route.Public:
 		return math.MaxInt
 	}
--- a/internal/request/bmgateway/gateway.go
+++ b/internal/request/bmgateway/gateway.go
@@ -11,6 +11,8 @@
 	"github.com/rs/zerolog"
 
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmlistener"
+	"basilmoor.example/basilmoor/internal/core/bmmemory"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/request/bmdispatch"
 )
@@ -173,10 +175,14 @@
 	}
 }
 
-// ServeExcess refuses a request on a connection beyond the limit of the host, and closes
-// the connection. The request has not run.
-func (g *Gateway) ServeExcess(w http.ResponseWriter, _ *http.Request) {
+// ServeExcess refuses a request on a connection beyond the limit of the host, or one that
+// had to make room for others, and closes the connection. The request has not run.
+func (g *Gateway) ServeExcess(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Connection", "close")
+	if bmlistener.AccountOf(r.Context()).Evicted() {
+		g.writeRefusal(w, newNotRunProblem(basilmoor.ReasonNoMemory, bmmemory.ErrNoRoom.Error()))
+		return
+	}
 	g.writeRefusal(w, newNotRunProblem(basilmoor.ReasonTooManyConns, "the host serves as many connections as it can"))
 }
 
--- a/internal/request/bmgateway/parse.go
+++ b/internal/request/bmgateway/parse.go
@@ -196,7 +196,7 @@
 // depend on the caller's connection while it waits in the queue.
 func (c *call) readBody(w http.ResponseWriter, catalog basilmoor.Catalog, clock basilmoor.Clock) *problem {
 	if c.request.ContentLength > MaxBodyBytes {
-		bmlistener.CloseUnread(w)
+		bmlistener.DiscardRest(w, c.request.Body, MaxBodyBytes)
 		return newRefusal(basilmoor.ReasonTooLarge, "the body exceeds 4 MiB")
 	}
 	rc := http.NewResponseController(w)
@@ -209,12 +209,12 @@
 		Rank:   c.bodyRank(catalog),
 	}, clock)
 	if errors.Is(err, bmmemory.ErrNoRoom) {
-		bmlistener.CloseUnread(w)
+		bmlistener.DiscardRest(w, c.request.Body, MaxBodyBytes)
 		return newRefusal(basilmoor.ReasonNoMemory, err.Error())
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		bmlistener.CloseUnread(w)
+		bmlistener.DiscardRest(w, c.request.Body, MaxBodyBytes)
 		return newRefusal(basilmoor.ReasonTooLarge, "the body exceeds 4 MiB")
 	}
 	if err != nil {
