--- a/internal/core/bmlistener/attach.go
+++ b/internal/core/bmlistener/attach.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 
+	"github.com/pkg/errors"
+
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/core/bmclock"
 )
@@ -72,18 +74,21 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// refusedReadTime is how long the rest of a refused request is read before its connection
-// is closed. Bytes that were not read would reset the connection, and the client would not
-// see the answer.
+// refusedReadTime is how long the rest of a refused request is read. Bytes that were not
+// read would reset the connection when it closes, and the client would not see the answer.
 const refusedReadTime = basilmoor.Second
 
-// DiscardRest reads up to limit bytes of the body of a request that is refused, without
-// keeping them, and makes the server close the connection after the answer.
+// DiscardRest reads the rest of the body of a request that is refused, without keeping it.
+// If it has more than limit bytes, or takes too long, the server closes the connection
+// after the answer.
 func DiscardRest(w http.ResponseWriter, body io.Reader, limit int64) {
-	w.Header().Set("Connection", "close")
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(bmclock.WallDeadline(refusedReadTime))
-	_, _ = io.CopyN(io.Discard, body, limit)
+	if _, err := io.CopyN(io.Discard, body, limit+1); errors.Is(err, io.EOF) {
+		_ = controller.SetReadDeadline(bmclock.NoDeadline)
+		return
+	}
+	w.Header().Set("Connection", "close")
 	// net/http reads some more after the answer.
 	_ = controller.SetReadDeadline(bmclock.WallDeadline(0))
 }
