--- a/internal/core/bmlistener/attach.go
+++ b/internal/core/bmlistener/attach.go
@@ -2,8 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+
+	"github.com/pkg/errors"
+
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/core/bmclock"
 )
 
 // connKey is the key of a connection in the context of its requests.
@@ -11,8 +17,9 @@
 
 // Attach prepares an HTTP server to serve the listener: it reports the states of its
 // connections, and writes its messages to the structured log. Requests on connections
-// beyond the limit go to refuse, whose responses must close the connection, instead of
-// the server's handler. Attach must be called once, before the server serves.
+// beyond the limit, and those that had to make room for others after their head was read,
+// go to refuse, whose responses must close the connection, instead of the server's
+// handler. Attach must be called once, before the server serves.
 func (l *Listener) Attach(server *http.Server, refuse http.Handler) {
 	a := &admitter{
 		conns:   l.conns,
@@ -22,6 +29,9 @@
 	server.Handler = a
 	server.ErrorLog = l.serverLog()
 	server.ConnState = func(c net.Conn, state http.ConnState) {
+		if c, ok := c.(*accountedConn); ok {
+			c.setState(state)
+		}
 		l.conns.SetState(c, state, l.clock.Now())
 	}
 	connContext := server.ConnContext
@@ -43,6 +53,10 @@
 // ServeHTTP implements http.Handler.
 func (a *admitter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	if AccountOf(r.Context()).Evicted() {
+		a.refuse.ServeHTTP(w, r)
+		return
+	}
 	switch a.conns.Admission(c) {
 	case Admitted:
 		a.handler.ServeHTTP(w, r)
@@ -59,3 +73,22 @@
 	w.Header().Set("Connection", "close")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
+
+// refusedReadTime is how long the rest of a refused request is read. Bytes that were not
+// read would reset the connection when it closes, and the client would not see the answer.
+const refusedReadTime = basilmoor.Second
+
+// DiscardRest reads the rest of the body of a request that is refused, without keeping it.
+// If it has more than limit bytes, or takes too long, the server closes the connection
+// after the answer.
+func DiscardRest(w http.ResponseWriter, body io.Reader, limit int64) {
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(bmclock.WallDeadline(refusedReadTime))
+	if _, err := io.CopyN(io.Discard, body, limit+1); errors.Is(err, io.EOF) {
+		_ = controller.SetReadDeadline(bmclock.NoDeadline)
+		return
+	}
+	w.Header().Set("Connection", "close")
+	// net/http reads some more after the answer.
+	_ = controller.SetReadDeadline(bmclock.WallDeadline(0))
+}
