Bound the demand that a short quota counts for a tier

Callers that repeat refused requests raised the measured demand of their tier, so that lower tiers were refused for tokens that the tier can't use, and it took seconds to decay after a peak. A tier now counts at most what the quota permits in the long run.

--- a/internal/schedule/bmgrant/quota_admission.go
+++ b/internal/schedule/bmgrant/quota_admission.go
@@ -15,7 +15,7 @@
 		return nil
 	}
 	q.expire(now, acc)
-	acc.demand.Record(now, d.Tier, d.Charge)
+	acc.demand.Record(now, d.Tier, d.Charge, q.windowQuota(acc)/float64(q.tolerance.Window))
 	refusal := &basilmoor.Refusal{
 		Request: d.Request,
 		Reason:  basilmoor.ReasonRateLimit,
--- a/internal/schedule/bmquota/demand.go
+++ b/internal/schedule/bmquota/demand.go
@@ -49,8 +49,10 @@
 	at       basilmoor.Millis  // of the latest request
 }
 
-// Record adds a request.
-func (d *Demand) Record(now basilmoor.Millis, tier, tokens int) {
+// Record adds a request. limit is the number of tokens per ms that the quota permits in
+// the long run: a tier can't be granted more, so what exceeds it doesn't count. Else
+// callers that repeat refused requests would keep tokens that their tier can't use.
+func (d *Demand) Record(now basilmoor.Millis, tier, tokens int, limit float64) {
 	decay := d.decay(now)
 	for i := range maxTiers {
 		d.tokens[i] *= decay
@@ -60,6 +62,10 @@
 	i := tierIndex(tier)
 	d.tokens[i] += float64(tokens) / float64(demandWindow)
 	d.requests[i] += 1 / float64(demandWindow)
+	if d.tokens[i] > limit {
+		d.requests[i] *= limit / d.tokens[i]
+		d.tokens[i] = limit
+	}
 }
 
 // Wait returns for how long a request is refused in favour of higher tiers; 0 admits it.
