Follow the operator's orders to move pools to a version

The operator orders that a pool move to a version within a time; the product ignored such orders and sent requests to both versions as it liked. The broker now owns a rollout for each ordered pool: it bounds the requests to the new version, compares its answers with those of the old one of the same time, moves the requests and tells the operator. The state machine is pure (bmrollout); its record is stored under a condition and covers all requests that its owner may send, so that a next owner never counts fewer. Orders are followed only where the settings hold the contract and its bounds.

--- a/internal/fleet/bmview/keeper.go
+++ b/internal/fleet/bmview/keeper.go
@@ -353,6 +353,7 @@
 		k.recordTable(u.To.Era)
 	}
 	k.state.apply(changes, k.retentionEnd(), hostsRetainedUntil)
+	k.state.applyRollouts(changes, u.To.Era, k.clock.Now())
 	if changes.Spending != nil {
 		k.spending.Store(&changes.Spending)
 	}
@@ -361,7 +362,7 @@
 	}
 	k.position = u.To
 	k.history.add(u, k.clock.Now())
-	k.publish(len(changes.Targets) > 0 || len(changes.Hosts) > 0 || changes.Table != nil || u.From.IsZero())
+	k.publish(changes.isView() || u.From.IsZero())
 	k.onUpdate(u)
 }
 
--- a/internal/fleet/bmview/restoration.go
+++ b/internal/fleet/bmview/restoration.go
@@ -126,8 +126,9 @@
 }
 
 // isDoubtful reports whether an entry of a restored store is a target that takes requests
-// again although it leaves or is gone, or a host that is gone. A process that started
-// later is not the one that was known. k.mu is held.
+// again although it leaves or is gone, or a host that is gone, or another order or status
+// of a rollout than the known one. A process that started later is not the one that was
+// known. k.mu is held.
 func (k *Keeper) isDoubtful(e basilmoor.Event) bool {
 	last, gone := k.history.lookUp(e.Entry.Key)
 	if last == nil || e.Deleted {
@@ -140,6 +141,9 @@
 			return isOlderTarget(*t, *m, gone)
 		}
 	}
+	if len(memory.Orders) > 0 || len(memory.Statuses) > 0 {
+		return !bytes.Equal(e.Entry.Value, last.Entry.Value)
+	}
 	for name, h := range restored.Hosts {
 		if m := memory.Hosts[name]; h != nil && m != nil {
 			return h.Incarnation < m.Incarnation || (gone && h.Incarnation == m.Incarnation)
--- a/internal/fleet/bmview/view.go
+++ b/internal/fleet/bmview/view.go
@@ -1,10 +1,13 @@
 package bmview
 
 import (
+	"maps"
+	"slices"
 	"sort"
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/config/bmrouting"
+	"basilmoor.example/basilmoor/internal/schedule/bmrollout"
 )
 
 // View is a snapshot of the platform's state as known to a host. It is
@@ -15,6 +18,15 @@
 
 	targets map[string][]basilmoor.Target // by pool, sorted by name
 	hosts   []basilmoor.Member            // sorted by name
+
+	rollouts map[string]bmrollout.View // by pool
+}
+
+// Rollout returns the latest order to move a pool to another version, and false if there
+// was none.
+func (v *View) Rollout(pool string) (bmrollout.View, bool) {
+	r := v.rollouts[pool]
+	return r, r.Order.Version != ""
 }
 
 // Targets returns the targets of a pool sorted by name, including those that
@@ -23,6 +35,11 @@
 	return v.targets[pool]
 }
 
+// Pools returns the names of the pools that have targets, in no particular order.
+func (v *View) Pools() []string {
+	return slices.Collect(maps.Keys(v.targets))
+}
+
 // AllTargets returns the targets of all pools in no particular order.
 func (v *View) AllTargets() []basilmoor.Target {
 	var all []basilmoor.Target
@@ -50,6 +67,15 @@
 	// SettledEra is the era of the store that a host has recorded as settled, 0 if
 	// that has not changed.
 	SettledEra int64
+	// Orders and Statuses are the new orders to move pools to another version, and the
+	// new states of such orders, by pool. Their positions name no era.
+	Orders   map[string]bmrollout.Order
+	Statuses map[string]bmrollout.Status
+}
+
+// isView reports whether the changes are part of the view.
+func (c Changes) isView() bool {
+	return len(c.Targets) > 0 || len(c.Hosts) > 0 || c.Table != nil || len(c.Orders) > 0 || len(c.Statuses) > 0
 }
 
 // state is the mutable state from which views are built.
@@ -63,6 +89,7 @@
 	// retainedHosts maps hosts whose registration was lost with a restoration of
 	// the store to the instant at which they are removed.
 	retainedHosts map[string]basilmoor.Millis
+	rollouts      map[string]bmrollout.View
 }
 
 func newState() *state {
@@ -71,6 +98,7 @@
 		hosts:         map[string]basilmoor.Member{},
 		retained:      map[string]basilmoor.Millis{},
 		retainedHosts: map[string]basilmoor.Millis{},
+		rollouts:      map[string]bmrollout.View{},
 	}
 }
 
@@ -167,6 +195,8 @@
 	v := &View{
 		Table:   s.table,
 		targets: map[string][]basilmoor.Target{},
+
+		rollouts: maps.Clone(s.rollouts),
 	}
 	for _, t := range s.targets {
 		v.targets[t.Pool] = append(v.targets[t.Pool], t)
--- a/internal/node/bmentrynode/fleet_test.go
+++ b/internal/node/bmentrynode/fleet_test.go
@@ -241,6 +241,10 @@
 		Protocol:     bmplatform.Headers{},
 		Inspector:    bmplatform.Headers{},
 		Registration: bmplatform.Registration,
+		RolloutKeys: bmgrant.RolloutKeys{
+			Record: bmplatform.RolloutRecordKey,
+			Status: bmplatform.RolloutStatus,
+		},
 		RecordKeys: bmgrant.RecordKeys{
 			Spending:   bmplatform.KeySpending,
 			SettledEra: bmplatform.KeySettledEra,
--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -63,6 +63,8 @@
 	Registration func(m basilmoor.Member) (key string, value []byte, err error)
 	// RecordKeys are the store keys of the broker's records.
 	RecordKeys bmgrant.RecordKeys
+	// RolloutKeys are the store keys of the rollouts.
+	RolloutKeys bmgrant.RolloutKeys
 }
 
 // Node is the process of an entry host.
@@ -82,6 +84,7 @@
 	handler    *bmentry.Handler
 	registrar  *registrar
 	recorder   *bmgrant.Recorder
+	rollouts   *bmgrant.RolloutWriter
 
 	callerListener  *listener
 	readyListener   *listener
@@ -117,6 +120,7 @@
 	n.keeper = bmview.NewKeeper(n.clock, deps.Feed, log, n.metrics, n.viewChanged, n.relayUpdate)
 	crashes := bmcrash.New(n.clock)
 	n.broker = bmgrant.NewBroker(n.clock, n.keeper, crashes, s.Tolerance, n.metrics, log)
+	n.broker.SetRolloutBounds(s.Host, s.Rollouts)
 	n.scheduler = bmgrant.NewClient(n.clock, self, n.broker, bmgrant.Options{
 		DisableBroker:  s.LocalScheduling,
 		AssumeSpending: !s.FirstStart,
@@ -150,6 +154,7 @@
 	})
 	n.registrar = newRegistrar(n.clock, deps.Store, s.MinLease, func() (string, []byte, error) { return deps.Registration(self) }, log)
 	n.recorder = bmgrant.NewRecorder(n.clock, deps.Store, deps.RecordKeys, n.broker, log)
+	n.rollouts = bmgrant.NewRolloutWriter(n.clock, deps.Store, deps.RolloutKeys, n.broker, log)
 	if err := n.listen(s, budget); err != nil {
 		n.close()
 		return nil, nil, err
@@ -283,7 +288,7 @@
 		EventHook: n.logSupervisorEvent,
 		Timeout:   time.Second,
 	})
-	for _, s := range []suture.Service{n.keeper, n.broker, n.scheduler, n.registrar, n.recorder, n.peerServer, n.callerListener, n.readyListener, n.metricsListener} {
+	for _, s := range []suture.Service{n.keeper, n.broker, n.scheduler, n.registrar, n.recorder, n.rollouts, n.peerServer, n.callerListener, n.readyListener, n.metricsListener} {
 		supervisor.Add(s)
 	}
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
--- a/internal/node/bmentrynode/settings.go
+++ b/internal/node/bmentrynode/settings.go
@@ -9,6 +9,7 @@
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrant"
+	"basilmoor.example/basilmoor/internal/schedule/bmrollout"
 )
 
 // Settings is the configuration that a process reads at its start. [Node.Reload]
@@ -55,6 +56,10 @@
 	// quotas.
 	Tolerance bmgrant.Tolerance
 
+	// Rollouts limits what a bad version of the targets may do. The zero value makes
+	// the host ignore orders to move pools to another version.
+	Rollouts bmrollout.Bounds
+
 	// MetricsPort is the port of the metrics listener; 0 selects the second
 	// port of the range FirstPort to LastPort.
 	MetricsPort int
--- a/internal/operator/bmcli/entry.go
+++ b/internal/operator/bmcli/entry.go
@@ -71,6 +71,10 @@
 			Spending:   bmplatform.KeySpending,
 			SettledEra: bmplatform.KeySettledEra,
 		},
+		RolloutKeys: bmgrant.RolloutKeys{
+			Record: bmplatform.RolloutRecordKey,
+			Status: bmplatform.RolloutStatus,
+		},
 	}, log)
 	if err != nil {
 		log.Error().Err(err).Msg("failed to start the entry host")
--- a/internal/request/bmentry/relay.go
+++ b/internal/request/bmentry/relay.go
@@ -170,9 +170,10 @@
 // the target is known to have survived it.
 func (c *call) observeFinished(permit basilmoor.Permit, resp *bmexchange.Response, sent basilmoor.Millis, tokens int, survived bool) {
 	permit.Observe(basilmoor.Observation{
-		Stage:    basilmoor.StageFinished,
-		Answered: resp.Status < http.StatusMultipleChoices && survived,
-		Tokens:   tokens,
-		Elapsed:  c.handler.cfg.Clock.Now() - sent,
+		Stage:     basilmoor.StageFinished,
+		Answered:  resp.Status < http.StatusMultipleChoices && survived,
+		BadAnswer: resp.Status >= http.StatusInternalServerError,
+		Tokens:    tokens,
+		Elapsed:   c.handler.cfg.Clock.Now() - sent,
 	})
 }
--- a/internal/request/bmentry/run.go
+++ b/internal/request/bmentry/run.go
@@ -320,8 +320,10 @@
 	case c.endedFromOutside():
 		stage = basilmoor.StageFinished
 	}
+	var refused *bmexchange.RefusedError
 	permit.Observe(basilmoor.Observation{
 		Stage:      stage,
+		BadAnswer:  stage == basilmoor.StageFailed && !errors.As(err, &refused),
 		TargetDied: stage == basilmoor.StageFailed && c.targetDied(permit, err, answered),
 	})
 }
--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -12,6 +12,7 @@
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmview"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
+	"basilmoor.example/basilmoor/internal/schedule/bmrollout"
 )
 
 const (
@@ -61,6 +62,10 @@
 	activeSince basilmoor.Millis // start of the latest term
 	retiredAt   basilmoor.Millis // when the latest term ended with a successor
 	slotsShared float64          // fraction of the slots that the pools were given
+
+	hostName      string // owner of the rollouts' records
+	rolloutBounds bmrollout.Bounds
+	rollouts      map[string]*rolloutOwner // by pool; of this term
 }
 
 // ViewSource gives access to this host's view of the platform's state. The
@@ -99,6 +104,7 @@
 	b.sessions = map[string]*session{}
 	b.quotas = newQuotas(b.tolerance)
 	b.lastHeard = map[string]basilmoor.Millis{}
+	b.rollouts = map[string]*rolloutOwner{}
 }
 
 // SetView applies the targets, hosts and quotas of a new view.
@@ -133,6 +139,7 @@
 		if spec.Engine == nil {
 			targets = withQueue(targets)
 		}
+		targets = b.rolloutTargets(now, spec.Name, targets)
 		b.deliver(p.SetTargets(now, shareSlots(targets, b.slotsShared)))
 	}
 }
@@ -205,7 +212,7 @@
 		b.endRetirement(now)
 		return
 	}
-	if b.slotShare(now) != b.slotsShared {
+	if b.stepRollouts(now) || b.slotShare(now) != b.slotsShared {
 		b.applyView(now)
 	}
 	for _, s := range b.sessions {
--- a/internal/schedule/bmgrant/choose.go
+++ b/internal/schedule/bmgrant/choose.go
@@ -23,7 +23,7 @@
 	var best *target
 	bestCost := 0.0
 	for _, t := range p.listed {
-		if !t.free(now) || slices.Contains(q.demand.Excluded, t.spec.Name) || !p.fastEnough(now, q, t) || !p.admits(t, level) {
+		if !t.free(now) || slices.Contains(q.demand.Excluded, t.spec.Name) || !p.fastEnough(now, q, t) || !p.admits(t, level) || !p.allowsVersion(now, t, retried) {
 			continue
 		}
 		order := 0
@@ -33,6 +33,9 @@
 		if order == 0 && limited && best != nil {
 			order = harms(t, best)
 		}
+		if order == 0 && best != nil {
+			order = p.compareVersions(t, best)
+		}
 		cost := p.cost(t, q.demand)
 		if best == nil || order < 0 || order == 0 && cost < bestCost {
 			best = t
--- a/internal/schedule/bmgrant/codec.go
+++ b/internal/schedule/bmgrant/codec.go
@@ -88,6 +88,7 @@
 		Target:     o.Target,
 		TargetDied: o.TargetDied,
 		Answered:   o.Answered,
+		BadAnswer:  o.BadAnswer,
 	}
 	if o.Demand != nil {
 		encoded.Demand = encodeDemand(number, *o.Demand)
@@ -104,6 +105,7 @@
 		Elapsed:    basilmoor.Millis(o.GetElapsedMs()),
 		TargetDied: o.GetTargetDied(),
 		Answered:   o.GetAnswered(),
+		BadAnswer:  o.GetBadAnswer(),
 	}
 	if o.GetDemand() != nil {
 		d := decodeDemand(host, dataCentre, o.GetDemand())
--- a/internal/schedule/bmgrant/pool.go
+++ b/internal/schedule/bmgrant/pool.go
@@ -6,6 +6,7 @@
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/schedule/bmquarantine"
+	"basilmoor.example/basilmoor/internal/schedule/bmrollout"
 )
 
 // Each tier spans two priority classes: that of the demands that can still meet
@@ -66,6 +67,8 @@
 	trials     []*grantedRequest // in progress
 	news       quarantineNews
 
+	rollout *bmrollout.Rollout // nil unless the pool moves to another version
+
 	decisions []basilmoor.Decision
 }
 
@@ -189,6 +192,7 @@
 		t = p.adopt(now, o)
 	}
 	r := t.inFlight[o.Request]
+	p.judge(now, t, r, o)
 	switch o.Stage {
 	case basilmoor.StageDispatched:
 		r.dispatched = true
@@ -454,6 +458,7 @@
 		p.news.trials++
 		p.trials = append(p.trials, r)
 	}
+	p.countVersion(t, r)
 	p.beginCount(r)
 	t.add(r)
 	p.inFlight[d.Request] = t
--- /dev/null
+++ b/internal/schedule/bmgrant/rollout_owner.go
@@ -0,0 +1,163 @@
+package bmgrant
+
+import (
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/fleet/bmview"
+	"basilmoor.example/basilmoor/internal/schedule/bmrollout"
+)
+
+const (
+	// rolloutRetryPeriod is the time between two calls to the store that fail.
+	rolloutRetryPeriod basilmoor.Millis = 200
+
+	// rolloutReclaimDelay is the time after which a broker whose record was refused
+	// tries again as the owner, if it still is the broker. Two brokers exist for less.
+	rolloutReclaimDelay = basilmoor.Second
+)
+
+// rolloutOwner is the broker's side of an order: the decision, and what is stored of it.
+type rolloutOwner struct {
+	roll       *bmrollout.Rollout
+	owned      bool // at the last step
+	recordRead bool // whether the record of earlier owners was read
+
+	// generation is that of the stored record of this owner, 0 without one, and
+	// lastGeneration the highest one known to be in use or refused.
+	generation     int64
+	lastGeneration int64
+	recordVersion  int64            // of the stored record in the store
+	recordSent     basilmoor.Millis // when the latest record that was stored was sent
+	statusVersion  int64
+	status         bmrollout.State  // the latest that was stored, "" if none by this owner
+	unanswered     bmrollout.Record // the latest whose write got no answer
+	unansweredAt   basilmoor.Millis // when it was sent
+	retryAt        basilmoor.Millis
+	counted        bmrollout.Counts // when the metrics were last updated
+}
+
+// SetRolloutBounds makes the broker of a host follow the operator's orders within bounds.
+// It must be called before the broker is used.
+func (b *Broker) SetRolloutBounds(host string, bounds bmrollout.Bounds) {
+	b.hostName = host
+	b.rolloutBounds = bounds
+}
+
+// rolloutOf returns the latest order for a pool if orders are followed.
+func (b *Broker) rolloutOf(v *bmview.View, pool string) (bmrollout.View, bool) {
+	if !b.rolloutBounds.InForce() {
+		return bmrollout.View{}, false
+	}
+	return v.Rollout(pool)
+}
+
+// undecidedTargets returns the targets of all pools; those to which a decided order leaves
+// no requests count as leaving.
+func (b *Broker) undecidedTargets(v *bmview.View) []basilmoor.Target {
+	if v.Table == nil || !b.rolloutBounds.InForce() {
+		return v.AllTargets()
+	}
+	var all []basilmoor.Target
+	for _, pool := range v.Pools() {
+		targets := v.Targets(pool)
+		if order, ordered := v.Rollout(pool); ordered {
+			targets = order.WithoutDecided(targets)
+		}
+		all = append(all, targets...)
+	}
+	return all
+}
+
+// targetsWithoutBroker returns the targets of a pool for a host without a broker, which
+// keeps to the old version until the order has completed.
+func (b *Broker) targetsWithoutBroker(v *bmview.View, pool string) []basilmoor.Target {
+	if order, ordered := b.rolloutOf(v, pool); ordered {
+		return order.WithoutNew(v.Targets(pool))
+	}
+	return v.Targets(pool)
+}
+
+// rolloutTargets restricts the targets of a pool to those that may get requests.
+func (b *Broker) rolloutTargets(now basilmoor.Millis, pool string, targets []basilmoor.Target) []basilmoor.Target {
+	order, ordered := b.rolloutOf(b.view, pool)
+	if !ordered {
+		return targets
+	}
+	if o, owned := b.rollouts[pool]; owned && o.roll.Order() == order.Order && order.State() == bmrollout.StateServing {
+		return o.roll.Usable(now, targets)
+	}
+	if order.State() == bmrollout.StateServing {
+		return order.WithoutNew(targets)
+	}
+	return order.WithoutDecided(targets)
+}
+
+// stepRollouts advances the rollouts of the pools. It reports whether the targets that may
+// get requests have changed.
+func (b *Broker) stepRollouts(now basilmoor.Millis) bool {
+	changed := false
+	for name, p := range b.pools {
+		order, ordered := b.rolloutOf(b.view, name)
+		if !ordered || order.State() != bmrollout.StateServing {
+			if _, known := b.rollouts[name]; known {
+				delete(b.rollouts, name)
+				p.setRollout(nil)
+				changed = true
+			}
+			continue
+		}
+		o := b.rollouts[name]
+		if o == nil || o.roll.Order() != order.Order {
+			o = &rolloutOwner{
+				roll:          bmrollout.New(order.Order, b.rolloutBounds, order.LearnedAt),
+				statusVersion: order.Status.At.Revision,
+			}
+			b.rollouts[name] = o
+			p.setRollout(o.roll)
+			b.logRollout(name, o, "order to move to another version")
+			changed = true
+		}
+		changed = b.stepRollout(now, name, p, o) || changed
+	}
+	return changed
+}
+
+func (b *Broker) stepRollout(now basilmoor.Millis, name string, p *Pool, o *rolloutOwner) bool {
+	owned := o.roll.Owned(now)
+	p.judgeOverdue(now)
+	changed := o.roll.Step(now, p.rolloutFleet(b.view.Targets(name)))
+	if changed {
+		b.logRollout(name, o, "rollout enters a stage")
+	}
+	b.countRollout(o)
+	if owned != o.owned {
+		o.owned = owned
+		changed = true
+	}
+	return changed
+}
+
+// countRollout adds the numbers since the last call to the metrics.
+func (b *Broker) countRollout(o *rolloutOwner) {
+	c := o.roll.Counts()
+	b.metrics.Add("rollouts.requests."+string(o.roll.Stage())+".new", int64(c.Exposed-o.counted.Exposed))
+	b.metrics.Add("rollouts.requests."+string(o.roll.Stage())+".all", int64(c.Total-o.counted.Total))
+	b.metrics.Add("rollouts.bad-answers", int64(c.Bad-o.counted.Bad))
+	o.counted = c
+}
+
+func (b *Broker) logRollout(pool string, o *rolloutOwner, message string) {
+	order, c := o.roll.Order(), o.roll.Counts()
+	b.log.Info().
+		Str("pool", pool).
+		Str("version", order.Version).
+		Int64("order", order.At.Revision).
+		Str("stage", string(o.roll.Stage())).
+		Str("reason", string(o.roll.Reason())).
+		Int64("generation", o.generation).
+		Int("requests-new", c.Exposed).
+		Int("requests", c.Total).
+		Int("answers", c.Answers).
+		Int("bad-answers", c.Bad).
+		Float64("evidence", c.Score).
+		Msg(message)
+}
--- a/internal/schedule/bmgrant/target.go
+++ b/internal/schedule/bmgrant/target.go
@@ -74,6 +74,8 @@
 	// was expected of this one; 0 if another broker granted the request.
 	expectedFirst basilmoor.Millis
 	expectedHold  basilmoor.Millis
+
+	judged judgement // of a pool that moves to another version
 }
 
 // target is the state of one target in a pool.
--- a/schedule.go
+++ b/schedule.go
@@ -186,6 +186,11 @@
 	// accepted a connection after it.
 	Answered bool
 
+	// BadAnswer is set on the last stage if the target did not serve the request after
+	// it was sent: it answered with a server error, broke off or was silent. A target
+	// that declines to run a request gives no bad answer.
+	BadAnswer bool
+
 	// TargetDied is set on StageFailed if the target refuses connections after
 	// it broke off. If that becomes known after the request has ended,
 	// StageFailed is observed once more.
