Judge a version on its own answers after a change of the broker

A new broker moved all requests to a version of which it had seen no judged answer: the tests with a broker change completed a version that failed a third of its requests, or sent it 123 requests where 98 are allowed. Answers count once they are judged, without delay from the time at which the version is to get more requests; the record holds how many were weighed, and covers fewer requests ahead, so that a change of the broker uses up less of the bound.

--- a/internal/schedule/bmgrant/rollout_owner.go
+++ b/internal/schedule/bmgrant/rollout_owner.go
@@ -110,6 +110,7 @@
 			o = &rolloutOwner{
 				roll:          bmrollout.New(order.Order, b.rolloutBounds, order.LearnedAt),
 				statusVersion: order.Status.At.Revision,
+				status:        order.Told(),
 			}
 			b.rollouts[name] = o
 			p.setRollout(o.roll)
--- a/internal/schedule/bmrollout/evidence.go
+++ b/internal/schedule/bmrollout/evidence.go
@@ -131,6 +131,7 @@
 	baselines map[string]*baseline // by kind
 	total     baseline
 	pending   []newAnswer // in the order of their times
+	judged    int         // answers of the new version
 	kinds     map[string]*sequence
 	all       sequence
 }
@@ -166,14 +167,15 @@
 	})
 }
 
-// judge judges the answers of the new version that are old enough.
-func (c *comparison) judge(now basilmoor.Millis) {
+// judge judges the answers of the new version that are older than delay.
+func (c *comparison) judge(now, delay basilmoor.Millis) {
 	n := 0
-	for n < len(c.pending) && now-c.pending[n].at >= judgeDelay {
+	for n < len(c.pending) && now-c.pending[n].at >= delay {
 		c.judgeAnswer(now, c.pending[n])
 		n++
 	}
 	c.pending = c.pending[n:]
+	c.judged += n
 }
 
 func (c *comparison) judgeAnswer(now basilmoor.Millis, a newAnswer) {
--- a/internal/schedule/bmrollout/order.go
+++ b/internal/schedule/bmrollout/order.go
@@ -1,6 +1,8 @@
 package bmrollout
 
 import (
+	"cmp"
+
 	"basilmoor.example/basilmoor"
 )
 
@@ -54,12 +56,17 @@
 	Status    Status // the latest one, possibly of an earlier order
 }
 
-// State returns the state of the order.
-func (v View) State() State {
+// Told returns the state that the operator was told of the order, or "" if there is none.
+func (v View) Told() State {
 	if v.Status.Version == v.Order.Version && v.Order.At.Before(v.Status.At) {
 		return v.Status.State
 	}
-	return StateServing
+	return ""
+}
+
+// State returns the state of the order.
+func (v View) State() State {
+	return cmp.Or(v.Told(), StateServing)
 }
 
 // WithoutDecided returns the targets of a pool, of which those that the decided order
--- a/internal/schedule/bmrollout/plan.go
+++ b/internal/schedule/bmrollout/plan.go
@@ -23,7 +23,11 @@
 	minVoters = 3
 
 	// minAnswers is the number of answers without which a version is not judged good.
-	minAnswers = 10
+	minAnswers = 20
+
+	// minAnswersOfAll is that number if it includes answers that earlier owners have
+	// weighed, of which only the sum of the evidence is known.
+	minAnswersOfAll = 30
 
 	// minCapacity is the fraction of the old slots that the new targets must have
 	// before all requests go there.
@@ -33,6 +37,12 @@
 	// to the new version. It spans a renewal that fails.
 	maxOwnership = 2 * basilmoor.Second
 
+	// reservedPulses bounds the requests that a record covers beyond those that were
+	// sent. A next owner counts all of them as sent. reservePeriod is the least time
+	// between two records for more.
+	reservedPulses = 2
+	reservePeriod  = 250 * basilmoor.Millis(1)
+
 	// renewPeriod is the time between two records of the same stage.
 	renewPeriod = basilmoor.Second
 )
--- a/internal/schedule/bmrollout/record.go
+++ b/internal/schedule/bmrollout/record.go
@@ -54,6 +54,7 @@
 	Reason     Reason           `json:"reason,omitempty"` // of the rollback
 	Reserved   int              `json:"reserved"`         // requests that may have gone to the new version
 	Total      int              `json:"total"`            // requests of the pool since the order, at least
+	Answers    int              `json:"answers"`          // of the new version
 	Score      float64          `json:"score"`            // evidence against the new version
 	Elapsed    basilmoor.Millis `json:"elapsed-ms"`       // since the order
 }
@@ -75,7 +76,7 @@
 	if err := json.Unmarshal(raw, &r); err != nil {
 		return Record{}, errors.Wrap(err, "decode record of a rollout")
 	}
-	if !r.Stage.valid() || r.Generation < 1 || r.Reserved < 0 || r.Total < 0 || r.Elapsed < 0 {
+	if !r.Stage.valid() || r.Generation < 1 || r.Reserved < 0 || r.Total < 0 || r.Answers < 0 || r.Elapsed < 0 {
 		return Record{}, errors.Errorf("record of a rollout: stage %q, generation %d, %d of %d requests after %d ms", r.Stage, r.Generation, r.Reserved, r.Total, r.Elapsed)
 	}
 	return r, nil
--- a/internal/schedule/bmrollout/rollout.go
+++ b/internal/schedule/bmrollout/rollout.go
@@ -80,7 +80,8 @@
 	oldPace, newPace      levels
 	seen                  map[string]bool // targets of the new version that have answered
 	granted               map[string]int  // requests, by target of the new version
-	answers, bad          int
+	bad                   int
+	earlierAnswers        int // that earlier owners have weighed
 }
 
 // New returns the rollout of an order. began is when the order was learned, at the latest.
@@ -114,9 +115,10 @@
 	r.exposed = max(r.exposed, last.Reserved)
 	r.total = max(r.total, last.Total)
 	r.totalBefore = r.total
-	if r.answers == 0 {
+	if r.failures.judged == 0 {
 		// Good answers reduce the evidence of earlier owners, like that of this one.
 		r.failures.all.sum = max(r.failures.all.sum, last.Score)
+		r.earlierAnswers = last.Answers
 	}
 	if last.Stage.Decided() {
 		r.recorded = last
@@ -137,7 +139,7 @@
 	return Counts{
 		Exposed: r.exposed,
 		Total:   r.total,
-		Answers: r.answers,
+		Answers: r.failures.judged,
 		Bad:     r.bad,
 		Score:   r.score(),
 	}
@@ -261,9 +263,6 @@
 		return false
 	}
 	r.seen[a.Target] = true
-	if a.Ended {
-		r.answers++
-	}
 	if bad {
 		r.bad++
 	}
@@ -349,7 +348,7 @@
 	before := r.stage
 	r.estimateRate(now)
 	for _, c := range []*comparison{r.failures, r.start, r.pace} {
-		c.judge(now)
+		c.judge(now, r.judgeDelay(now))
 	}
 	r.oldStart.keep(f.Targets)
 	r.newStart.keep(f.Targets)
@@ -390,6 +389,15 @@
 	}
 }
 
+// judgeDelay returns the time after which the answers of the new version are judged. Once it
+// is to get more requests than the bounds allow a bad version, that can't wait.
+func (r *Rollout) judgeDelay(now basilmoor.Millis) basilmoor.Millis {
+	if now-r.began < r.plan.shift {
+		return judgeDelay
+	}
+	return 0
+}
+
 // endCanary ends the canary stage if the version is judged good, or at the latest when the
 // time limit leaves no more time to move the requests.
 func (r *Rollout) endCanary(elapsed basilmoor.Millis, f Fleet) {
@@ -400,7 +408,7 @@
 	switch {
 	case f.OldTargets == 0 && f.NewSlots > 0:
 		r.stage = StageShifting
-	case r.answers < minAnswers:
+	case r.failures.judged < minAnswers && r.failures.judged+r.earlierAnswers < minAnswersOfAll:
 		r.rollBackIf(last, ReasonFewAnswers)
 	case r.score() >= suspectScore:
 		r.rollBackIf(last, ReasonSuspect)
@@ -438,7 +446,8 @@
 func (r *Rollout) NextRecord(now basilmoor.Millis, owner string, generation int64) Record {
 	reserved := max(r.exposed, r.recorded.Reserved)
 	if r.stage == StageCanary {
-		reserved = max(reserved, r.canaryLimit(int(r.perMilli*float64(r.ownership()))))
+		limit := r.canaryLimit(int(r.perMilli * float64(r.ownership())))
+		reserved = max(reserved, min(limit, r.exposed+reservedPulses*canaryPulse))
 	}
 	return Record{
 		Version:    r.order.Version,
@@ -449,6 +458,7 @@
 		Reason:     r.reason,
 		Reserved:   reserved,
 		Total:      r.total,
+		Answers:    r.failures.judged + r.earlierAnswers,
 		Score:      r.score(),
 		Elapsed:    max(now-r.began, 0),
 	}
@@ -476,11 +486,14 @@
 }
 
 // RecordDue reports whether a record is to be stored: because of a new stage, or because
-// the latest one lapses. sent is when the latest call was sent.
+// the latest one lapses or is used up. sent is when the latest call was sent.
 func (r *Rollout) RecordDue(now, sent basilmoor.Millis) bool {
 	if r.recorded.Stage != r.stage {
 		return true
 	}
+	if r.stage == StageCanary && now-sent >= reservePeriod && r.recorded.Reserved-r.exposed < canaryPulse && r.canaryLimit(0)-r.recorded.Reserved >= canaryPulse {
+		return true
+	}
 	return !r.stage.Decided() && now-sent >= renewPeriod
 }
 
