--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -63,9 +63,10 @@
 	retiredAt   basilmoor.Millis // when the latest term ended with a successor
 	slotsShared float64          // fraction of the slots that the pools were given
 
-	hostName      string // owner of the rollouts' records
-	rolloutBounds bmrollout.Bounds
-	rollouts      map[string]*rolloutOwner // by pool; of this term
+	hostName        string // owner of the rollouts' records
+	rolloutBounds   bmrollout.Bounds
+	rollouts        map[string]*rolloutOwner // by pool; of this term
+	rolloutsStepped basilmoor.Millis         // when they were last advanced
 }
 
 // ViewSource gives access to this host's view of the platform's state. The
--- a/internal/schedule/bmgrant/rollout.go
+++ b/internal/schedule/bmgrant/rollout.go
@@ -101,12 +101,14 @@
 	}
 }
 
-// rolloutFleet returns what the rollout has to know of the targets. old are the registered
-// targets, whose slots the pool may not use all.
+// rolloutFleet returns what the rollout has to know of the registered targets. The pool may
+// use only some of their slots.
 func (p *Pool) rolloutFleet(registered []basilmoor.Target) bmrollout.Fleet {
-	var f bmrollout.Fleet
+	f := bmrollout.Fleet{
+		Targets: make(map[string]bool, len(registered)),
+	}
 	for _, t := range registered {
-		f.Targets = append(f.Targets, t.Name)
+		f.Targets[t.Name] = true
 		switch {
 		case t.Leaving:
 		case p.rollout.IsNew(t):
--- a/internal/schedule/bmgrant/rollout_owner.go
+++ b/internal/schedule/bmgrant/rollout_owner.go
@@ -7,6 +7,10 @@
 )
 
 const (
+	// rolloutStepPeriod is the time between two decisions on a rollout. It adds to the
+	// time after which a bad version gets no more requests.
+	rolloutStepPeriod basilmoor.Millis = 60
+
 	// rolloutRetryPeriod is the time between two calls to the store that fail.
 	rolloutRetryPeriod basilmoor.Millis = 200
 
@@ -94,6 +98,10 @@
 // stepRollouts advances the rollouts of the pools. It reports whether the targets that may
 // get requests have changed.
 func (b *Broker) stepRollouts(now basilmoor.Millis) bool {
+	if now-b.rolloutsStepped < rolloutStepPeriod {
+		return false
+	}
+	b.rolloutsStepped = now
 	changed := false
 	for name, p := range b.pools {
 		order, ordered := b.rolloutOf(b.view, name)
--- a/internal/schedule/bmrollout/rollout.go
+++ b/internal/schedule/bmrollout/rollout.go
@@ -26,8 +26,8 @@
 	OldTargets int
 	OldSlots   int // of targets that are not leaving
 	NewSlots   int
-	OldRunning int      // requests in progress on old targets
-	Targets    []string // names of all
+	OldRunning int             // requests in progress on old targets
+	Targets    map[string]bool // names of all
 }
 
 // Answer is the end, or the first token, of a granted request.
--- a/internal/schedule/bmrollout/sim_test.go
+++ b/internal/schedule/bmrollout/sim_test.go
@@ -173,9 +173,11 @@
 }
 
 func (w *sim) fleet() Fleet {
-	f := Fleet{}
+	f := Fleet{
+		Targets: map[string]bool{},
+	}
 	for _, t := range w.listed() {
-		f.Targets = append(f.Targets, t.Name)
+		f.Targets[t.Name] = true
 		if t.Version == "v2" {
 			f.NewSlots += t.Slots
 		} else {
--- a/internal/schedule/bmrollout/speed.go
+++ b/internal/schedule/bmrollout/speed.go
@@ -1,8 +1,8 @@
 package bmrollout
 
 import (
+	"maps"
 	"math"
-	"slices"
 )
 
 const (
@@ -70,12 +70,8 @@
 }
 
 // keep forgets the targets that are not listed.
-func (v levels) keep(listed []string) {
-	for name := range v {
-		if !slices.Contains(listed, name) {
-			delete(v, name)
-		}
-	}
+func (v levels) keep(listed map[string]bool) {
+	maps.DeleteFunc(v, func(name string, _ *level) bool { return !listed[name] })
 }
 
 // mean returns the geometric mean of the known levels and their number.
