--- a/internal/node/bmentrynode/fleet_test.go
+++ b/internal/node/bmentrynode/fleet_test.go
@@ -21,6 +21,7 @@
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/node/bmentrynode"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrant"
+	"basilmoor.example/basilmoor/internal/schedule/bmrollout"
 	"basilmoor.example/basilmoor/internal/standin/bmstandinplatform"
 	bmplatform "basilmoor.example/basilmoor/platform"
 )
@@ -57,6 +58,7 @@
 	version     int
 	stopGrace   basilmoor.Millis
 	revocation  basilmoor.Millis
+	rollouts    bmrollout.Bounds
 	lastAttempt atomic.Int64
 }
 
@@ -213,6 +215,7 @@
 			Tolerance: bmgrant.Tolerance{
 				Window: 8000,
 			},
+			Rollouts:   f.rollouts,
 			FirstStart: true,
 		},
 		metrics: bmmetrics.NewRegistry(),
--- a/internal/standin/bmstandinplatform/replica.go
+++ b/internal/standin/bmstandinplatform/replica.go
@@ -75,6 +75,7 @@
 	runs     []Run
 	arrivals []Arrival
 	leaving  bool
+	failing  bool
 	fullTill time.Time     // until when requests are turned away
 	crashed  chan struct{} // closed when a run crashes the replica
 }
@@ -166,6 +167,20 @@
 	r.leaving = leaving
 }
 
+// Fail makes the replica answer each third request with 500 after it has run it.
+func (r *Replica) Fail() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failing = true
+}
+
+// failsNext reports whether the request that was recorded last is to fail.
+func (r *Replica) failsNext() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failing && len(r.runs)%3 == 0
+}
+
 // TurnAway makes the replica turn requests away for a time, in whole seconds, and say for
 // how long.
 func (r *Replica) TurnAway(seconds int) {
@@ -260,6 +275,10 @@
 		return
 	}
 	w.Header().Set("X-Response-Signature", "sig-"+r.ID)
+	if r.failsNext() {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	attempt := q.Header.Get("X-Attempt-Id")
 	if !strings.HasPrefix(q.URL.Path, StreamPrefix) {
 		time.Sleep(PlainDuration)
--- a/internal/standin/bmstandinplatform/store.go
+++ b/internal/standin/bmstandinplatform/store.go
@@ -123,6 +123,13 @@
 	return s.calls[path]
 }
 
+// Value returns the value of a key, or "" if it does not exist.
+func (s *Store) Value(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.items[key].Value)
+}
+
 // Has reports whether a key exists.
 func (s *Store) Has(key string) bool {
 	s.mu.Lock()
