Split the rollout by concern and check the stored record in its test

Grants, ownership and decision are files of their own. The fleet's test did not see a stale broker that overwrites the record: it compared the status only.

--- a/internal/schedule/bmgrant/rollout_test.go
+++ b/internal/schedule/bmgrant/rollout_test.go
@@ -102,6 +102,15 @@
 	return bmrollout.State(e.Value)
 }
 
+// recorded returns the stored record.
+func (f *rolloutFleet) recorded() bmrollout.Record {
+	e, err := f.store.Get(context.Background(), "record/p")
+	require.NoError(f.t, err)
+	r, err := bmrollout.DecodeRecord(e.Value)
+	require.NoError(f.t, err)
+	return r
+}
+
 // step sends requests, answers those in progress and stores what is due.
 func (f *rolloutFleet) step() {
 	now := f.clock.Now()
@@ -243,6 +252,7 @@
 			since := f.clock.Now()
 			f.advance(1500, func() bool { return f.clock.Now()-since >= 1000 })
 			require.Equal(t, tt.want, f.status())
+			require.Equal(t, tt.want, f.recorded().Stage.State(), "record")
 			if tt.bad {
 				require.Equal(t, sentBefore, f.toNew, "requests to a version that was rolled back")
 			}
--- a/internal/schedule/bmrollout/rollout.go
+++ b/internal/schedule/bmrollout/rollout.go
@@ -1,9 +1,6 @@
 package bmrollout
 
 import (
-	"cmp"
-	"slices"
-
 	"basilmoor.example/basilmoor"
 )
 
@@ -104,27 +101,6 @@
 	}
 }
 
-// Resume continues from the record of an earlier owner that was read at a time.
-func (r *Rollout) Resume(now basilmoor.Millis, last Record) {
-	if !last.Of(r.order) {
-		return
-	}
-	r.began = min(r.began, now-last.Elapsed)
-	r.stage = last.Stage
-	r.reason = last.Reason
-	r.exposed = max(r.exposed, last.Reserved)
-	r.total = max(r.total, last.Total)
-	r.totalBefore = r.total
-	if r.failures.judged == 0 {
-		// Good answers reduce the evidence of earlier owners, like that of this one.
-		r.failures.all.sum = max(r.failures.all.sum, last.Score)
-		r.earlierAnswers = last.Answers
-	}
-	if last.Stage.Decided() {
-		r.recorded = last
-	}
-}
-
 // Order returns the order.
 func (r *Rollout) Order() Order { return r.order }
 
@@ -145,108 +121,6 @@
 	}
 }
 
-// Owned reports whether the stored record allows this owner to send requests to the new
-// version.
-func (r *Rollout) Owned(now basilmoor.Millis) bool {
-	return now < r.ownedUntil
-}
-
-// AllowsNew reports whether a request may be granted a target of the new version. One
-// that was sent before is spared the canary stage.
-func (r *Rollout) AllowsNew(now basilmoor.Millis, retried bool) bool {
-	if r.recorded.Stage == StageCompleted {
-		return true
-	}
-	if !r.Owned(now) {
-		return false
-	}
-	switch r.stage {
-	case StageCanary:
-		return !retried && r.canaryGate()
-	case StageShifting:
-		// Until the stage is stored, a next owner would not know of the requests
-		// beyond those reserved.
-		return r.recorded.Stage == StageShifting && float64(r.shiftNew) <= r.plan.shareAt(now-r.began)*float64(r.shiftAll)
-	case StageDraining, StageCompleted:
-		return true
-	}
-	return false
-}
-
-// AllowsOld reports whether a request may be granted an old target.
-func (r *Rollout) AllowsOld(now basilmoor.Millis) bool {
-	switch r.stage {
-	case StageDraining:
-		return !r.Owned(now) || r.recorded.Stage != StageDraining
-	case StageCompleted:
-		return !r.Owned(now) && r.recorded.Stage != StageCompleted
-	}
-	return true
-}
-
-// usesAllNew reports whether requests may go to all targets of the new version, not only
-// to the canaries.
-func (r *Rollout) usesAllNew() bool {
-	return r.stage == StageShifting || r.stage == StageDraining || r.stage == StageCompleted
-}
-
-// canaries returns how many targets of the new version get the requests of the canary
-// stage.
-func (r *Rollout) canaries(targets int) int {
-	return max(minCanaries, int(r.bounds.ExposedShare*float64(targets)/2+0.5))
-}
-
-// canaryGate reports whether the saved budget is being used.
-func (r *Rollout) canaryGate() bool {
-	left := min(r.canaryLimit(0), r.recorded.Reserved) - r.exposed
-	switch {
-	case left <= 0:
-		r.gateOpen = false
-	case left >= canaryPulse:
-		r.gateOpen = true
-	}
-	return r.gateOpen
-}
-
-// canaryLimit returns the number of requests that may go to the new version in the canary
-// stage if the pool gets some more requests.
-func (r *Rollout) canaryLimit(more int) int {
-	return int(canaryBudget * (r.bounds.ExposedShare*float64(r.total+more) + r.bounds.ExposedSlack))
-}
-
-// Compare returns a negative number if a request is better granted a than b, both of which
-// are allowed, a positive one if it is the reverse, and 0 if the versions don't matter.
-// The new version comes first, since the number of its requests is bounded. In the canary
-// stage they fill one target after the other: some versions are bad under load only.
-func (r *Rollout) Compare(a, b basilmoor.Target, runningOnA, runningOnB int) int {
-	newA, newB := r.IsNew(a), r.IsNew(b)
-	switch {
-	case newA != newB && newA:
-		return -1
-	case newA != newB:
-		return 1
-	case !newA || r.stage != StageCanary:
-		return 0
-	}
-	return cmp.Or(cmp.Compare(runningOnB, runningOnA), cmp.Compare(r.granted[a.Name], r.granted[b.Name]))
-}
-
-// Granted counts a request that was granted a target.
-func (r *Rollout) Granted(t basilmoor.Target) {
-	toNew := r.IsNew(t)
-	r.total++
-	if toNew {
-		r.exposed++
-		r.granted[t.Name]++
-	}
-	if r.stage == StageShifting {
-		r.shiftAll++
-		if toNew {
-			r.shiftNew++
-		}
-	}
-}
-
 // Observe weighs an answer. It returns whether it was a bad one of the new version.
 func (r *Rollout) Observe(now basilmoor.Millis, a Answer) bool {
 	bad := a.Ended && a.Bad
@@ -441,93 +315,3 @@
 	r.rateSince = now
 	r.totalBefore = r.total
 }
-
-// NextRecord returns the record to store under a generation.
-func (r *Rollout) NextRecord(now basilmoor.Millis, owner string, generation int64) Record {
-	reserved := max(r.exposed, r.recorded.Reserved)
-	if r.stage == StageCanary {
-		limit := r.canaryLimit(int(r.perMilli * float64(r.ownership())))
-		reserved = max(reserved, min(limit, r.exposed+reservedPulses*canaryPulse))
-	}
-	return Record{
-		Version:    r.order.Version,
-		Order:      r.order.At.Revision,
-		Generation: generation,
-		Owner:      owner,
-		Stage:      r.stage,
-		Reason:     r.reason,
-		Reserved:   reserved,
-		Total:      r.total,
-		Answers:    r.failures.judged + r.earlierAnswers,
-		Score:      r.score(),
-		Elapsed:    max(now-r.began, 0),
-	}
-}
-
-// Stored notes that a record was stored, by a call that was sent at a time.
-func (r *Rollout) Stored(sent basilmoor.Millis, stored Record) {
-	r.recorded = stored
-	r.ownedUntil = max(r.ownedUntil, sent+r.ownership())
-}
-
-// ownership returns how long a stored record allows its owner to send requests to the new
-// version. The next owner may have rolled it back meanwhile.
-func (r *Rollout) ownership() basilmoor.Millis {
-	if r.bounds.RollbackTime == 0 {
-		return maxOwnership
-	}
-	return min(maxOwnership, r.bounds.RollbackTime/2)
-}
-
-// Lost notes that another owner has stored a record: this one sends nothing more to the
-// new version.
-func (r *Rollout) Lost() {
-	r.ownedUntil = 0
-}
-
-// RecordDue reports whether a record is to be stored: because of a new stage, or because
-// the latest one lapses or is used up. sent is when the latest call was sent.
-func (r *Rollout) RecordDue(now, sent basilmoor.Millis) bool {
-	if r.recorded.Stage != r.stage {
-		return true
-	}
-	if r.stage == StageCanary && now-sent >= reservePeriod && r.recorded.Reserved-r.exposed < canaryPulse && r.canaryLimit(0)-r.recorded.Reserved >= canaryPulse {
-		return true
-	}
-	return !r.stage.Decided() && now-sent >= renewPeriod
-}
-
-// IsNew reports whether a target is of the new version.
-func (r *Rollout) IsNew(t basilmoor.Target) bool {
-	return t.Version == r.order.Version
-}
-
-// Usable returns the targets of a pool; those that get no requests in this stage have no
-// slots, so that they don't count as capacity.
-func (r *Rollout) Usable(now basilmoor.Millis, targets []basilmoor.Target) []basilmoor.Target {
-	usable := slices.Clone(targets)
-	fresh := 0
-	for _, t := range targets {
-		if r.IsNew(t) {
-			fresh++
-		}
-	}
-	canaries := r.canaries(fresh)
-	for i, t := range usable {
-		switch {
-		case !r.IsNew(t):
-			if !r.AllowsOld(now) {
-				usable[i].Slots = 0
-			}
-		case r.stage == StageRolledBack, !r.Owned(now) && r.recorded.Stage != StageCompleted:
-			usable[i].Slots = 0
-		case !r.usesAllNew() && !t.Leaving:
-			if canaries == 0 {
-				usable[i].Slots = 0
-				continue
-			}
-			canaries--
-		}
-	}
-	return usable
-}
