Serve a pool whose targets are all of the ordered version

An order for the version that a pool runs already left its requests to a few canaries, and hosts without a broker had no target at all. The share of bad answers that is assumed of the old version once it no longer answers is 0.1 instead of 0.2: a version that fails a third from then on was completed.

--- a/internal/schedule/bmrollout/evidence.go
+++ b/internal/schedule/bmrollout/evidence.go
@@ -38,7 +38,7 @@
 	// baseAge is the age from which the bad share of the old version is no longer
 	// that of the same time, and agedShare the least share that is assumed then.
 	baseAge   = basilmoor.Second
-	agedShare = 0.2
+	agedShare = 0.1
 
 	// maxShare bounds the share of bad answers to which a worse one is compared, and
 	// maxWorseShare that one.
--- a/internal/schedule/bmrollout/grants.go
+++ b/internal/schedule/bmrollout/grants.go
@@ -10,7 +10,7 @@
 // AllowsNew reports whether a request may be granted a target of the new version. One
 // that was sent before is spared the canary stage.
 func (r *Rollout) AllowsNew(now basilmoor.Millis, retried bool) bool {
-	if r.recorded.Stage == StageCompleted {
+	if r.recorded.Stage == StageCompleted || r.alone && r.stage != StageRolledBack {
 		return true
 	}
 	if !r.Owned(now) {
@@ -109,7 +109,8 @@
 }
 
 // Usable returns the targets of a pool; those that get no requests in this stage have no
-// slots, so that they don't count as capacity.
+// slots, so that they don't count as capacity. Without an old target the new ones get all
+// requests: nothing else can serve them.
 func (r *Rollout) Usable(now basilmoor.Millis, targets []basilmoor.Target) []basilmoor.Target {
 	usable := slices.Clone(targets)
 	fresh := 0
@@ -118,6 +119,10 @@
 			fresh++
 		}
 	}
+	r.alone = fresh == len(targets)
+	if r.alone && r.stage != StageRolledBack {
+		return usable
+	}
 	canaries := r.canaries(fresh)
 	for i, t := range usable {
 		switch {
--- a/internal/schedule/bmrollout/order.go
+++ b/internal/schedule/bmrollout/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"basilmoor.example/basilmoor"
 )
@@ -87,12 +88,14 @@
 }
 
 // WithoutNew returns the targets of a pool as WithoutDecided does; those of the new
-// version count as leaving until the order has completed.
+// version count as leaving until the order has completed, unless there are no others.
 func (v View) WithoutNew(targets []basilmoor.Target) []basilmoor.Target {
-	if v.State() == StateCompleted {
+	isNew := func(t basilmoor.Target) bool { return t.Version == v.Order.Version }
+	isOld := func(t basilmoor.Target) bool { return !isNew(t) }
+	if v.State() != StateServing || !slices.ContainsFunc(targets, isOld) {
 		return v.WithoutDecided(targets)
 	}
-	return withLeaving(targets, func(t basilmoor.Target) bool { return t.Version == v.Order.Version })
+	return withLeaving(targets, isNew)
 }
 
 // withLeaving returns the targets, of which those that match count as leaving.
--- a/internal/schedule/bmrollout/rollout.go
+++ b/internal/schedule/bmrollout/rollout.go
@@ -70,7 +70,8 @@
 	totalBefore        int
 	perMilli           float64 // requests of the pool per ms
 	gateOpen           bool
-	shiftNew, shiftAll int // requests of the shifting stage
+	alone              bool // no old target is listed
+	shiftNew, shiftAll int  // requests of the shifting stage
 
 	failures, start, pace *comparison
 	oldStart, newStart    levels
@@ -121,8 +122,8 @@
 	}
 }
 
-// Observe weighs an answer. It returns whether it was a bad one of the new version.
-func (r *Rollout) Observe(now basilmoor.Millis, a Answer) bool {
+// Observe weighs an answer.
+func (r *Rollout) Observe(now basilmoor.Millis, a Answer) {
 	bad := a.Ended && a.Bad
 	if a.Ended {
 		r.compare(now, r.failures, a, a.Bad)
@@ -134,13 +135,12 @@
 		bad = true
 	}
 	if !a.New {
-		return false
+		return
 	}
 	r.seen[a.Target] = true
 	if bad {
 		r.bad++
 	}
-	return bad
 }
 
 // observeTime weighs the ratio of a time of an answer to the expected one, 0 if unknown, and
--- a/internal/schedule/bmrollout/rollout_test.go
+++ b/internal/schedule/bmrollout/rollout_test.go
@@ -66,6 +66,7 @@
 			},
 			want: StageCompleted,
 		},
+		"no old targets":   {scenario: scenario{oldTargets: -1, newTargets: 90}, want: StageCompleted},
 		"too few requests": {scenario: scenario{perSecond: 0.2, oldTargets: 3, newTargets: 3}, want: StageRolledBack},
 		"no new targets":   {scenario: scenario{newTargets: -1}, want: StageRolledBack},
 	}
@@ -77,6 +78,9 @@
 				c := w.owner.Counts()
 				require.Equal(t, tt.want, w.owner.Stage(), "reason %q at %d ms, %+v", w.owner.Reason(), w.decidedAt, c)
 				require.Less(t, w.decidedAt, w.duration)
+				if w.oldTargets == 0 {
+					require.Zero(t, w.refused, "requests without a target")
+				}
 				if tt.want == StageRolledBack {
 					limit := testBounds.ExposedShare*float64(w.total) + testBounds.ExposedSlack
 					require.LessOrEqual(t, float64(w.toNew), limit, "requests to a bad version")
@@ -101,6 +105,7 @@
 		s.newTargets = s.oldTargets
 	}
 	s.newTargets = max(s.newTargets, 0)
+	s.oldTargets = max(s.oldTargets, 0)
 	if s.next == nil {
 		s.next = good
 	}
@@ -260,6 +265,7 @@
 		"completed, new targets gone":      {status: status(StateCompleted, "v2", 8), targets: gone, withBroker: []string{"old"}, withoutBroker: []string{"old"}},
 		"rolled back":                      {status: status(StateRolledBack, "v2", 8), targets: targets, withBroker: []string{"old"}, withoutBroker: []string{"old"}},
 		"rolled back before a newer order": {status: status(StateRolledBack, "v2", 6), targets: targets, withBroker: []string{"old", "new"}, withoutBroker: []string{"old"}},
+		"only new targets":                 {targets: targets[1:], withBroker: []string{"new"}, withoutBroker: []string{"new"}},
 		"another version completed before": {status: status(StateCompleted, "v1", 8), targets: targets, withBroker: []string{"old", "new"}, withoutBroker: []string{"old"}},
 	}
 	names := func(targets []basilmoor.Target) []string {
--- a/internal/schedule/bmrollout/sim_test.go
+++ b/internal/schedule/bmrollout/sim_test.go
@@ -74,6 +74,7 @@
 	usable  map[string]int // slots by name
 	runs    []run
 
+	refused      int // no target was usable
 	toNew, total int // requests before the time limit
 	cutOff       int // requests on old targets at the completion
 	decidedAt    basilmoor.Millis
@@ -210,6 +211,7 @@
 		}
 	}
 	if chosen == nil {
+		w.refused++
 		return
 	}
 	isNew := chosen.Version == "v2"
