--- a/internal/config/bmrouting/types.go
+++ b/internal/config/bmrouting/types.go
@@ -35,6 +35,9 @@
 	// event of a stream; 0 if the route has none. A later response is worth
 	// less.
 	Objective basilmoor.Millis
+	// MaxPause is the objective for the longest pause between two events of a
+	// stream; 0 if the route has none. A stream with a longer one is worth less.
+	MaxPause basilmoor.Millis
 	// StreamIdleTimeout is the time without an event after which callers of a
 	// stream disconnect; 0 if they wait until their time limit.
 	StreamIdleTimeout basilmoor.Millis
--- a/internal/request/bmentry/relay.go
+++ b/internal/request/bmentry/relay.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	c.observeFinished(permit, resp, sent, 0, survived)
+	c.observeFinished(permit, resp, sent, delivery{}, survived)
 	relay := func() error {
 		c.writeHeader(resp)
 		_, err := c.w.Write(body)
@@ -115,7 +115,7 @@
 	if err != nil {
 		return wrapPartialRelay(err)
 	}
-	c.observeFinished(permit, resp, sent, 0, survived)
+	c.observeFinished(permit, resp, sent, delivery{}, survived)
 	return nil
 }
 
@@ -166,13 +166,21 @@
 	resetOnClose(c.r.Context(), false)
 }
 
+// delivery is what one target delivered of a stream.
+type delivery struct {
+	tokens       int
+	longestPause basilmoor.Millis // between two events
+}
+
 // observeFinished reports a complete response to the scheduler. survived tells whether
 // the target is known to have survived it.
-func (c *call) observeFinished(permit basilmoor.Permit, resp *bmexchange.Response, sent basilmoor.Millis, tokens int, survived bool) {
+func (c *call) observeFinished(permit basilmoor.Permit, resp *bmexchange.Response, sent basilmoor.Millis, d delivery, survived bool) {
 	permit.Observe(basilmoor.Observation{
-		Stage:    basilmoor.StageFinished,
-		Answered: resp.Status < http.StatusMultipleChoices && survived,
-		Tokens:   tokens,
-		Elapsed:  c.handler.cfg.Clock.Now() - sent,
+		Stage:        basilmoor.StageFinished,
+		Answered:     resp.Status < http.StatusMultipleChoices && survived,
+		Tokens:       d.tokens,
+		Elapsed:      c.handler.cfg.Clock.Now() - sent,
+		LongestPause: d.longestPause,
+		Slowness:     c.handler.cfg.Protocol.SlownessOf(resp.Header),
 	})
 }
--- a/internal/request/bmentry/run.go
+++ b/internal/request/bmentry/run.go
@@ -207,6 +207,7 @@
 		OutputTokens:     c.handler.estimator.estimate(c.route.Name, c.info),
 		Objective:        c.route.Objective,
 		FirstByteTimeout: c.route.StreamIdleTimeout,
+		MaxPause:         c.route.MaxPause,
 		Deadline:         deadline - c.arrivedAt,
 		OnlyInTime:       shortened,
 		Excluded:         c.unwantedTargets(),
--- a/internal/request/bmentry/stream.go
+++ b/internal/request/bmentry/stream.go
@@ -47,6 +47,7 @@
 	eventCount     int
 	lastArrival    basilmoor.Millis // of the latest events; 0 before the first
 	longestPause   basilmoor.Millis // longest time between arrivals
+	targetPause    basilmoor.Millis // longest pause that the present target made
 	unreachedCount int              // attempts to resume that reached no target
 	partial        []byte           // incomplete event received so far
 	buffer         *buffer          // of partial
@@ -57,6 +58,7 @@
 func (s *stream) relayEvents(permit basilmoor.Permit, resp *bmexchange.Response, sent basilmoor.Millis) error {
 	c := s.call
 	s.partial = s.partial[:0]
+	s.targetPause = 0
 	countBefore := s.eventCount
 	chunk := make([]byte, readBufferBytes)
 	for {
@@ -68,8 +70,9 @@
 		if n > 0 {
 			if s.eventCount == countBefore {
 				permit.Observe(basilmoor.Observation{
-					Stage:   basilmoor.StageFirstToken,
-					Elapsed: c.handler.cfg.Clock.Now() - sent,
+					Stage:    basilmoor.StageFirstToken,
+					Elapsed:  c.handler.cfg.Clock.Now() - sent,
+					Slowness: c.handler.cfg.Protocol.SlownessOf(resp.Header),
 				})
 			}
 			if err := s.writeEvents(resp, chunk[:n]); err != nil {
@@ -104,7 +107,7 @@
 		return err
 	}
 	if s.headerSent && !c.endsWithConn && !resp.EndMarked() {
-		c.observeFinished(permit, resp, sent, c.tokensInEvents(events), survived)
+		c.observeFinished(permit, resp, sent, s.delivered(events), survived)
 		return resp.Broken(&unmarkedEndError{})
 	}
 	return s.finish(permit, resp, sent, events, survived)
@@ -228,21 +231,36 @@
 	if err := s.control.Flush(); err != nil {
 		return err
 	}
+	countBefore := s.eventCount
 	s.trackEvents(complete)
-	s.recordPause()
+	s.recordPause(s.eventCount - countBefore)
 	s.partial = append(s.partial[:0], s.partial[n:]...)
 	return nil
 }
 
-// recordPause updates the longest time between arrivals of events.
-func (s *stream) recordPause() {
+// recordPause updates the longest time between arrivals of events, of which some have
+// just arrived together. A pause that ends with several events came about on the way, and
+// not at the target.
+func (s *stream) recordPause(events int) {
 	now := s.call.handler.cfg.Clock.Now()
+	pause := now - s.lastArrival
 	if s.lastArrival > 0 {
-		s.longestPause = max(s.longestPause, now-s.lastArrival)
+		s.longestPause = max(s.longestPause, pause)
+	}
+	if s.lastArrival > 0 && events == 1 {
+		s.targetPause = max(s.targetPause, pause)
 	}
 	s.lastArrival = now
 }
 
+// delivered returns what the present target delivered in the given number of events.
+func (s *stream) delivered(events int) delivery {
+	return delivery{
+		tokens:       s.call.tokensInEvents(events),
+		longestPause: s.targetPause,
+	}
+}
+
 // trackEvents counts complete events and keeps the id of the last one.
 func (s *stream) trackEvents(events []byte) {
 	for _, sep := range eventSeparators {
@@ -273,7 +291,7 @@
 	}
 	s.call.handler.cfg.Metrics.Observe("longest-pause-ms."+s.call.metricSuffix(), s.longestPause)
 	s.call.handler.estimator.observe(s.call.route.Name, s.call.tokensInEvents(s.eventCount))
-	s.call.observeFinished(permit, resp, sent, s.call.tokensInEvents(events), survived)
+	s.call.observeFinished(permit, resp, sent, s.delivered(events), survived)
 	return nil
 }
 
@@ -329,7 +347,7 @@
 	}
 	defer resp.Close()
 	if resp.Status != http.StatusOK {
-		c.observeFinished(permit, resp, sent, 0, false)
+		c.observeFinished(permit, resp, sent, delivery{}, false)
 		return errors.Errorf("target %s answered the request to resume the stream with status %d", c.lastTarget, resp.Status)
 	}
 	return s.relayEvents(permit, resp, sent)
--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -61,6 +61,8 @@
 	activeSince basilmoor.Millis // start of the latest term
 	retiredAt   basilmoor.Millis // when the latest term ended with a successor
 	slotsShared float64          // fraction of the slots that the pools were given
+
+	learnsCapacity bool // set before the first pool
 }
 
 // ViewSource gives access to this host's view of the platform's state. The
@@ -126,7 +128,7 @@
 	for _, spec := range b.view.Table.Pools() {
 		p, ok := b.pools[spec.Name]
 		if !ok {
-			p = NewPool(b.holdOff)
+			p = b.newPool(b.holdOff)
 			b.pools[spec.Name] = p
 		}
 		targets := b.view.Targets(spec.Name)
@@ -233,6 +235,7 @@
 	}
 	b.lastSummary = now
 	for name, p := range b.pools {
+		b.reportCapacity(name, p)
 		s := p.Summarize(now)
 		if len(s.Waiting) == 0 && len(s.Refused) == 0 {
 			continue
--- a/internal/schedule/bmgrant/codec.go
+++ b/internal/schedule/bmgrant/codec.go
@@ -52,6 +52,7 @@
 		Excluded:      d.Excluded,
 		CrashKeys:     d.CrashKeys,
 		OnlyInTime:    d.OnlyInTime,
+		MaxPauseMs:    int32(d.MaxPause),
 	}
 }
 
@@ -76,18 +77,21 @@
 		Excluded:         d.GetExcluded(),
 		CrashKeys:        d.GetCrashKeys(),
 		OnlyInTime:       d.GetOnlyInTime(),
+		MaxPause:         basilmoor.Millis(d.GetMaxPauseMs()),
 	}
 }
 
 func encodeObservation(number uint64, o basilmoor.Observation) *bmgrantpb.Observation {
 	encoded := &bmgrantpb.Observation{
-		Number:     number,
-		Stage:      string(o.Stage),
-		Tokens:     int32(o.Tokens),
-		ElapsedMs:  int32(o.Elapsed),
-		Target:     o.Target,
-		TargetDied: o.TargetDied,
-		Answered:   o.Answered,
+		Number:         number,
+		Stage:          string(o.Stage),
+		Tokens:         int32(o.Tokens),
+		ElapsedMs:      int32(o.Elapsed),
+		Target:         o.Target,
+		TargetDied:     o.TargetDied,
+		Answered:       o.Answered,
+		LongestPauseMs: int32(o.LongestPause),
+		Slowness:       int32(o.Slowness),
 	}
 	if o.Demand != nil {
 		encoded.Demand = encodeDemand(number, *o.Demand)
@@ -97,13 +101,15 @@
 
 func decodeObservation(host, dataCentre string, o *bmgrantpb.Observation) basilmoor.Observation {
 	decoded := basilmoor.Observation{
-		Request:    requestID(host, o.GetNumber()),
-		Target:     o.GetTarget(),
-		Stage:      basilmoor.Stage(o.GetStage()),
-		Tokens:     int(o.GetTokens()),
-		Elapsed:    basilmoor.Millis(o.GetElapsedMs()),
-		TargetDied: o.GetTargetDied(),
-		Answered:   o.GetAnswered(),
+		Request:      requestID(host, o.GetNumber()),
+		Target:       o.GetTarget(),
+		Stage:        basilmoor.Stage(o.GetStage()),
+		Tokens:       int(o.GetTokens()),
+		Elapsed:      basilmoor.Millis(o.GetElapsedMs()),
+		TargetDied:   o.GetTargetDied(),
+		Answered:     o.GetAnswered(),
+		LongestPause: basilmoor.Millis(o.GetLongestPauseMs()),
+		Slowness:     int(o.GetSlowness()),
 	}
 	if o.GetDemand() != nil {
 		d := decodeDemand(host, dataCentre, o.GetDemand())
--- a/internal/schedule/bmgrant/pool.go
+++ b/internal/schedule/bmgrant/pool.go
@@ -59,6 +59,7 @@
 	grantedByTier    map[int]int        // since the last summary
 	refusedByTier    map[int]int        // since the last summary
 	estimates        estimates
+	capacity         capacityModel
 
 	quarantine *bmquarantine.Quarantine
 	settling   []settling        // in the order of their first tokens
@@ -189,6 +190,7 @@
 		t = p.adopt(now, o)
 	}
 	r := t.inFlight[o.Request]
+	p.learnCapacity(now, t, r, o)
 	switch o.Stage {
 	case basilmoor.StageDispatched:
 		r.dispatched = true
@@ -389,6 +391,7 @@
 
 // grantWaiting grants free slots to the waiting demands in priority order.
 func (p *Pool) grantWaiting(now basilmoor.Millis) {
+	p.refreshCapacity(now)
 	for len(p.waiting) > 0 {
 		n := p.nextGrantable(now)
 		if n < 0 {
@@ -455,6 +458,7 @@
 		p.trials = append(p.trials, r)
 	}
 	p.beginCount(r)
+	p.recordLoad(now, t, r)
 	t.add(r)
 	p.inFlight[d.Request] = t
 	p.decisions = append(p.decisions, basilmoor.Decision{
--- a/internal/schedule/bmgrant/target.go
+++ b/internal/schedule/bmgrant/target.go
@@ -74,6 +74,8 @@
 	// was expected of this one; 0 if another broker granted the request.
 	expectedFirst basilmoor.Millis
 	expectedHold  basilmoor.Millis
+
+	load grantedLoad
 }
 
 // target is the state of one target in a pool.
@@ -84,6 +86,7 @@
 	backlog             int     // prompt tokens of the requests that wait for their first token
 	consecutiveFailures int
 	retryAt             basilmoor.Millis // no grants before this time after a failure
+	capacity            targetCapacity
 }
 
 func newTarget(spec basilmoor.Target) *target {
@@ -95,7 +98,7 @@
 
 // free reports whether the target can be granted one more request.
 func (t *target) free(now basilmoor.Millis) bool {
-	if t.spec.Leaving || len(t.inFlight) >= t.spec.Slots {
+	if t.spec.Leaving || len(t.inFlight) >= t.slots() {
 		return false
 	}
 	if t.consecutiveFailures == 0 {
--- a/schedule.go
+++ b/schedule.go
@@ -53,6 +53,10 @@
 	// until Deadline.
 	FirstByteTimeout Millis
 
+	// MaxPause is the objective for the longest pause between two events of a
+	// streamed response; 0 if there is none.
+	MaxPause Millis
+
 	// Charge is the number of tokens that a grant deducts from the workspace's
 	// quota; 0 for a request that has been granted before.
 	Charge int
@@ -191,6 +195,15 @@
 	// StageFailed is observed once more.
 	TargetDied bool
 
+	// LongestPause is the longest time between two events of a streamed response
+	// from this target, on StageFinished; 0 if it had fewer than two.
+	LongestPause Millis
+
+	// Slowness is the target's own report, in percent of the usual, of how long
+	// work takes on its machine; 0 if it reports none. It is of the time of the
+	// response's head.
+	Slowness int
+
 	// CachedTokens is the number of prompt tokens that the engine reports as
 	// found in its prefix cache; 0 if it does not report them.
 	CachedTokens int
