--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -117,8 +117,8 @@
 	n.keeper = bmview.NewKeeper(n.clock, deps.Feed, log, n.metrics, n.viewChanged, n.relayUpdate)
 	crashes := bmcrash.New(n.clock)
 	n.broker = bmgrant.NewBroker(n.clock, n.keeper, crashes, s.Tolerance, n.metrics, log)
-	if s.AdaptiveLimits {
-		n.broker.LearnCapacity()
+	if s.PrefillLimits {
+		n.broker.LimitPrefill()
 	}
 	n.scheduler = bmgrant.NewClient(n.clock, self, n.broker, bmgrant.Options{
 		DisableBroker:  s.LocalScheduling,
--- a/internal/node/bmentrynode/settings.go
+++ b/internal/node/bmentrynode/settings.go
@@ -59,9 +59,9 @@
 	// port of the range FirstPort to LastPort.
 	MetricsPort int
 
-	// AdaptiveLimits makes the host's pools learn how much work their targets take
-	// well.
-	AdaptiveLimits bool
+	// PrefillLimits keeps prompts that would make running streams late from slow
+	// targets.
+	PrefillLimits bool
 
 	// FirstStart is set on the first start of the whole system.
 	FirstStart bool
--- a/internal/operator/bmcli/entry.go
+++ b/internal/operator/bmcli/entry.go
@@ -28,7 +28,7 @@
 	flags.StringVar(&path, "settings", path, "settings file of the platform; the default is $"+bmplatform.SettingsVariable)
 	level := flags.String("log-level", "info", "lowest level that is logged: debug, info, warn or error")
 	localScheduling := flags.Bool("local-scheduling", false, "schedule on this host's share of the slots, without a broker")
-	adaptiveLimits := flags.Bool("adaptive-limits", false, "learn how much work each target takes well, where the settings say that targets differ")
+	prefillLimits := flags.Bool("prefill-limits", false, "keep prompts that would make running streams late from slow targets, where the settings say that targets differ")
 	metricsPort := flags.Int("metrics-port", 0, "port of the metrics; 0 selects the second port of port_range")
 	if err := flags.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
@@ -48,7 +48,7 @@
 	}
 	settings.LocalScheduling = *localScheduling
 	settings.MetricsPort = *metricsPort
-	settings.AdaptiveLimits = settings.AdaptiveLimits && *adaptiveLimits
+	settings.PrefillLimits = settings.PrefillLimits && *prefillLimits
 	clock := bmclock.NewSystem()
 	metrics := bmmetrics.NewRegistry()
 	logWriter, closeLog := bmlog.New(clock, env.Stdout, metrics)
--- a/internal/request/bmentry/protocol.go
+++ b/internal/request/bmentry/protocol.go
@@ -52,11 +52,6 @@
 	// h of the target's response, which it does not modify.
 	ResponseHeader(h http.Header) http.Header
 
-	// SlownessOf returns what a target reports, in the headers h of its response, of
-	// how long work takes on its machine now, in percent of the usual; 0 if it
-	// reports nothing valid.
-	SlownessOf(h http.Header) int
-
 	// SetRetryAfter sets the headers that tell a caller when to retry.
 	SetRetryAfter(h http.Header, after basilmoor.Millis)
 }
--- a/internal/request/bmentry/protocol_test.go
+++ b/internal/request/bmentry/protocol_test.go
@@ -35,8 +35,6 @@
 
 func (testProtocol) ResponseHeader(h http.Header) http.Header { return h.Clone() }
 
-func (testProtocol) SlownessOf(http.Header) int { return 0 }
-
 func (testProtocol) SetRetryAfter(h http.Header, after basilmoor.Millis) {
 	h.Set("Retry-After", fmt.Sprint(int64(after)))
 }
--- a/internal/request/bmentry/relay.go
+++ b/internal/request/bmentry/relay.go
@@ -181,6 +181,5 @@
 		Tokens:       d.tokens,
 		Elapsed:      c.handler.cfg.Clock.Now() - sent,
 		LongestPause: d.longestPause,
-		Slowness:     c.handler.cfg.Protocol.SlownessOf(resp.Header),
 	})
 }
--- a/internal/request/bmentry/stream.go
+++ b/internal/request/bmentry/stream.go
@@ -70,9 +70,8 @@
 		if n > 0 {
 			if s.eventCount == countBefore {
 				permit.Observe(basilmoor.Observation{
-					Stage:    basilmoor.StageFirstToken,
-					Elapsed:  c.handler.cfg.Clock.Now() - sent,
-					Slowness: c.handler.cfg.Protocol.SlownessOf(resp.Header),
+					Stage:   basilmoor.StageFirstToken,
+					Elapsed: c.handler.cfg.Clock.Now() - sent,
 				})
 			}
 			if err := s.writeEvents(resp, chunk[:n]); err != nil {
--- a/internal/schedule/bmbench/engine.go
+++ b/internal/schedule/bmbench/engine.go
@@ -15,6 +15,8 @@
 	maxBatch        int     // sequences that run concurrently
 	maxChunkTokens  int     // prompt tokens processed in one step, over all sequences
 	maxQueue        int     // waiting sequences at which a full batch rejects requests
+	crowdedAt       int     // sequences beyond which steps take longer; 0 for none
+	crowdedStep     float64 // increase of a step's time by each of them, as a fraction
 }
 
 // sequence is the execution of a request on an engine.
@@ -153,6 +155,9 @@
 		budget -= s.chunkTokens
 	}
 	work := float64(e.stepBase) + float64(e.stepPerSequence)*float64(len(e.running)) + e.prefillPerToken*float64(e.maxChunkTokens-budget)
+	if crowd := len(e.running) - e.crowdedAt; e.crowdedAt > 0 && crowd > 0 {
+		work *= 1 + e.crowdedStep*float64(crowd)
+	}
 	sim := e.pool.sim
 	sim.after(micros(work*e.slowdown(sim.now)), e.endStep)
 }
--- a/internal/schedule/bmbench/host.go
+++ b/internal/schedule/bmbench/host.go
@@ -38,6 +38,9 @@
 
 // newDemand returns the demand that the entry host submits for a request now.
 func (p *poolRun) newDemand(r *request) basilmoor.Demand {
+	if r.kind.objective > 0 {
+		return p.newObjectiveDemand(r)
+	}
 	age := p.sim.now - r.at
 	reserve := stepReserve + micros(prefillReserve*r.promptTokens)
 	return basilmoor.Demand{
@@ -84,6 +87,7 @@
 	if r.sequence != nil {
 		o.Tokens = r.sequence.generated
 		o.Elapsed = p.elapsed(r)
+		o.LongestPause = basilmoor.Millis(r.longestPause / millisecond)
 	}
 	p.sendObservation(r, o)
 }
@@ -194,6 +198,7 @@
 func (p *poolRun) onToken(_ *engine, s *sequence) {
 	r := s.request
 	finished := s.generated >= r.outputTokens
+	r.recordEvent(p.sim.now)
 	if finished {
 		p.stats.accountIdleTime(p)
 		r.addAttemptWork()
--- a/internal/schedule/bmbench/run.go
+++ b/internal/schedule/bmbench/run.go
@@ -48,6 +48,8 @@
 	sequence        *sequence
 	dispatchedAt    micros // when it was last dispatched
 	ttft            micros // time to first token, 0 until it arrives
+	lastEvent       micros // when the target made the latest event
+	longestPause    micros // between events
 	ended           bool
 	refused         bool
 	callerLeft      bool
--- a/internal/schedule/bmbench/workload.go
+++ b/internal/schedule/bmbench/workload.go
@@ -21,6 +21,12 @@
 	promptRange    [2]int  // range of prompt tokens after the template
 	outputRange    [2]int  // range of output tokens
 	expectedOutput int     // output tokens that entry hosts estimate
+
+	// A response is worth its value only if its first token comes within the
+	// objective, and no pause between tokens is longer than maxPause.
+	objective micros
+	maxPause  micros
+	value     float64
 }
 
 // workspaceSpec describes a workspace and its load.
--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -62,7 +62,7 @@
 	retiredAt   basilmoor.Millis // when the latest term ended with a successor
 	slotsShared float64          // fraction of the slots that the pools were given
 
-	learnsCapacity bool // set before the first pool
+	limitsPrefill bool // in pools that are made from now on
 }
 
 // ViewSource gives access to this host's view of the platform's state. The
@@ -235,8 +235,11 @@
 	}
 	b.lastSummary = now
 	for name, p := range b.pools {
-		b.reportCapacity(name, p)
 		s := p.Summarize(now)
+		if b.limitsPrefill {
+			b.metrics.Add("grants.held-back-for-streams", int64(s.HeldBack))
+			b.metrics.Set("targets.pause-percent."+name, int64(s.PausePercent))
+		}
 		if len(s.Waiting) == 0 && len(s.Refused) == 0 {
 			continue
 		}
@@ -248,6 +251,7 @@
 			Int("slots", s.Slots).
 			Int("in-use", s.InUse).
 			Int("suspect", s.InBackoff).
+			Int("held-back", s.HeldBack).
 			Msg("pool state")
 	}
 }
--- a/internal/schedule/bmgrant/choose.go
+++ b/internal/schedule/bmgrant/choose.go
@@ -23,7 +23,7 @@
 	var best *target
 	bestCost := 0.0
 	for _, t := range p.listed {
-		if !t.free(now) || slices.Contains(q.demand.Excluded, t.spec.Name) || !p.fastEnough(now, q, t) || !p.takesWell(t, q.demand) || !p.admits(t, level) {
+		if !t.free(now) || slices.Contains(q.demand.Excluded, t.spec.Name) || !p.fastEnough(now, q, t) || !p.takesPrompt(q, t) || !p.admits(t, level) {
 			continue
 		}
 		order := 0
@@ -93,7 +93,7 @@
 // it is assumed to be as fast as the fastest target, so that it gets requests.
 func (p *Pool) tokenLatencyOf(t *target) float64 {
 	if t.tokenLatency > 0 {
-		return t.currentLatency()
+		return t.tokenLatency
 	}
 	return p.lowestTokenLatency()
 }
--- a/internal/schedule/bmgrant/codec.go
+++ b/internal/schedule/bmgrant/codec.go
@@ -91,7 +91,6 @@
 		TargetDied:     o.TargetDied,
 		Answered:       o.Answered,
 		LongestPauseMs: int32(o.LongestPause),
-		Slowness:       int32(o.Slowness),
 	}
 	if o.Demand != nil {
 		encoded.Demand = encodeDemand(number, *o.Demand)
@@ -109,7 +108,6 @@
 		TargetDied:   o.GetTargetDied(),
 		Answered:     o.GetAnswered(),
 		LongestPause: basilmoor.Millis(o.GetLongestPauseMs()),
-		Slowness:     int(o.GetSlowness()),
 	}
 	if o.GetDemand() != nil {
 		d := decodeDemand(host, dataCentre, o.GetDemand())
--- a/internal/schedule/bmgrant/pool.go
+++ b/internal/schedule/bmgrant/pool.go
@@ -43,6 +43,8 @@
 
 	// expiryReason is the reason of a refusal because of expires.
 	expiryReason basilmoor.Reason
+
+	heldBack bool // a free target could not take its prompt
 }
 
 // Pool schedules the demands for one pool of targets. It is not safe for
@@ -59,7 +61,8 @@
 	grantedByTier    map[int]int        // since the last summary
 	refusedByTier    map[int]int        // since the last summary
 	estimates        estimates
-	capacity         capacityModel
+	prefill          prefillLimits
+	heldBack         int // demands granted after takesPrompt had held them back, since the last summary
 
 	quarantine *bmquarantine.Quarantine
 	settling   []settling        // in the order of their first tokens
@@ -190,7 +193,6 @@
 		t = p.adopt(now, o)
 	}
 	r := t.inFlight[o.Request]
-	p.learnCapacity(now, t, r, o)
 	switch o.Stage {
 	case basilmoor.StageDispatched:
 		r.dispatched = true
@@ -209,6 +211,7 @@
 		t.consecutiveFailures = 0
 	case basilmoor.StageFinished:
 		t.consecutiveFailures = 0
+		p.learnPause(r, o.LongestPause)
 		if r.demand.OutputTokens == 0 {
 			p.observeServiceTime(t, r.demand.Kind, o.Elapsed)
 		} else {
@@ -391,7 +394,7 @@
 
 // grantWaiting grants free slots to the waiting demands in priority order.
 func (p *Pool) grantWaiting(now basilmoor.Millis) {
-	p.refreshCapacity(now)
+	p.updateFastest()
 	for len(p.waiting) > 0 {
 		n := p.nextGrantable(now)
 		if n < 0 {
@@ -400,6 +403,7 @@
 		q := p.waiting[n]
 		t := p.chooseTarget(now, q)
 		p.waiting = slices.Delete(p.waiting, n, n+1)
+		p.recordPrompt(t, q)
 		p.grant(now, q.demand, t)
 	}
 }
@@ -458,7 +462,6 @@
 		p.trials = append(p.trials, r)
 	}
 	p.beginCount(r)
-	p.recordLoad(now, t, r)
 	t.add(r)
 	p.inFlight[d.Request] = t
 	p.decisions = append(p.decisions, basilmoor.Decision{
--- /dev/null
+++ b/internal/schedule/bmgrant/prefill.go
@@ -0,0 +1,107 @@
+package bmgrant
+
+import (
+	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/schedule/bmprefill"
+)
+
+// prefillLimits is what a pool knows of the prompts that its targets take beside running
+// streams. It changes nothing unless it is enabled.
+type prefillLimits struct {
+	enabled bool
+	pauses  bmprefill.Pauses
+	fastest float64 // token latency in ms of the fastest target in use; 0 if unknown
+}
+
+// LimitPrefill makes the pool grant a target no prompt that is expected to make a stream
+// on it late while a faster target takes the prompt better.
+func (p *Pool) LimitPrefill() {
+	p.prefill.enabled = true
+	p.prefill.pauses = bmprefill.NewPauses()
+}
+
+// LimitPrefill limits the prompts beside streams in the pools of the broker and of the
+// host's client. It must be called before there is a pool.
+func (b *Broker) LimitPrefill() {
+	b.limitsPrefill = true
+}
+
+func (b *Broker) newPool(holdOff basilmoor.Millis) *Pool {
+	p := NewPool(holdOff)
+	if b.limitsPrefill {
+		p.LimitPrefill()
+	}
+	return p
+}
+
+// updateFastest finds the fastest of the targets that respond, before grants.
+func (p *Pool) updateFastest() {
+	if !p.prefill.enabled {
+		return
+	}
+	p.prefill.fastest = 0
+	for _, t := range p.listed {
+		if t.spec.Leaving || t.consecutiveFailures > 0 || t.tokenLatency == 0 {
+			continue
+		}
+		if p.prefill.fastest == 0 || t.tokenLatency < p.prefill.fastest {
+			p.prefill.fastest = t.tokenLatency
+		}
+	}
+}
+
+// prefillTime returns the time in ms that a target of the given token latency needs for
+// prompts and for one token after them.
+func prefillTime(latency float64, promptTokens int) float64 {
+	return latency/defaultTokenLatency*defaultPrefillPerToken*float64(promptTokens) + latency
+}
+
+// takesPrompt reports whether a target may be granted a demand as far as the streams on
+// it are concerned.
+func (p *Pool) takesPrompt(q *queuedDemand, t *target) bool {
+	d := q.demand
+	if !p.prefill.enabled || d.OutputTokens == 0 || p.prefill.fastest == 0 {
+		return true
+	}
+	prompts := prefillTime(p.tokenLatencyOf(t), t.backlog+d.PromptTokens)
+	fastest := prefillTime(p.prefill.fastest, d.PromptTokens)
+	if p.prefill.pauses.Allows(prompts, fastest, t.strictestPause()) {
+		return true
+	}
+	q.heldBack = true
+	return false
+}
+
+// strictestPause returns the shortest objective for pauses of the streams on the target;
+// 0 if there is none.
+func (t *target) strictestPause() basilmoor.Millis {
+	strictest := basilmoor.Millis(0)
+	for _, r := range t.inFlight {
+		if m := r.demand.MaxPause; m > 0 && (strictest == 0 || m < strictest) {
+			strictest = m
+		}
+	}
+	return strictest
+}
+
+// recordPrompt records, for the streams on a target, that it is granted a demand beside
+// them.
+func (p *Pool) recordPrompt(t *target, q *queuedDemand) {
+	if !p.prefill.enabled {
+		return
+	}
+	if q.heldBack {
+		p.heldBack++
+	}
+	prompts := prefillTime(p.tokenLatencyOf(t), t.backlog+q.demand.PromptTokens)
+	for _, r := range t.inFlight {
+		r.promptsBeside = max(r.promptsBeside, prompts)
+	}
+}
+
+// learnPause learns from the longest pause of a stream that has ended.
+func (p *Pool) learnPause(r *grantedRequest, longest basilmoor.Millis) {
+	if p.prefill.enabled {
+		p.prefill.pauses = p.prefill.pauses.WithPause(r.promptsBeside, longest)
+	}
+}
--- a/internal/schedule/bmgrant/summary.go
+++ b/internal/schedule/bmgrant/summary.go
@@ -12,6 +12,13 @@
 	Slots     int         // of targets that are not leaving
 	InUse     int         // slots with a granted request
 	InBackoff int         // targets in backoff after a failure
+
+	// HeldBack is the number of demands, since the last summary, that were granted
+	// after a free target could not take their prompt beside its streams.
+	HeldBack int
+	// PausePercent is the learned ratio of pauses to the time of the prompts that
+	// cause them, in percent; 0 if the pool does not learn it.
+	PausePercent int
 }
 
 // Summarize returns the state of the pool and resets the counts of grants and
@@ -22,6 +29,9 @@
 		Granted: p.grantedByTier,
 		Refused: p.refusedByTier,
 		InUse:   len(p.inFlight),
+
+		HeldBack:     p.heldBack,
+		PausePercent: int(100 * p.prefill.pauses.Factor()),
 	}
 	for _, q := range p.waiting {
 		s.Waiting[q.demand.Tier]++
@@ -37,5 +47,6 @@
 	}
 	p.grantedByTier = map[int]int{}
 	p.refusedByTier = map[int]int{}
+	p.heldBack = 0
 	return s
 }
--- a/internal/schedule/bmgrant/target.go
+++ b/internal/schedule/bmgrant/target.go
@@ -75,7 +75,9 @@
 	expectedFirst basilmoor.Millis
 	expectedHold  basilmoor.Millis
 
-	load grantedLoad
+	// promptsBeside is the longest time in ms that prompts which were granted
+	// later were expected to take on the target.
+	promptsBeside float64
 }
 
 // target is the state of one target in a pool.
@@ -86,7 +88,6 @@
 	backlog             int     // prompt tokens of the requests that wait for their first token
 	consecutiveFailures int
 	retryAt             basilmoor.Millis // no grants before this time after a failure
-	capacity            targetCapacity
 }
 
 func newTarget(spec basilmoor.Target) *target {
@@ -98,7 +99,7 @@
 
 // free reports whether the target can be granted one more request.
 func (t *target) free(now basilmoor.Millis) bool {
-	if t.spec.Leaving || len(t.inFlight) >= t.slots() {
+	if t.spec.Leaving || len(t.inFlight) >= t.spec.Slots {
 		return false
 	}
 	if t.consecutiveFailures == 0 {
--- a/schedule.go
+++ b/schedule.go
@@ -199,11 +199,6 @@
 	// from this target, on StageFinished; 0 if it had fewer than two.
 	LongestPause Millis
 
-	// Slowness is the target's own report, in percent of the usual, of how long
-	// work takes on its machine; 0 if it reports none. It is of the time of the
-	// response's head.
-	Slowness int
-
 	// CachedTokens is the number of prompt tokens that the engine reports as
 	// found in its prefix cache; 0 if it does not report them.
 	CachedTokens int
