--- a/internal/schedule/bmbaseline/clairvoyant.go
+++ b/internal/schedule/bmbaseline/clairvoyant.go
@@ -30,6 +30,19 @@
 	PrefillPerToken float64 // milliseconds per prompt token
 	Backlog         int     // prompt tokens not yet processed
 	Sequences       int     // running and waiting requests
+
+	// MaxPause is the shortest objective in milliseconds for the pauses of the
+	// streams on the target; 0 if there is none. A pause lasts for EventTokens steps,
+	// each of which processes at most ChunkTokens of the prompts.
+	MaxPause    float64
+	EventTokens int
+	ChunkTokens int
+}
+
+// pause returns the longest pause in milliseconds that prompts of the given number of
+// tokens cause for the streams on the target.
+func (s TargetState) pause(promptTokens int) float64 {
+	return float64(s.EventTokens)*s.StepTime + s.PrefillPerToken*float64(min(promptTokens, s.EventTokens*s.ChunkTokens))
 }
 
 // prefixLookahead is the number of demands of a tier that are searched for the one
@@ -125,7 +138,8 @@
 // it chooses the pair with the lowest prompt processing cost among the first
 // demands; every eighth time, and when fewer demands wait, it chooses the first
 // demand on the target with the lowest total cost. Pairs whose first token would
-// come after the caller disconnects are skipped.
+// come after the caller disconnects, or that would make a running stream late by a pause,
+// are skipped.
 func (p *Clairvoyant) best(queue []queuedDemand, slots []int) (queuedDemand, int) {
 	for i, w := range queue {
 		if i >= prefixLookahead {
@@ -180,7 +194,8 @@
 // cost returns the time to process the uncached prompt, multiplied by the number of
 // sequences on the target that it delays, including the demand itself. With
 // includeLatency, the time to complete the demand is added. It returns false if the
-// first token would come after the caller disconnects.
+// first token would come after the caller disconnects, or if a running stream would be
+// late.
 func (p *Clairvoyant) cost(w queuedDemand, t basilmoor.Target, includeLatency bool) (float64, bool) {
 	state := p.oracle.State(t.Name)
 	held := p.oracle.CachedBlocks(t.Name, w.demand.PrefixDigests) * basilmoor.PrefixBlockTokens
@@ -189,6 +204,9 @@
 	if first > float64(p.oracle.TimeLeft(w.demand.Request)) {
 		return 0, false
 	}
+	if state.MaxPause > 0 && state.pause(state.Backlog+uncached) > state.MaxPause {
+		return 0, false
+	}
 	cost := state.PrefillPerToken * float64(uncached) * float64(1+state.Sequences)
 	if includeLatency {
 		cost += first + state.StepTime*float64(p.oracle.OutputTokens(w.demand.Request))
--- a/internal/schedule/bmbench/run.go
+++ b/internal/schedule/bmbench/run.go
@@ -254,10 +254,15 @@
 	state := bmbaseline.TargetState{
 		PrefillPerToken: e.prefillPerToken / float64(millisecond) * slow,
 		Sequences:       len(e.running) + len(e.waiting),
+		EventTokens:     eventTokens,
+		ChunkTokens:     e.maxChunkTokens,
 	}
 	state.StepTime = (e.stepBase + e.stepPerSequence*micros(state.Sequences+1)).millis() * slow
 	for _, s := range e.running {
 		state.Backlog += s.promptLeft
+		if pause := s.request.kind.maxPause.millis(); pause > 0 && (state.MaxPause == 0 || pause < state.MaxPause) {
+			state.MaxPause = pause
+		}
 	}
 	for _, s := range e.waiting {
 		state.Backlog += s.request.promptTokens
--- a/internal/schedule/bmbench/uneven.go
+++ b/internal/schedule/bmbench/uneven.go
@@ -34,7 +34,7 @@
 	peak        float64  // demand in the peaks as a fraction of capacity
 }
 
-// UnevenPatterns returns the patterns that target capacity is compared under.
+// UnevenPatterns returns the patterns under which schemes are compared.
 func UnevenPatterns() []UnevenPattern {
 	return []UnevenPattern{
 		{Name: "even", peak: 1.3},
@@ -46,29 +46,36 @@
 	}
 }
 
+// Names of the schemes that UnevenSchemes returns beside the clairvoyant one.
+const (
+	fixedSlotsScheme   = "fixed-slots"
+	prefillLimitScheme = "prefill-limit"
+	leastLoadedScheme  = "least-loaded"
+)
+
 // UnevenSchemes returns the schemes that are compared: the pool that grants slots, with
-// and without what it learns of its targets' capacity, the least loaded target with all of
-// its slots, and the clairvoyant reference.
+// and without the limit of prompts beside streams, the least loaded target with all of its
+// slots, and the clairvoyant reference.
 func UnevenSchemes() []Scheme {
 	return []Scheme{
 		{
-			Name:    "fixed-slots",
+			Name:    fixedSlotsScheme,
 			Central: true,
 			New: func(_, _ int, _ uint64, _ bmbaseline.Oracle) basilmoor.Policy {
 				return bmgrant.NewPool(0)
 			},
 		},
 		{
-			Name:    "learned",
+			Name:    prefillLimitScheme,
 			Central: true,
 			New: func(_, _ int, _ uint64, _ bmbaseline.Oracle) basilmoor.Policy {
 				p := bmgrant.NewPool(0)
-				p.LimitPrefill()
+				p.LimitPrefill(eventTokens)
 				return p
 			},
 		},
 		{
-			Name:    "least-loaded",
+			Name:    leastLoadedScheme,
 			Central: true,
 			New: func(_, _ int, _ uint64, _ bmbaseline.Oracle) basilmoor.Policy {
 				return bmbaseline.NewPerHostQueue(0, 1)
--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -128,7 +128,7 @@
 	for _, spec := range b.view.Table.Pools() {
 		p, ok := b.pools[spec.Name]
 		if !ok {
-			p = b.newPool(b.holdOff)
+			p = b.newPool(spec, b.holdOff)
 			b.pools[spec.Name] = p
 		}
 		targets := b.view.Targets(spec.Name)
--- a/internal/schedule/bmgrant/client.go
+++ b/internal/schedule/bmgrant/client.go
@@ -147,7 +147,7 @@
 	for _, pool := range c.view.Table.Pools() {
 		p, ok := c.localPools[pool.Name]
 		if !ok {
-			p = c.broker.newPool(0)
+			p = c.broker.newPool(pool, 0)
 			c.localPools[pool.Name] = p
 		}
 		targets := c.view.Targets(pool.Name)
--- a/internal/schedule/bmgrant/prefill.go
+++ b/internal/schedule/bmgrant/prefill.go
@@ -2,21 +2,25 @@
 
 import (
 	"basilmoor.example/basilmoor"
+	"basilmoor.example/basilmoor/internal/config/bmrouting"
 	"basilmoor.example/basilmoor/internal/schedule/bmprefill"
 )
 
 // prefillLimits is what a pool knows of the prompts that its targets take beside running
 // streams. It changes nothing unless it is enabled.
 type prefillLimits struct {
-	enabled bool
-	pauses  bmprefill.Pauses
-	fastest float64 // token latency in ms of the fastest target in use; 0 if unknown
+	enabled     bool
+	eventTokens float64 // tokens per event of a stream
+	pauses      bmprefill.Pauses
+	fastest     float64 // token latency in ms of the fastest target in use; 0 if unknown
 }
 
 // LimitPrefill makes the pool grant a target no prompt that is expected to make a stream
-// on it late while a faster target takes the prompt better.
-func (p *Pool) LimitPrefill() {
+// on it late while a faster target takes the prompt better. An event of the streams holds
+// the given number of tokens.
+func (p *Pool) LimitPrefill(eventTokens int) {
 	p.prefill.enabled = true
+	p.prefill.eventTokens = float64(eventTokens)
 	p.prefill.pauses = bmprefill.NewPauses()
 }
 
@@ -26,10 +30,10 @@
 	b.limitsPrefill = true
 }
 
-func (b *Broker) newPool(holdOff basilmoor.Millis) *Pool {
+func (b *Broker) newPool(spec bmrouting.Pool, holdOff basilmoor.Millis) *Pool {
 	p := NewPool(holdOff)
-	if b.limitsPrefill {
-		p.LimitPrefill()
+	if b.limitsPrefill && spec.Engine != nil {
+		p.LimitPrefill(spec.Engine.EventTokens)
 	}
 	return p
 }
@@ -50,10 +54,10 @@
 	}
 }
 
-// prefillTime returns the time in ms that a target of the given token latency needs for
-// prompts and for one token after them.
-func prefillTime(latency float64, promptTokens int) float64 {
-	return latency/defaultTokenLatency*defaultPrefillPerToken*float64(promptTokens) + latency
+// eventTime returns the time in ms that a target of the given token latency needs for an
+// event of a stream and for prompts beside it.
+func (l prefillLimits) eventTime(latency float64, promptTokens int) float64 {
+	return latency * (l.eventTokens + defaultPrefillPerToken/defaultTokenLatency*float64(promptTokens))
 }
 
 // takesPrompt reports whether a target may be granted a demand as far as the streams on
@@ -63,9 +67,9 @@
 	if !p.prefill.enabled || d.OutputTokens == 0 || p.prefill.fastest == 0 {
 		return true
 	}
-	prompts := prefillTime(p.tokenLatencyOf(t), t.backlog+d.PromptTokens)
-	fastest := prefillTime(p.prefill.fastest, d.PromptTokens)
-	if p.prefill.pauses.Allows(prompts, fastest, t.strictestPause()) {
+	event := p.prefill.eventTime(p.tokenLatencyOf(t), t.backlog+d.PromptTokens)
+	fastest := p.prefill.eventTime(p.prefill.fastest, d.PromptTokens)
+	if p.prefill.pauses.Allows(event, fastest, t.strictestPause()) {
 		return true
 	}
 	q.heldBack = true
@@ -87,21 +91,21 @@
 // recordPrompt records, for the streams on a target, that it is granted a demand beside
 // them.
 func (p *Pool) recordPrompt(t *target, q *queuedDemand) {
-	if !p.prefill.enabled {
+	if !p.prefill.enabled || q.demand.OutputTokens == 0 {
 		return
 	}
 	if q.heldBack {
 		p.heldBack++
 	}
-	prompts := prefillTime(p.tokenLatencyOf(t), t.backlog+q.demand.PromptTokens)
+	event := p.prefill.eventTime(p.tokenLatencyOf(t), t.backlog+q.demand.PromptTokens)
 	for _, r := range t.inFlight {
-		r.promptsBeside = max(r.promptsBeside, prompts)
+		r.longestEvent = max(r.longestEvent, event)
 	}
 }
 
 // learnPause learns from the longest pause of a stream that has ended.
 func (p *Pool) learnPause(r *grantedRequest, longest basilmoor.Millis) {
 	if p.prefill.enabled {
-		p.prefill.pauses = p.prefill.pauses.WithPause(r.promptsBeside, longest)
+		p.prefill.pauses = p.prefill.pauses.WithPause(r.longestEvent, longest)
 	}
 }
--- a/internal/schedule/bmgrant/target.go
+++ b/internal/schedule/bmgrant/target.go
@@ -75,9 +75,9 @@
 	expectedFirst basilmoor.Millis
 	expectedHold  basilmoor.Millis
 
-	// promptsBeside is the longest time in ms that prompts which were granted
-	// later were expected to take on the target.
-	promptsBeside float64
+	// longestEvent is the longest time in ms that an event of the stream was
+	// expected to take beside the prompts granted later; 0 without any.
+	longestEvent float64
 }
 
 // target is the state of one target in a pool.
--- a/internal/schedule/bmprefill/pauses.go
+++ b/internal/schedule/bmprefill/pauses.go
@@ -19,7 +19,7 @@
 const (
 	// pauseQuantile is the fraction of the streams whose longest pause is at most
 	// the expected one.
-	pauseQuantile = 0.9
+	pauseQuantile = 0.95
 
 	// pauseStep is the largest relative change of the factor after one stream.
 	pauseStep = 0.05
@@ -28,49 +28,50 @@
 	minPauseFactor = 0.25
 	maxPauseFactor = 4.0
 
-	// toleratedRatio is the ratio of the times that prompts take on a target and on
-	// the fastest one up to which waiting for a faster target gains little.
+	// toleratedRatio is the ratio of the times that an event takes on a target and
+	// on the fastest one up to which waiting for a faster target gains little.
 	toleratedRatio = 1.5
 )
 
-// Pauses learns how long the pauses of streams are, relative to the time that a target
-// takes for the prompts beside them.
+// Pauses learns how long the pauses of streams are, relative to the time that an event and
+// the prompts beside it are expected to take.
 type Pauses struct {
 	factor float64
 }
 
-// NewPauses returns a value that expects pauses as long as the prompts take.
+// NewPauses returns a value that expects pauses as long as events take.
 func NewPauses() Pauses {
 	return Pauses{
 		factor: 1,
 	}
 }
 
-// Factor returns the learned ratio of pauses to the time of prompts.
+// Factor returns the learned ratio of pauses to the expected time of events.
 func (p Pauses) Factor() float64 {
 	return p.factor
 }
 
-// WithPause returns p after a stream whose longest pause is known, and beside which its
-// target processed prompts in at most the given time in ms without another event between.
-func (p Pauses) WithPause(prompts float64, longest basilmoor.Millis) Pauses {
-	if prompts <= 0 || longest <= 0 {
+// WithPause returns p after a stream, given its longest pause and the longest time in ms
+// that one of its events was expected to take.
+func (p Pauses) WithPause(expected float64, longest basilmoor.Millis) Pauses {
+	if expected <= 0 || longest <= 0 {
 		return p
 	}
 	step := -pauseStep * (1 - pauseQuantile)
-	if float64(longest) > p.factor*prompts {
+	if float64(longest) > p.factor*expected {
 		step = pauseStep * pauseQuantile
 	}
 	p.factor = min(max(p.factor*(1+step), minPauseFactor), maxPauseFactor)
 	return p
 }
 
-// Allows reports whether a target may process prompts for the given time in ms beside
-// streams of which none may pause for longer than maxPause; 0 for no bound. It may as well
-// if even the fastest target would take about as long.
-func (p Pauses) Allows(prompts, fastest float64, maxPause basilmoor.Millis) bool {
-	if maxPause <= 0 || prompts <= toleratedRatio*fastest {
+// Allows reports whether a target may process a prompt beside streams of which none may
+// pause for longer than maxPause; 0 for no bound. With the prompt, an event of theirs is
+// expected to take the given time in ms, and fastest on the fastest target: if that is
+// about as long, every prompt is allowed.
+func (p Pauses) Allows(expected, fastest float64, maxPause basilmoor.Millis) bool {
+	if maxPause <= 0 || expected <= toleratedRatio*fastest {
 		return true
 	}
-	return p.factor*prompts <= float64(maxPause)
+	return p.factor*expected <= float64(maxPause)
 }
