--- a/internal/schedule/bmgrant/prefill.go
+++ b/internal/schedule/bmgrant/prefill.go
@@ -69,7 +69,7 @@
 	}
 	event := p.prefill.eventTime(p.tokenLatencyOf(t), t.backlog+d.PromptTokens)
 	fastest := p.prefill.eventTime(p.prefill.fastest, d.PromptTokens)
-	if p.prefill.pauses.Allows(event, fastest, t.strictestPause()) {
+	if !bmprefill.ClearlySlower(event, fastest) || p.prefill.pauses.Allows(event, t.strictestPause()) {
 		return true
 	}
 	q.heldBack = true
--- a/internal/schedule/bmprefill/pauses.go
+++ b/internal/schedule/bmprefill/pauses.go
@@ -28,9 +28,9 @@
 	minPauseFactor = 0.25
 	maxPauseFactor = 4.0
 
-	// toleratedRatio is the ratio of the times that an event takes on a target and
+	// minSlowerRatio is the ratio of the times that an event takes on a target and
 	// on the fastest one up to which waiting for a faster target gains little.
-	toleratedRatio = 1.5
+	minSlowerRatio = 1.5
 )
 
 // Pauses learns how long the pauses of streams are, relative to the time that an event and
@@ -66,12 +66,14 @@
 }
 
 // Allows reports whether a target may process a prompt beside streams of which none may
-// pause for longer than maxPause; 0 for no bound. With the prompt, an event of theirs is
-// expected to take the given time in ms, and fastest on the fastest target: if that is
-// about as long, every prompt is allowed.
-func (p Pauses) Allows(expected, fastest float64, maxPause basilmoor.Millis) bool {
-	if maxPause <= 0 || expected <= toleratedRatio*fastest {
-		return true
-	}
-	return p.factor*expected <= float64(maxPause)
+// pause for longer than maxPause, 0 for no bound, if an event of theirs is expected to take
+// the given time in ms with the prompt.
+func (p Pauses) Allows(expected float64, maxPause basilmoor.Millis) bool {
+	return maxPause <= 0 || p.factor*expected <= float64(maxPause)
+}
+
+// ClearlySlower reports whether an event takes so much longer on a target than on the
+// fastest one, with the same prompt beside it, that the prompt may wait for a faster one.
+func ClearlySlower(expected, fastest float64) bool {
+	return expected > minSlowerRatio*fastest
 }
