--- a/internal/schedule/bmgrant/pool.go
+++ b/internal/schedule/bmgrant/pool.go
@@ -62,7 +62,6 @@
 	refusedByTier    map[int]int        // since the last summary
 	estimates        estimates
 	prefill          prefillLimits
-	heldBack         int // demands granted after takesPrompt had held them back, since the last summary
 
 	quarantine *bmquarantine.Quarantine
 	settling   []settling        // in the order of their first tokens
--- a/internal/schedule/bmgrant/prefill.go
+++ b/internal/schedule/bmgrant/prefill.go
@@ -13,6 +13,7 @@
 	eventTokens float64 // tokens per event of a stream
 	pauses      bmprefill.Pauses
 	fastest     float64 // token latency in ms of the fastest target in use; 0 if unknown
+	heldBack    int     // demands granted after they were held back, since the last summary
 }
 
 // LimitPrefill makes the pool grant a target no prompt that is expected to make a stream
@@ -38,9 +39,10 @@
 	return p
 }
 
-// updateFastest finds the fastest of the targets that respond, before grants.
+// updateFastest finds the fastest target that doesn't fail or leave, for the grants that
+// follow.
 func (p *Pool) updateFastest() {
-	if !p.prefill.enabled {
+	if !p.prefill.enabled || len(p.waiting) == 0 {
 		return
 	}
 	p.prefill.fastest = 0
@@ -60,8 +62,9 @@
 	return latency * (l.eventTokens + defaultPrefillPerToken/defaultTokenLatency*float64(promptTokens))
 }
 
-// takesPrompt reports whether a target may be granted a demand as far as the streams on
-// it are concerned.
+// takesPrompt reports whether a target may be granted a demand without harm to the streams
+// on it, or whether no faster target would take its prompt better. Otherwise the demand is
+// held back: it waits for a faster target, or until the streams have ended.
 func (p *Pool) takesPrompt(q *queuedDemand, t *target) bool {
 	d := q.demand
 	if !p.prefill.enabled || d.OutputTokens == 0 || p.prefill.fastest == 0 {
@@ -95,7 +98,7 @@
 		return
 	}
 	if q.heldBack {
-		p.heldBack++
+		p.prefill.heldBack++
 	}
 	event := p.prefill.eventTime(p.tokenLatencyOf(t), t.backlog+q.demand.PromptTokens)
 	for _, r := range t.inFlight {
--- a/internal/schedule/bmgrant/summary.go
+++ b/internal/schedule/bmgrant/summary.go
@@ -30,7 +30,7 @@
 		Refused: p.refusedByTier,
 		InUse:   len(p.inFlight),
 
-		HeldBack:     p.heldBack,
+		HeldBack:     p.prefill.heldBack,
 		PausePercent: int(100 * p.prefill.pauses.Factor()),
 	}
 	for _, q := range p.waiting {
@@ -47,6 +47,6 @@
 	}
 	p.grantedByTier = map[int]int{}
 	p.refusedByTier = map[int]int{}
-	p.heldBack = 0
+	p.prefill.heldBack = 0
 	return s
 }
