--- a/internal/schedule/bmgrant/summary.go
+++ b/internal/schedule/bmgrant/summary.go
@@ -16,8 +16,8 @@
 	// HeldBack is the number of demands, since the last summary, that were granted
 	// after a free target could not take their prompt beside its streams.
 	HeldBack int
-	// PausePercent is the learned ratio of pauses to the time of the prompts that
-	// cause them, in percent; 0 if the pool does not learn it.
+	// PausePercent is the learned ratio of the longest pauses of streams to the
+	// expected ones, in percent; 0 if the pool does not learn it.
 	PausePercent int
 }
 
