--- a/internal/node/bmentrynode/settings.go
+++ b/internal/node/bmentrynode/settings.go
@@ -64,6 +64,10 @@
 	// port of the range FirstPort to LastPort.
 	MetricsPort int
 
+	// PrefillLimits keeps prompts that would make running streams late from slow
+	// targets.
+	PrefillLimits bool
+
 	// FirstStart is set on the first start of the whole system.
 	FirstStart bool
 
--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -67,6 +67,8 @@
 	rolloutBounds   bmrollout.Bounds
 	rollouts        map[string]*rolloutOwner // by pool; of this term
 	rolloutsStepped basilmoor.Millis         // when they were last advanced
+
+	limitsPrefill bool // in pools that are made from now on
 }
 
 // ViewSource gives access to this host's view of the platform's state. The
@@ -133,7 +135,7 @@
 	for _, spec := range b.view.Table.Pools() {
 		p, ok := b.pools[spec.Name]
 		if !ok {
-			p = NewPool(b.holdOff)
+			p = b.newPool(spec, b.holdOff)
 			b.pools[spec.Name] = p
 		}
 		targets := b.view.Targets(spec.Name)
@@ -242,6 +244,10 @@
 	b.lastSummary = now
 	for name, p := range b.pools {
 		s := p.Summarize(now)
+		if b.limitsPrefill {
+			b.metrics.Add("grants.held-back-for-streams", int64(s.HeldBack))
+			b.metrics.Set("targets.pause-percent."+name, int64(s.PausePercent))
+		}
 		if len(s.Waiting) == 0 && len(s.Refused) == 0 {
 			continue
 		}
@@ -253,6 +259,7 @@
 			Int("slots", s.Slots).
 			Int("in-use", s.InUse).
 			Int("suspect", s.InBackoff).
+			Int("held-back", s.HeldBack).
 			Msg("pool state")
 	}
 }
--- a/internal/schedule/bmgrant/choose.go
+++ b/internal/schedule/bmgrant/choose.go
@@ -23,7 +23,7 @@
 	var best *target
 	bestCost := 0.0
 	for _, t := range p.listed {
-		if !t.free(now) || slices.Contains(q.demand.Excluded, t.spec.Name) || !p.fastEnough(now, q, t) || !p.admits(t, level) || !p.allowsVersion(now, t, retried) {
+		if !t.free(now) || slices.Contains(q.demand.Excluded, t.spec.Name) || !p.fastEnough(now, q, t) || !p.takesPrompt(q, t) || !p.admits(t, level) || !p.allowsVersion(now, t, retried) {
 			continue
 		}
 		order := 0
--- a/internal/schedule/bmgrant/pool.go
+++ b/internal/schedule/bmgrant/pool.go
@@ -44,6 +44,8 @@
 
 	// expiryReason is the reason of a refusal because of expires.
 	expiryReason basilmoor.Reason
+
+	heldBack bool // a free target could not take its prompt
 }
 
 // Pool schedules the demands for one pool of targets. It is not safe for
@@ -60,6 +62,7 @@
 	grantedByTier    map[int]int        // since the last summary
 	refusedByTier    map[int]int        // since the last summary
 	estimates        estimates
+	prefill          prefillLimits
 
 	quarantine *bmquarantine.Quarantine
 	settling   []settling        // in the order of their first tokens
@@ -211,6 +214,7 @@
 		t.consecutiveFailures = 0
 	case basilmoor.StageFinished:
 		t.consecutiveFailures = 0
+		p.learnPause(r, o.LongestPause)
 		if r.demand.OutputTokens == 0 {
 			p.observeServiceTime(t, r.demand.Kind, o.Elapsed)
 		} else {
@@ -393,6 +397,7 @@
 
 // grantWaiting grants free slots to the waiting demands in priority order.
 func (p *Pool) grantWaiting(now basilmoor.Millis) {
+	p.updateFastest()
 	for len(p.waiting) > 0 {
 		n := p.nextGrantable(now)
 		if n < 0 {
@@ -401,6 +406,7 @@
 		q := p.waiting[n]
 		t := p.chooseTarget(now, q)
 		p.waiting = slices.Delete(p.waiting, n, n+1)
+		p.recordPrompt(t, q)
 		p.grant(now, q.demand, t)
 	}
 }
--- a/internal/schedule/bmgrant/target.go
+++ b/internal/schedule/bmgrant/target.go
@@ -76,6 +76,10 @@
 	expectedFirst basilmoor.Millis
 	expectedHold  basilmoor.Millis
 
+	// longestEvent is the longest time in ms that an event of the stream was
+	// expected to take beside the prompts granted later; 0 without any.
+	longestEvent float64
+
 	judged judgement // of a pool that moves to another version
 }
 
