Blame targets only for pauses that they make, and end the exclusion of a completed order

Cause: the pause that a host reported of a target also held the time in which its caller took no bytes, and on a resumed stream that of the failure before. After a completed order, targets of any later version counted as leaving for good, so a release without an order would move all work onto the rest.

Change: only the time spent in reads counts, from the target's first event on. Other versions are excluded for 15 s after the completion was learned.

--- a/internal/request/bmentry/stream.go
+++ b/internal/request/bmentry/stream.go
@@ -48,6 +48,8 @@
 	lastArrival    basilmoor.Millis // of the latest events; 0 before the first
 	longestPause   basilmoor.Millis // longest time between arrivals
 	targetPause    basilmoor.Millis // longest pause that the present target made
+	targetStreams  bool             // the present target has sent an event
+	waited         basilmoor.Millis // spent in reads since the latest events
 	unreachedCount int              // attempts to resume that reached no target
 	partial        []byte           // incomplete event received so far
 	buffer         *buffer          // of partial
@@ -57,12 +59,13 @@
 // relayed, because another target would resume after the last complete one.
 func (s *stream) relayEvents(permit basilmoor.Permit, resp *bmexchange.Response, sent basilmoor.Millis) error {
 	c := s.call
-	s.partial = s.partial[:0]
-	s.targetPause = 0
+	s.beginTarget()
 	countBefore := s.eventCount
 	chunk := make([]byte, readBufferBytes)
 	for {
+		began := c.handler.cfg.Clock.Now()
 		n, err := resp.Read(chunk)
+		s.waited += c.handler.cfg.Clock.Now() - began
 		if size := len(s.partial) + n; size > maxEventBytes || !s.buffer.resize(size) {
 			c.handler.cfg.Metrics.Add("streams.event-too-long", 1)
 			return s.broken(permit, resp, &eventTooLongError{}, s.eventCount > countBefore)
@@ -91,6 +94,14 @@
 	}
 }
 
+// beginTarget forgets what belongs to the target before.
+func (s *stream) beginTarget() {
+	s.partial = s.partial[:0]
+	s.targetPause = 0
+	s.targetStreams = false
+	s.waited = 0
+}
+
 // end ends one target's part of the stream, which brought the given number of events.
 func (s *stream) end(permit basilmoor.Permit, resp *bmexchange.Response, sent basilmoor.Millis, events int) error {
 	c := s.call
@@ -238,18 +249,20 @@
 }
 
 // recordPause updates the longest time between arrivals of events, of which some have
-// just arrived together. A pause that ends with several events came about on the way, and
-// not at the target.
+// just arrived together. A target's pause is only the time spent waiting for it: a caller
+// that reads slowly delays the next read. A pause that ends with several events came about
+// on the way, and not at the target.
 func (s *stream) recordPause(events int) {
 	now := s.call.handler.cfg.Clock.Now()
-	pause := now - s.lastArrival
 	if s.lastArrival > 0 {
-		s.longestPause = max(s.longestPause, pause)
+		s.longestPause = max(s.longestPause, now-s.lastArrival)
 	}
-	if s.lastArrival > 0 && events == 1 {
-		s.targetPause = max(s.targetPause, pause)
+	if s.targetStreams && events == 1 {
+		s.targetPause = max(s.targetPause, s.waited)
 	}
 	s.lastArrival = now
+	s.targetStreams = true
+	s.waited = 0
 }
 
 // delivered returns what the present target delivered in the given number of events.
--- a/internal/schedule/bmgrant/client.go
+++ b/internal/schedule/bmgrant/client.go
@@ -123,7 +123,7 @@
 	defer c.mu.Unlock()
 	c.view = v
 	c.targets = make(map[string]basilmoor.Target, len(c.targets))
-	for _, t := range c.broker.undecidedTargets(v) {
+	for _, t := range c.broker.undecidedTargets(c.clock.Now(), v) {
 		c.targets[t.Name] = t
 	}
 	c.election.SetHosts(v.Hosts())
@@ -150,7 +150,7 @@
 			p = c.broker.newPool(pool, 0)
 			c.localPools[pool.Name] = p
 		}
-		targets := c.broker.targetsWithoutBroker(c.view, pool.Name)
+		targets := c.broker.targetsWithoutBroker(now, c.view, pool.Name)
 		if pool.Engine != nil {
 			targets = hostShare(targets, c.self.Host, c.view.Hosts())
 		}
--- a/internal/schedule/bmgrant/rollout_owner.go
+++ b/internal/schedule/bmgrant/rollout_owner.go
@@ -56,7 +56,7 @@
 
 // undecidedTargets returns the targets of all pools; those to which a decided order leaves
 // no requests count as leaving.
-func (b *Broker) undecidedTargets(v *bmview.View) []basilmoor.Target {
+func (b *Broker) undecidedTargets(now basilmoor.Millis, v *bmview.View) []basilmoor.Target {
 	if v.Table == nil || !b.rolloutBounds.InForce() {
 		return v.AllTargets()
 	}
@@ -64,7 +64,7 @@
 	for _, pool := range v.Pools() {
 		targets := v.Targets(pool)
 		if order, ordered := v.Rollout(pool); ordered {
-			targets = order.WithoutDecided(targets)
+			targets = order.WithoutDecided(now, targets)
 		}
 		all = append(all, targets...)
 	}
@@ -73,9 +73,9 @@
 
 // targetsWithoutBroker returns the targets of a pool for a host without a broker, which
 // keeps to the old version until the order has completed.
-func (b *Broker) targetsWithoutBroker(v *bmview.View, pool string) []basilmoor.Target {
+func (b *Broker) targetsWithoutBroker(now basilmoor.Millis, v *bmview.View, pool string) []basilmoor.Target {
 	if order, ordered := b.rolloutOf(v, pool); ordered {
-		return order.WithoutNew(v.Targets(pool))
+		return order.WithoutNew(now, v.Targets(pool))
 	}
 	return v.Targets(pool)
 }
@@ -90,9 +90,9 @@
 		return o.roll.Usable(now, targets)
 	}
 	if order.State() == bmrollout.StateServing {
-		return order.WithoutNew(targets)
+		return order.WithoutNew(now, targets)
 	}
-	return order.WithoutDecided(targets)
+	return order.WithoutDecided(now, targets)
 }
 
 // stepRollouts advances the rollouts of the pools. It reports whether the targets that may
--- a/internal/schedule/bmrollout/order.go
+++ b/internal/schedule/bmrollout/order.go
@@ -55,8 +55,15 @@
 	Order     Order
 	LearnedAt basilmoor.Millis
 	Status    Status // the latest one, possibly of an earlier order
+	// ToldAt is when this host learned the status.
+	ToldAt basilmoor.Millis
 }
 
+// stopTime is how long after a completion the targets of other versions get no requests.
+// They stop at once, and their entries go within some reports. Later on a target of
+// another version is one that replaced them without an order.
+const stopTime = 15 * basilmoor.Second
+
 // Told returns the state that the operator was told of the order, or "" if there is none.
 func (v View) Told() State {
 	if v.Status.Version == v.Order.Version && v.Order.At.Before(v.Status.At) {
@@ -72,12 +79,15 @@
 
 // WithoutDecided returns the targets of a pool, of which those that the decided order
 // leaves without requests count as leaving. If no target of a completed version takes
-// requests, the others stay in use.
-func (v View) WithoutDecided(targets []basilmoor.Target) []basilmoor.Target {
+// requests, or the completion was learned stopTime ago, the others stay in use.
+func (v View) WithoutDecided(now basilmoor.Millis, targets []basilmoor.Target) []basilmoor.Target {
 	switch v.State() {
 	case StateRolledBack:
 		return withLeaving(targets, func(t basilmoor.Target) bool { return t.Version == v.Order.Version })
 	case StateCompleted:
+		if now-v.ToldAt >= stopTime {
+			return targets
+		}
 		for _, t := range targets {
 			if t.Version == v.Order.Version && !t.Leaving {
 				return withLeaving(targets, func(t basilmoor.Target) bool { return t.Version != v.Order.Version })
@@ -89,11 +99,11 @@
 
 // WithoutNew returns the targets of a pool as WithoutDecided does; those of the new
 // version count as leaving until the order has completed, unless there are no others.
-func (v View) WithoutNew(targets []basilmoor.Target) []basilmoor.Target {
+func (v View) WithoutNew(now basilmoor.Millis, targets []basilmoor.Target) []basilmoor.Target {
 	isNew := func(t basilmoor.Target) bool { return t.Version == v.Order.Version }
 	isOld := func(t basilmoor.Target) bool { return !isNew(t) }
 	if v.State() != StateServing || !slices.ContainsFunc(targets, isOld) {
-		return v.WithoutDecided(targets)
+		return v.WithoutDecided(now, targets)
 	}
 	return withLeaving(targets, isNew)
 }
--- a/internal/schedule/bmrollout/rollout_test.go
+++ b/internal/schedule/bmrollout/rollout_test.go
@@ -254,6 +254,7 @@
 		}
 	}
 	tests := map[string]struct {
+		now           basilmoor.Millis // after the status was learned
 		status        Status
 		targets       []basilmoor.Target
 		withBroker    []string
@@ -262,6 +263,7 @@
 		"no status":                        {targets: targets, withBroker: []string{"old", "new"}, withoutBroker: []string{"old"}},
 		"serving":                          {status: status(StateServing, "v2", 8), targets: targets, withBroker: []string{"old", "new"}, withoutBroker: []string{"old"}},
 		"completed":                        {status: status(StateCompleted, "v2", 8), targets: targets, withBroker: []string{"new"}, withoutBroker: []string{"new"}},
+		"completed, replaced later":        {now: stopTime, status: status(StateCompleted, "v2", 8), targets: targets, withBroker: []string{"old", "new"}, withoutBroker: []string{"old", "new"}},
 		"completed, new targets gone":      {status: status(StateCompleted, "v2", 8), targets: gone, withBroker: []string{"old"}, withoutBroker: []string{"old"}},
 		"rolled back":                      {status: status(StateRolledBack, "v2", 8), targets: targets, withBroker: []string{"old"}, withoutBroker: []string{"old"}},
 		"rolled back before a newer order": {status: status(StateRolledBack, "v2", 6), targets: targets, withBroker: []string{"old", "new"}, withoutBroker: []string{"old"}},
@@ -286,8 +288,8 @@
 				},
 				Status: tt.status,
 			}
-			require.Equal(t, tt.withBroker, names(v.WithoutDecided(tt.targets)))
-			require.Equal(t, tt.withoutBroker, names(v.WithoutNew(tt.targets)))
+			require.Equal(t, tt.withBroker, names(v.WithoutDecided(tt.now, tt.targets)))
+			require.Equal(t, tt.withoutBroker, names(v.WithoutNew(tt.now, tt.targets)))
 		})
 	}
 }
