--- a/internal/core/bmlistener/attach.go
+++ b/internal/core/bmlistener/attach.go
@@ -17,9 +17,9 @@
 
 // Attach prepares an HTTP server to serve the listener: it reports the states of its
 // connections, and writes its messages to the structured log. Requests on connections
-// beyond the limit, and those that had to make room for others after their head was read,
-// go to refuse, whose responses must close the connection, instead of the server's
-// handler. Attach must be called once, before the server serves.
+// beyond the limit, and requests evicted from the memory budget after their head was read,
+// go to refuse instead of the server's handler. The responses of refuse must close the
+// connection. Attach must be called once, before the server serves.
 func (l *Listener) Attach(server *http.Server, refuse http.Handler) {
 	a := &admitter{
 		conns:   l.conns,
--- a/internal/core/bmlistener/conn.go
+++ b/internal/core/bmlistener/conn.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// receiveBufferBytes is the size of the receive buffer of a caller's connection. The
-	// system counts twice of it, and counts what was not read as memory of the process.
+	// receiveBufferBytes is the size of a connection's receive buffer. The kernel reserves
+	// twice this size and charges unread data to the process.
 	receiveBufferBytes = 24 << 10
 
 	// headCopies is the number of copies of a request's head that are held: as it was
@@ -29,12 +29,12 @@
 	// headLineBytes is what each line of a head takes beside its text.
 	headLineBytes = 256
 
-	// headRank is the rank of a request whose head has not been read: below all others.
-	headRank = math.MaxInt
+	// unknownRank is the rank of a request before its head is parsed: below all others.
+	unknownRank = math.MaxInt
 )
 
-// errNoRoom ends a connection whose head has no room. net/http answers 400, which promises
-// that the request is wrong, to errors of reads that are no net.OpError.
+// errNoRoom ends a connection whose request head has no room. It is a net.OpError because
+// net/http answers other read errors with 400, which would blame the request.
 var errNoRoom = &net.OpError{
 	Op:  "read",
 	Err: bmmemory.ErrNoRoom,
@@ -78,7 +78,7 @@
 // countHead takes the memory for a part of a head.
 func (c *accountedConn) countHead(part []byte) bool {
 	cost := int64(headCopies*len(part) + headLineBytes*bytes.Count(part, []byte{'\n'}))
-	if !c.account.Grow(cost, headRank, c.listener.clock) {
+	if !c.account.Grow(cost, unknownRank, c.listener.clock) {
 		return false
 	}
 	c.account.Received(len(part), c.listener.clock)
--- a/internal/core/bmmemory/body.go
+++ b/internal/core/bmmemory/body.go
@@ -18,8 +18,8 @@
 	unsizedStartBytes = 1 << 10
 )
 
-// ErrNoRoom means that the budget has no room for a request, or that the request had to
-// make room for others.
+// ErrNoRoom means that the budget has no room for a request, or that the request was
+// evicted.
 var ErrNoRoom = errors.New("the memory for callers is used up")
 
 // Body is a body that is to be read.
--- a/internal/core/bmmemory/budget.go
+++ b/internal/core/bmmemory/budget.go
@@ -2,8 +2,8 @@
 //
 // Invariants: bytes are taken before they are allocated, in steps as a request arrives;
 // the sum beyond FreeBytes for each connection never exceeds the limit of the budget; a
-// request that has arrived completely is never evicted. The budget is the owner of all
-// counts. They end with the process, as what they count does.
+// request that has arrived completely is never evicted. The budget owns all
+// counts.
 package bmmemory
 
 import (
@@ -18,8 +18,8 @@
 	// usual request without a prompt takes.
 	FreeBytes = 12 << 10
 
-	// StallTime is how long a request may arrive at less than progressBytes a StallTime
-	// until it makes room for others.
+	// StallTime is the time without progress after which a request may be evicted.
+	// Progress is the arrival of progressBytes.
 	StallTime = basilmoor.Second
 
 	progressBytes = 4 << 10
@@ -38,11 +38,11 @@
 	stats     Stats
 }
 
-// Stats tells what a budget has done so far.
+// Stats holds the present use and the counters of a budget.
 type Stats struct {
 	Used    int64 // bytes that are taken now
 	Evicted int64 // requests that were evicted
-	Refused int64 // times that no room was made
+	Refused int64 // calls of Grow that found no room
 }
 
 // NewBudget returns a budget of the given number of bytes.
@@ -53,7 +53,7 @@
 	}
 }
 
-// Stats returns what the budget has done so far.
+// Stats returns the present use and the counters.
 func (b *Budget) Stats() Stats {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -129,7 +129,7 @@
 	return !a.evicted.Load()
 }
 
-// Evicted reports whether the request had to make room for others.
+// Evicted reports whether the request was evicted.
 func (a *Account) Evicted() bool {
 	return a != nil && a.evicted.Load()
 }
--- a/internal/fleet/bmview/rollouts.go
+++ b/internal/fleet/bmview/rollouts.go
@@ -23,7 +23,7 @@
 		status.At.Era = era
 		if known := s.rollouts[pool]; known.Status.At.Before(status.At) {
 			known.Status = status
-			known.ToldAt = now
+			known.StatusLearnedAt = now
 			s.rollouts[pool] = known
 		}
 	}
--- a/internal/node/bmentrynode/node.go
+++ b/internal/node/bmentrynode/node.go
@@ -125,7 +125,7 @@
 	n.broker = bmgrant.NewBroker(n.clock, n.keeper, crashes, s.Tolerance, n.metrics, log)
 	n.broker.SetRolloutBounds(s.Host, s.Rollouts)
 	if s.PrefillLimits {
-		n.broker.LimitPrefill()
+		n.broker.EnablePrefillLimits()
 	}
 	n.scheduler = bmgrant.NewClient(n.clock, self, n.broker, bmgrant.Options{
 		DisableBroker:  s.LocalScheduling,
--- a/internal/node/bmentrynode/settings.go
+++ b/internal/node/bmentrynode/settings.go
@@ -134,9 +134,9 @@
 }
 
 const (
-	// memoryPerRequests is the number of parts of Settings.MemoryBytes of which one may
-	// hold callers' requests, beyond a small part for each connection.
-	memoryPerRequests = 4
+	// requestMemoryDivisor: one part in so many of the process's memory may hold callers'
+	// requests, beyond bmmemory.FreeBytes for each connection.
+	requestMemoryDivisor = 4
 
 	// minRequestBytes is the least memory for callers' requests. It holds a request of the
 	// largest usual size.
@@ -151,7 +151,7 @@
 	if s.MemoryBytes <= 0 {
 		return defaultRequestBytes
 	}
-	return max(s.MemoryBytes/memoryPerRequests, minRequestBytes)
+	return max(s.MemoryBytes/requestMemoryDivisor, minRequestBytes)
 }
 
 // maxViewAge is the age of the view from which requests with a key are refused.
--- a/internal/node/bmnode/build.go
+++ b/internal/node/bmnode/build.go
@@ -274,9 +274,9 @@
 	// memory of the process.
 	memoryLimitFraction = 0.6
 
-	// memoryPerRequests is the number of parts of the memory of which one may hold
-	// callers' requests, beyond a small part for each connection.
-	memoryPerRequests = 4
+	// requestMemoryDivisor: one part in so many of the process's memory may hold callers'
+	// requests, beyond bmmemory.FreeBytes for each connection.
+	requestMemoryDivisor = 4
 )
 
 const adminHeaderTimeout = 10 * basilmoor.Second
--- a/internal/node/bmnode/node.go
+++ b/internal/node/bmnode/node.go
@@ -80,7 +80,7 @@
 	}
 	memoryBytes := int64(s.MemoryMB) << 20
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(memoryBytes)))
-	n.memory = bmmemory.NewBudget(memoryBytes / memoryPerRequests)
+	n.memory = bmmemory.NewBudget(memoryBytes / requestMemoryDivisor)
 	n.crashes = bmcrash.New(n.clock)
 	for _, build := range []func() error{
 		n.buildPlatform,
--- a/internal/request/bmentry/admission_test.go
+++ b/internal/request/bmentry/admission_test.go
@@ -12,8 +12,8 @@
 	"basilmoor.example/basilmoor/internal/fleet/bmview"
 )
 
-// Requests must be admitted only with a valid key, and not while the view is so
-// old that the key may have been revoked.
+// Guards against serving a request without a valid key, or with a key that may have been
+// revoked while the view was stale.
 func TestAdmission(t *testing.T) {
 	tests := map[string]struct {
 		path   string
--- a/internal/request/bmentry/handler.go
+++ b/internal/request/bmentry/handler.go
@@ -115,7 +115,7 @@
 }
 
 // ServeExcess refuses a request on a connection beyond the limit of the host, or one that
-// had to make room for others, and closes the connection. The request has not run.
+// was evicted from the memory budget, and closes the connection. The request has not run.
 func (h *Handler) ServeExcess(w http.ResponseWriter, r *http.Request) {
 	c := &call{
 		handler:   h,
@@ -251,8 +251,8 @@
 	if err := c.readBody(table); err != nil {
 		return err
 	}
-	// The caller sends the request until the last byte of its body: a key or route
-	// that was removed before then must not be served.
+	// The configuration may have changed while the body was read: a key or route that
+	// was removed meanwhile must not be served.
 	table = cfg.ViewSource.View().Table
 	c.configVersion = table.Version()
 	age, known := cfg.ViewSource.Age()
--- a/internal/request/bmgateway/gateway.go
+++ b/internal/request/bmgateway/gateway.go
@@ -176,7 +176,7 @@
 }
 
 // ServeExcess refuses a request on a connection beyond the limit of the host, or one that
-// had to make room for others, and closes the connection. The request has not run.
+// was evicted from the memory budget, and closes the connection. The request has not run.
 func (g *Gateway) ServeExcess(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Connection", "close")
 	if bmlistener.AccountOf(r.Context()).Evicted() {
--- a/internal/schedule/bmbench/engine.go
+++ b/internal/schedule/bmbench/engine.go
@@ -8,15 +8,15 @@
 // stepPerSequence for each running sequence, plus prefillPerToken for each
 // prompt token processed in the step.
 type engineSpec struct {
-	target          basilmoor.Target
-	stepBase        micros
-	stepPerSequence micros
-	prefillPerToken float64 // microseconds per prompt token
-	maxBatch        int     // sequences that run concurrently
-	maxChunkTokens  int     // prompt tokens processed in one step, over all sequences
-	maxQueue        int     // waiting sequences at which a full batch rejects requests
-	crowdedAt       int     // sequences beyond which steps take longer; 0 for none
-	crowdedStep     float64 // increase of a step's time by each of them, as a fraction
+	target              basilmoor.Target
+	stepBase            micros
+	stepPerSequence     micros
+	prefillPerToken     float64 // microseconds per prompt token
+	maxBatch            int     // sequences that run concurrently
+	maxChunkTokens      int     // prompt tokens processed in one step, over all sequences
+	maxQueue            int     // waiting sequences at which a full batch rejects requests
+	saturationSequences int     // sequences beyond which steps take longer; 0 for none
+	saturationSlowdown  float64 // increase of a step's time by each of them, as a fraction
 }
 
 // sequence is the execution of a request on an engine.
@@ -155,8 +155,8 @@
 		budget -= s.chunkTokens
 	}
 	work := float64(e.stepBase) + float64(e.stepPerSequence)*float64(len(e.running)) + e.prefillPerToken*float64(e.maxChunkTokens-budget)
-	if crowd := len(e.running) - e.crowdedAt; e.crowdedAt > 0 && crowd > 0 {
-		work *= 1 + e.crowdedStep*float64(crowd)
+	if excess := len(e.running) - e.saturationSequences; e.saturationSequences > 0 && excess > 0 {
+		work *= 1 + e.saturationSlowdown*float64(excess)
 	}
 	sim := e.pool.sim
 	sim.after(micros(work*e.slowdown(sim.now)), e.endStep)
--- a/internal/schedule/bmbench/uneven.go
+++ b/internal/schedule/bmbench/uneven.go
@@ -28,12 +28,12 @@
 type UnevenPattern struct {
 	Name string
 
-	slowEvery   int     // each such target is slow; 0 for none
-	slowFactor  float64 // of its steps and prompts
-	crowdedAt   int     // sequences beyond which each slow target slows down; 0 for none
-	crowdedStep float64
-	noise       float64  // share of the time in which a target is disturbed
-	slowWindows []window // during which a third of the targets is slow
+	slowEvery           int     // each such target is slow; 0 for none
+	slowFactor          float64 // of its steps and prompts
+	saturationSequences int     // sequences beyond which each slow target slows down; 0 for none
+	saturationSlowdown  float64
+	noise               float64  // share of the time in which a target is disturbed
+	slowWindows         []window // during which a third of the targets is slow
 }
 
 // UnevenPatterns returns the patterns under which schemes are compared.
@@ -43,11 +43,11 @@
 			Name: "even",
 		},
 		{
-			Name:        "a-third-slows-at-half-of-its-slots",
-			slowEvery:   3,
-			slowFactor:  1,
-			crowdedAt:   3,
-			crowdedStep: 0.8,
+			Name:                "a-third-slows-at-half-of-its-slots",
+			slowEvery:           3,
+			slowFactor:          1,
+			saturationSequences: 3,
+			saturationSlowdown:  0.8,
 		},
 		{
 			Name:       "a-third-four-times-slower",
@@ -203,8 +203,8 @@
 		if p.slowEvery > 0 && i%p.slowEvery == 0 {
 			e.stepBase = micros(float64(e.stepBase) * p.slowFactor)
 			e.prefillPerToken *= p.slowFactor
-			e.crowdedAt = p.crowdedAt
-			e.crowdedStep = p.crowdedStep
+			e.saturationSequences = p.saturationSequences
+			e.saturationSlowdown = p.saturationSlowdown
 		}
 		engines = append(engines, e)
 	}
--- a/internal/schedule/bmgrant/client.go
+++ b/internal/schedule/bmgrant/client.go
@@ -123,7 +123,7 @@
 	defer c.mu.Unlock()
 	c.view = v
 	c.targets = make(map[string]basilmoor.Target, len(c.targets))
-	for _, t := range c.broker.undecidedTargets(c.clock.Now(), v) {
+	for _, t := range c.broker.targetsAfterDecisions(c.clock.Now(), v) {
 		c.targets[t.Name] = t
 	}
 	c.election.SetHosts(v.Hosts())
--- a/internal/schedule/bmgrant/pool.go
+++ b/internal/schedule/bmgrant/pool.go
@@ -195,7 +195,7 @@
 		t = p.adopt(now, o)
 	}
 	r := t.inFlight[o.Request]
-	p.judge(now, t, r, o)
+	p.observeForRollout(now, t, r, o)
 	switch o.Stage {
 	case basilmoor.StageDispatched:
 		r.dispatched = true
--- a/internal/schedule/bmgrant/prefill.go
+++ b/internal/schedule/bmgrant/prefill.go
@@ -16,18 +16,17 @@
 	heldBack    int     // demands granted after they were held back, since the last summary
 }
 
-// LimitPrefill makes the pool grant a target no prompt that is expected to make a stream
-// on it late while a faster target takes the prompt better. An event of the streams holds
-// the given number of tokens.
+// LimitPrefill keeps prompts that are expected to delay running streams from slow targets.
+// eventTokens is the number of tokens of a stream's event.
 func (p *Pool) LimitPrefill(eventTokens int) {
 	p.prefill.enabled = true
 	p.prefill.eventTokens = float64(eventTokens)
 	p.prefill.pauses = bmprefill.NewPauses()
 }
 
-// LimitPrefill limits the prompts beside streams in the pools of the broker and of the
-// host's client. It must be called before there is a pool.
-func (b *Broker) LimitPrefill() {
+// EnablePrefillLimits makes pools that are created later, by the broker and by the host's
+// client, limit prompts beside streams. It must be called before there is a pool.
+func (b *Broker) EnablePrefillLimits() {
 	b.limitsPrefill = true
 }
 
--- a/internal/schedule/bmgrant/quota_admission.go
+++ b/internal/schedule/bmgrant/quota_admission.go
@@ -7,9 +7,9 @@
 	"basilmoor.example/basilmoor/internal/schedule/bmquota"
 )
 
-// admit charges a demand to the quota of its workspace, or returns its refusal. partial
-// is the source of the refusal if the whole quota of the fleet would permit the demand.
-func (q *quotas) admit(now basilmoor.Millis, d basilmoor.Demand, partial basilmoor.RefusalSource) *basilmoor.Refusal {
+// admit charges a demand to the quota of its workspace, or returns its refusal. shareSource
+// is the source of the refusal if only this owner's share of the quota is exhausted.
+func (q *quotas) admit(now basilmoor.Millis, d basilmoor.Demand, shareSource basilmoor.RefusalSource) *basilmoor.Refusal {
 	acc, limited := q.accounts[d.Workspace]
 	if !limited || d.Charge == 0 {
 		return nil
@@ -32,7 +32,7 @@
 	if ok {
 		return nil
 	}
-	refusal.Source = q.refusalSource(acc, d.Charge, partial)
+	refusal.Source = q.refusalSource(acc, d.Charge, shareSource)
 	refusal.RetryAfter = wait
 	return refusal
 }
@@ -70,15 +70,14 @@
 	}
 }
 
-// refusalSource returns the part of an account that is over the quota after tryCharge
-// has refused tokens.
-func (q *quotas) refusalSource(acc *account, tokens int, partial basilmoor.RefusalSource) basilmoor.RefusalSource {
+// refusalSource returns the source of the refusal of a charge that tryCharge has rejected.
+func (q *quotas) refusalSource(acc *account, tokens int, shareSource basilmoor.RefusalSource) basilmoor.RefusalSource {
 	over := q.used(acc) + float64(tokens) - q.windowQuota(acc)
 	switch {
 	case over <= acc.assumedTokens():
 		return basilmoor.SourceAssumedSpending
 	case q.share < 1:
-		return partial
+		return shareSource
 	}
 	return basilmoor.SourceFleetQuota
 }
--- a/internal/schedule/bmgrant/rollout.go
+++ b/internal/schedule/bmgrant/rollout.go
@@ -5,10 +5,10 @@
 	"basilmoor.example/basilmoor/internal/schedule/bmrollout"
 )
 
-// judgement is what the rollout of a pool knows of one granted request.
-type judgement struct {
+// rolloutSample is what the rollout of a pool knows of one granted request.
+type rolloutSample struct {
 	expectedStart basilmoor.Millis // to the first token or response of a target of the default speed; 0 if unknown
-	startJudged   bool
+	startReported bool
 }
 
 // setRollout makes the pool grant requests as a rollout allows it, or without regard to
@@ -43,11 +43,11 @@
 		return
 	}
 	p.rollout.Granted(t.spec)
-	r.judged.expectedStart = p.firstTokenAt(defaultTokenLatency, r.demand, t.backlog)
+	r.sample.expectedStart = p.firstTokenAt(defaultTokenLatency, r.demand, t.backlog)
 }
 
-// judge passes an observation of a granted request to the rollout.
-func (p *Pool) judge(now basilmoor.Millis, t *target, r *grantedRequest, o basilmoor.Observation) {
+// observeForRollout passes an observation of a granted request to the rollout.
+func (p *Pool) observeForRollout(now basilmoor.Millis, t *target, r *grantedRequest, o basilmoor.Observation) {
 	if p.rollout == nil || o.TargetDied {
 		// The death of a target is that of a host, or due to the request.
 		return
@@ -73,23 +73,23 @@
 }
 
 // startRatio returns the ratio of a time to the first token or response to the expected
-// one, or 0 if it is unknown or was judged before.
+// one, or 0 if it is unknown or was sample before.
 func (r *grantedRequest) startRatio(elapsed basilmoor.Millis) float64 {
-	if r.judged.startJudged || r.judged.expectedStart <= 0 || elapsed <= 0 {
+	if r.sample.startReported || r.sample.expectedStart <= 0 || elapsed <= 0 {
 		return 0
 	}
-	r.judged.startJudged = true
-	return float64(elapsed) / float64(r.judged.expectedStart)
+	r.sample.startReported = true
+	return float64(elapsed) / float64(r.sample.expectedStart)
 }
 
-// judgeOverdue judges the requests that have waited for their first token or response for
-// longer than is slow, without waiting for it.
-func (p *Pool) judgeOverdue(now basilmoor.Millis) {
+// reportOverdueStarts reports a slow start for each dispatched request whose first token or
+// response is overdue.
+func (p *Pool) reportOverdueStarts(now basilmoor.Millis) {
 	for id, t := range p.inFlight {
 		r := t.inFlight[id]
-		limit := p.rollout.SlowStartLimit(t.spec) * float64(r.judged.expectedStart)
+		limit := p.rollout.SlowStartLimit(t.spec) * float64(r.sample.expectedStart)
 		waited := now - r.grantedAt
-		if limit == 0 || r.firstToken > 0 || r.judged.startJudged || !r.dispatched || float64(waited) <= limit {
+		if limit == 0 || r.firstToken > 0 || r.sample.startReported || !r.dispatched || float64(waited) <= limit {
 			continue
 		}
 		p.rollout.Observe(now, bmrollout.Answer{
--- a/internal/schedule/bmgrant/rollout_owner.go
+++ b/internal/schedule/bmgrant/rollout_owner.go
@@ -11,11 +11,11 @@
 	// time after which a bad version gets no more requests.
 	rolloutStepPeriod basilmoor.Millis = 60
 
-	// rolloutRetryPeriod is the time between two calls to the store that fail.
+	// rolloutRetryPeriod is the delay after a failed call to the store.
 	rolloutRetryPeriod basilmoor.Millis = 200
 
-	// rolloutReclaimDelay is the time after which a broker whose record was refused
-	// tries again as the owner, if it still is the broker. Two brokers exist for less.
+	// rolloutReclaimDelay is how long a broker whose record was refused waits before it
+	// tries again. It exceeds the time for which two brokers can overlap.
 	rolloutReclaimDelay = basilmoor.Second
 )
 
@@ -25,13 +25,11 @@
 	owned      bool // at the last step
 	recordRead bool // whether the record of earlier owners was read
 
-	// generation is that of the stored record of this owner, 0 without one, and
-	// lastGeneration the highest one known to be in use or refused.
-	generation     int64
-	lastGeneration int64
-	recordVersion  int64            // of the stored record in the store
+	generation     int64            // of this owner's stored record; 0 if it has none
+	lastGeneration int64            // highest generation known, stored or refused
+	recordVersion  int64            // store version of the record
 	recordSent     basilmoor.Millis // when the latest record that was stored was sent
-	statusVersion  int64
+	statusVersion  int64            // store version of the status
 	status         bmrollout.State  // the latest that was stored, "" if none by this owner
 	unanswered     bmrollout.Record // the latest whose write got no answer
 	unansweredAt   basilmoor.Millis // when it was sent
@@ -48,23 +46,23 @@
 
 // rolloutOf returns the latest order for a pool if orders are followed.
 func (b *Broker) rolloutOf(v *bmview.View, pool string) (bmrollout.View, bool) {
-	if !b.rolloutBounds.InForce() {
+	if !b.rolloutBounds.Enabled() {
 		return bmrollout.View{}, false
 	}
 	return v.Rollout(pool)
 }
 
-// undecidedTargets returns the targets of all pools; those to which a decided order leaves
-// no requests count as leaving.
-func (b *Broker) undecidedTargets(now basilmoor.Millis, v *bmview.View) []basilmoor.Target {
-	if v.Table == nil || !b.rolloutBounds.InForce() {
+// targetsAfterDecisions returns the targets of all pools. Targets that a decided rollout
+// excludes are marked as leaving.
+func (b *Broker) targetsAfterDecisions(now basilmoor.Millis, v *bmview.View) []basilmoor.Target {
+	if v.Table == nil || !b.rolloutBounds.Enabled() {
 		return v.AllTargets()
 	}
 	var all []basilmoor.Target
 	for _, pool := range v.Pools() {
 		targets := v.Targets(pool)
-		if order, ordered := v.Rollout(pool); ordered {
-			targets = order.WithoutDecided(now, targets)
+		if view, ordered := v.Rollout(pool); ordered {
+			targets = view.WithoutDecided(now, targets)
 		}
 		all = append(all, targets...)
 	}
@@ -74,25 +72,25 @@
 // targetsWithoutBroker returns the targets of a pool for a host without a broker, which
 // keeps to the old version until the order has completed.
 func (b *Broker) targetsWithoutBroker(now basilmoor.Millis, v *bmview.View, pool string) []basilmoor.Target {
-	if order, ordered := b.rolloutOf(v, pool); ordered {
-		return order.WithoutNew(now, v.Targets(pool))
+	if view, ordered := b.rolloutOf(v, pool); ordered {
+		return view.WithoutNew(now, v.Targets(pool))
 	}
 	return v.Targets(pool)
 }
 
 // rolloutTargets restricts the targets of a pool to those that may get requests.
 func (b *Broker) rolloutTargets(now basilmoor.Millis, pool string, targets []basilmoor.Target) []basilmoor.Target {
-	order, ordered := b.rolloutOf(b.view, pool)
+	view, ordered := b.rolloutOf(b.view, pool)
 	if !ordered {
 		return targets
 	}
-	if o, owned := b.rollouts[pool]; owned && o.roll.Order() == order.Order && order.State() == bmrollout.StateServing {
+	if o, known := b.rollouts[pool]; known && o.roll.Order() == view.Order && view.State() == bmrollout.StateServing {
 		return o.roll.Usable(now, targets)
 	}
-	if order.State() == bmrollout.StateServing {
-		return order.WithoutNew(now, targets)
+	if view.State() == bmrollout.StateServing {
+		return view.WithoutNew(now, targets)
 	}
-	return order.WithoutDecided(now, targets)
+	return view.WithoutDecided(now, targets)
 }
 
 // stepRollouts advances the rollouts of the pools. It reports whether the targets that may
@@ -104,8 +102,8 @@
 	b.rolloutsStepped = now
 	changed := false
 	for name, p := range b.pools {
-		order, ordered := b.rolloutOf(b.view, name)
-		if !ordered || order.State() != bmrollout.StateServing {
+		view, ordered := b.rolloutOf(b.view, name)
+		if !ordered || view.State() != bmrollout.StateServing {
 			if _, known := b.rollouts[name]; known {
 				delete(b.rollouts, name)
 				p.setRollout(nil)
@@ -114,11 +112,11 @@
 			continue
 		}
 		o := b.rollouts[name]
-		if o == nil || o.roll.Order() != order.Order {
+		if o == nil || o.roll.Order() != view.Order {
 			o = &rolloutOwner{
-				roll:          bmrollout.New(order.Order, b.rolloutBounds, order.LearnedAt),
-				statusVersion: order.Status.At.Revision,
-				status:        order.Told(),
+				roll:          bmrollout.New(view.Order, b.rolloutBounds, view.LearnedAt),
+				statusVersion: view.Status.At.Revision,
+				status:        view.StoredState(),
 			}
 			b.rollouts[name] = o
 			p.setRollout(o.roll)
@@ -132,12 +130,12 @@
 
 func (b *Broker) stepRollout(now basilmoor.Millis, name string, p *Pool, o *rolloutOwner) bool {
 	owned := o.roll.Owned(now)
-	p.judgeOverdue(now)
+	p.reportOverdueStarts(now)
+	b.countRollout(o)
 	changed := o.roll.Step(now, p.rolloutFleet(b.view.Targets(name)))
 	if changed {
 		b.logRollout(name, o, "rollout enters a stage")
 	}
-	b.countRollout(o)
 	if owned != o.owned {
 		o.owned = owned
 		changed = true
@@ -145,7 +143,8 @@
 	return changed
 }
 
-// countRollout adds the numbers since the last call to the metrics.
+// countRollout adds the requests and bad answers since the last call to the metrics of
+// the present stage.
 func (b *Broker) countRollout(o *rolloutOwner) {
 	c := o.roll.Counts()
 	b.metrics.Add("rollouts.requests."+string(o.roll.Stage())+".new", int64(c.Exposed-o.counted.Exposed))
--- a/internal/schedule/bmgrant/rollout_writer.go
+++ b/internal/schedule/bmgrant/rollout_writer.go
@@ -179,7 +179,8 @@
 	return true
 }
 
-// current reports whether the call belongs to a rollout that this broker still owns.
+// currentRollout reports whether this broker is active and c belongs to its present entry
+// for the pool. b.mu is held.
 func (b *Broker) currentRollout(c rolloutCall) bool {
 	return b.active && b.rollouts[c.pool] == c.owner
 }
@@ -284,6 +285,6 @@
 		b.metrics.Add("rollouts.rolled-back."+string(c.owner.roll.Reason()), 1)
 	}
 	if state != "" {
-		b.logRollout(c.pool, c.owner, "operator told of a rollout")
+		b.logRollout(c.pool, c.owner, "rollout status stored")
 	}
 }
--- a/internal/schedule/bmgrant/target.go
+++ b/internal/schedule/bmgrant/target.go
@@ -80,7 +80,7 @@
 	// expected to take beside the prompts granted later; 0 without any.
 	longestEvent float64
 
-	judged judgement // of a pool that moves to another version
+	sample rolloutSample // of a pool that moves to another version
 }
 
 // target is the state of one target in a pool.
--- a/internal/schedule/bmquota/demand_test.go
+++ b/internal/schedule/bmquota/demand_test.go
@@ -173,7 +173,7 @@
 	require.InDelta(t, 1, play(asks, byDemand()).share(2), 0)
 }
 
-// Guards against refusals in favour of nobody.
+// Guards against refusals of a request while no higher tier has measured demand.
 func TestWait(t *testing.T) {
 	scarce := Balance{
 		Free:     1000,
--- a/internal/schedule/bmrollout/evidence.go
+++ b/internal/schedule/bmrollout/evidence.go
@@ -31,17 +31,17 @@
 	// in that of the short one.
 	usualWeight = 10.0
 
-	// judgeDelay is the time after which an answer of the new version is judged: those
+	// usualJudgeDelay is the time after which an answer of the new version is judged: those
 	// that the old one gave beside it count as well.
-	judgeDelay = 300 * basilmoor.Millis(1)
+	usualJudgeDelay = 300 * basilmoor.Millis(1)
 
-	// baseAge is the age from which the bad share of the old version is no longer
-	// that of the same time, and agedShare the least share that is assumed then.
+	// baseAge is the age from which the baseline of the old version is too old to compare
+	// with. agedShare is then the least share of bad answers assumed of the old version.
 	baseAge   = basilmoor.Second
 	agedShare = 0.1
 
-	// maxShare bounds the share of bad answers to which a worse one is compared, and
-	// maxWorseShare that one.
+	// maxShare and maxWorseShare bound the shares of bad answers that are assumed of the
+	// old version and of a bad new one.
 	maxShare      = 0.7
 	maxWorseShare = 0.95
 
--- a/internal/schedule/bmrollout/grants.go
+++ b/internal/schedule/bmrollout/grants.go
@@ -7,8 +7,8 @@
 	"basilmoor.example/basilmoor"
 )
 
-// AllowsNew reports whether a request may be granted a target of the new version. One
-// that was sent before is spared the canary stage.
+// AllowsNew reports whether a request may be granted a target of the new version. In
+// the canary stage, retried requests go only to old targets.
 func (r *Rollout) AllowsNew(now basilmoor.Millis, retried bool) bool {
 	if r.recorded.Stage == StageCompleted || r.alone && r.stage != StageRolledBack {
 		return true
@@ -18,7 +18,7 @@
 	}
 	switch r.stage {
 	case StageCanary:
-		return !retried && r.canaryGate()
+		return !retried && r.canaryBatchOpen()
 	case StageShifting:
 		// Until the stage is stored, a next owner would not know of the requests
 		// beyond those reserved.
@@ -52,16 +52,17 @@
 	return max(minCanaries, int(r.bounds.ExposedShare*float64(targets)/2+0.5))
 }
 
-// canaryGate reports whether the saved budget is being used.
-func (r *Rollout) canaryGate() bool {
+// canaryBatchOpen reports whether the canary targets may get requests: from when a full
+// batch is within the limit until the limit is reached.
+func (r *Rollout) canaryBatchOpen() bool {
 	left := min(r.canaryLimit(0), r.recorded.Reserved) - r.exposed
 	switch {
 	case left <= 0:
-		r.gateOpen = false
-	case left >= canaryPulse:
-		r.gateOpen = true
+		r.batchOpen = false
+	case left >= canaryBatch:
+		r.batchOpen = true
 	}
-	return r.gateOpen
+	return r.batchOpen
 }
 
 // canaryLimit returns the number of requests that may go to the new version in the canary
--- a/internal/schedule/bmrollout/order.go
+++ b/internal/schedule/bmrollout/order.go
@@ -25,7 +25,7 @@
 	StateRolledBack State = "rolled-back"
 )
 
-// Status is what the fleet has told the operator about an order.
+// Status is the stored result of an order, which the operator reads.
 type Status struct {
 	Pool    string
 	Version string
@@ -45,8 +45,8 @@
 	RollbackTime basilmoor.Millis
 }
 
-// InForce reports whether orders are followed.
-func (b Bounds) InForce() bool {
+// Enabled reports whether orders are followed.
+func (b Bounds) Enabled() bool {
 	return b.ExposedShare > 0 || b.ExposedSlack > 0
 }
 
@@ -55,17 +55,18 @@
 	Order     Order
 	LearnedAt basilmoor.Millis
 	Status    Status // the latest one, possibly of an earlier order
-	// ToldAt is when this host learned the status.
-	ToldAt basilmoor.Millis
+	// StatusLearnedAt is when this host learned the status.
+	StatusLearnedAt basilmoor.Millis
 }
 
-// stopTime is how long after a completion the targets of other versions get no requests.
-// They stop at once, and their entries go within some reports. Later on a target of
-// another version is one that replaced them without an order.
-const stopTime = 15 * basilmoor.Second
+// oldExclusionTime is how long after a completion targets of other versions get no requests.
+// The old targets have left the store by then; a target of another version that is still
+// listed may be used.
+const oldExclusionTime = 15 * basilmoor.Second
 
-// Told returns the state that the operator was told of the order, or "" if there is none.
-func (v View) Told() State {
+// StoredState returns the state in the status of the order, or "" if no status of it is
+// stored.
+func (v View) StoredState() State {
 	if v.Status.Version == v.Order.Version && v.Order.At.Before(v.Status.At) {
 		return v.Status.State
 	}
@@ -74,18 +75,18 @@
 
 // State returns the state of the order.
 func (v View) State() State {
-	return cmp.Or(v.Told(), StateServing)
+	return cmp.Or(v.StoredState(), StateServing)
 }
 
 // WithoutDecided returns the targets of a pool, of which those that the decided order
 // leaves without requests count as leaving. If no target of a completed version takes
-// requests, or the completion was learned stopTime ago, the others stay in use.
+// requests, or the completion was learned oldExclusionTime ago, the others stay in use.
 func (v View) WithoutDecided(now basilmoor.Millis, targets []basilmoor.Target) []basilmoor.Target {
 	switch v.State() {
 	case StateRolledBack:
 		return withLeaving(targets, func(t basilmoor.Target) bool { return t.Version == v.Order.Version })
 	case StateCompleted:
-		if now-v.ToldAt >= stopTime {
+		if now-v.StatusLearnedAt >= oldExclusionTime {
 			return targets
 		}
 		for _, t := range targets {
--- a/internal/schedule/bmrollout/ownership.go
+++ b/internal/schedule/bmrollout/ownership.go
@@ -36,7 +36,7 @@
 	reserved := max(r.exposed, r.recorded.Reserved)
 	if r.stage == StageCanary {
 		limit := r.canaryLimit(int(r.perMilli * float64(r.ownership())))
-		reserved = max(reserved, min(limit, r.exposed+reservedPulses*canaryPulse))
+		reserved = max(reserved, min(limit, r.exposed+reservedBatches*canaryBatch))
 	}
 	return Record{
 		Version:    r.order.Version,
@@ -80,7 +80,7 @@
 	if r.recorded.Stage != r.stage {
 		return true
 	}
-	if r.stage == StageCanary && now-sent >= reservePeriod && r.recorded.Reserved-r.exposed < canaryPulse && r.canaryLimit(0)-r.recorded.Reserved >= canaryPulse {
+	if r.stage == StageCanary && now-sent >= reservePeriod && r.recorded.Reserved-r.exposed < canaryBatch && r.canaryLimit(0)-r.recorded.Reserved >= canaryBatch {
 		return true
 	}
 	return !r.stage.Decided() && now-sent >= renewPeriod
--- a/internal/schedule/bmrollout/plan.go
+++ b/internal/schedule/bmrollout/plan.go
@@ -10,17 +10,17 @@
 	// turns bad while it gets more requests and the rollback.
 	canaryBudget = 0.6
 
-	// canaryPulse is the number of requests that are saved up for the canary targets,
-	// so that they fill their slots at times: some versions are bad under load only.
-	canaryPulse = 12
+	// canaryBatch is the number of requests that are granted to the canary targets in a
+	// row, so that they fill their slots at times: some versions are bad under load only.
+	canaryBatch = 12
 
 	// minCanaries is the least number of targets that get the requests of the canary
 	// stage, if there are as many.
 	minCanaries = 6
 
-	// minVoters is the number of targets that have answered from which a fault of one
-	// can't decide alone.
-	minVoters = 3
+	// minTargetsForCap is the number of answering targets from which one contributes at
+	// most targetScore. With fewer, each contributes an equal part of rollbackScore.
+	minTargetsForCap = 3
 
 	// minAnswers is the number of answers without which a version is not judged good.
 	minAnswers = 20
@@ -37,11 +37,11 @@
 	// to the new version. It spans a renewal that fails.
 	maxOwnership = 2 * basilmoor.Second
 
-	// reservedPulses bounds the requests that a record covers beyond those that were
+	// reservedBatches bounds the requests that a record covers beyond those that were
 	// sent. A next owner counts all of them as sent. reservePeriod is the least time
 	// between two records for more.
-	reservedPulses = 2
-	reservePeriod  = 250 * basilmoor.Millis(1)
+	reservedBatches = 2
+	reservePeriod   = 250 * basilmoor.Millis(1)
 
 	// renewPeriod is the time between two records of the same stage.
 	renewPeriod = basilmoor.Second
@@ -57,6 +57,8 @@
 }
 
 func newPlan(duration basilmoor.Millis) plan {
+	// Fractions of the duration, with bounds in ms: a margin to store the result, the
+	// draining stage, and the shifting stage.
 	margin := clamp(duration/12, 200, 1500)
 	drain := clamp(duration/5, 100, 8000)
 	shift := clamp(duration/20, 50, 2000)
--- a/internal/schedule/bmrollout/rollout.go
+++ b/internal/schedule/bmrollout/rollout.go
@@ -27,7 +27,8 @@
 	Targets    map[string]bool // names of all
 }
 
-// Answer is the end, or the first token, of a granted request.
+// Answer is an observation of one granted request: its first token, its end, or a start
+// that is overdue.
 type Answer struct {
 	New    bool // of a target of the new version
 	Target string
@@ -44,7 +45,8 @@
 	Bad   bool
 }
 
-// Counts are the numbers of a rollout for the log.
+// Counts are the counters of a rollout since its order, for the log and the metrics. After
+// a change of the owner, Answers and Bad cover the present owner only.
 type Counts struct {
 	Exposed int // requests to the new version
 	Total   int // requests of the pool since the order
@@ -65,11 +67,12 @@
 	recorded   Record           // the latest that was stored
 	ownedUntil basilmoor.Millis // requests may go to the new version until then
 
-	exposed, total     int // requests, at most and at least
+	exposed            int // requests granted to the new version, upper bound
+	total              int // requests of the pool, lower bound
 	rateSince          basilmoor.Millis
 	totalBefore        int
 	perMilli           float64 // requests of the pool per ms
-	gateOpen           bool
+	batchOpen          bool
 	alone              bool // no old target is listed
 	shiftNew, shiftAll int  // requests of the shifting stage
 
@@ -82,7 +85,8 @@
 	earlierAnswers        int // that earlier owners have weighed
 }
 
-// New returns the rollout of an order. began is when the order was learned, at the latest.
+// New returns the rollout of an order. began is the earliest known time at which the order
+// existed; Resume may set it to an earlier one.
 func New(order Order, bounds Bounds, began basilmoor.Millis) *Rollout {
 	return &Rollout{
 		order:    order,
@@ -184,7 +188,7 @@
 // contribution returns what one target may contribute to the evidence: all of it if no
 // other has answered.
 func (r *Rollout) contribution() float64 {
-	if len(r.seen) >= minVoters {
+	if len(r.seen) >= minTargetsForCap {
 		return targetScore
 	}
 	return rollbackScore / float64(max(len(r.seen), 1))
@@ -213,8 +217,8 @@
 	return ""
 }
 
-// Step advances the stage and reports whether it has changed. The stages of a rollout
-// that is not owned stay, except that evidence always rolls back.
+// Step advances the stage and reports whether it has changed. Without a valid record (see
+// Owned), the only possible change is a rollback.
 func (r *Rollout) Step(now basilmoor.Millis, f Fleet) bool {
 	if r.stage.Decided() {
 		return false
@@ -267,7 +271,7 @@
 // is to get more requests than the bounds allow a bad version, that can't wait.
 func (r *Rollout) judgeDelay(now basilmoor.Millis) basilmoor.Millis {
 	if now-r.began < r.plan.shift {
-		return judgeDelay
+		return usualJudgeDelay
 	}
 	return 0
 }
--- a/internal/schedule/bmrollout/rollout_test.go
+++ b/internal/schedule/bmrollout/rollout_test.go
@@ -263,7 +263,7 @@
 		"no status":                        {targets: targets, withBroker: []string{"old", "new"}, withoutBroker: []string{"old"}},
 		"serving":                          {status: status(StateServing, "v2", 8), targets: targets, withBroker: []string{"old", "new"}, withoutBroker: []string{"old"}},
 		"completed":                        {status: status(StateCompleted, "v2", 8), targets: targets, withBroker: []string{"new"}, withoutBroker: []string{"new"}},
-		"completed, replaced later":        {now: stopTime, status: status(StateCompleted, "v2", 8), targets: targets, withBroker: []string{"old", "new"}, withoutBroker: []string{"old", "new"}},
+		"completed, replaced later":        {now: oldExclusionTime, status: status(StateCompleted, "v2", 8), targets: targets, withBroker: []string{"old", "new"}, withoutBroker: []string{"old", "new"}},
 		"completed, new targets gone":      {status: status(StateCompleted, "v2", 8), targets: gone, withBroker: []string{"old"}, withoutBroker: []string{"old"}},
 		"rolled back":                      {status: status(StateRolledBack, "v2", 8), targets: targets, withBroker: []string{"old"}, withoutBroker: []string{"old"}},
 		"rolled back before a newer order": {status: status(StateRolledBack, "v2", 6), targets: targets, withBroker: []string{"old", "new"}, withoutBroker: []string{"old"}},
--- a/internal/schedule/bmrollout/speed.go
+++ b/internal/schedule/bmrollout/speed.go
@@ -30,7 +30,8 @@
 	slowerVersion = 2.7
 )
 
-// level is the usual ratio of the times of a target to those expected of the fastest.
+// level is the usual ratio of a target's times to those expected of a target of the
+// default speed.
 type level struct {
 	value   float64
 	samples int
