Wait for contact before the first note of a test's fleet

The start of a fleet now waits until its first node hears from all hosts, which is stricter than before.

--- a/internal/proof/bmprocess/fleet_test.go
+++ b/internal/proof/bmprocess/fleet_test.go
@@ -150,6 +150,7 @@
 		f.addNode(fmt.Sprintf("entry-%d", i+1))
 	}
 	f.publishHosts()
+	f.awaitContact(f.nodes[0])
 	f.apply(f.initialNote())
 	for _, n := range f.nodes {
 		f.waitReady(n)
@@ -267,6 +268,16 @@
 	})
 }
 
+// awaitContact waits until a node hears from most hosts. Between its first read of the list
+// of hosts and their heartbeats it refuses notes, since other hosts may hold a version.
+func (f *fleet) awaitContact(n *process) {
+	f.t.Helper()
+	f.eventually("contact of "+n.name, func() bool {
+		s, err := f.admin(n).Status(context.Background())
+		return err == nil && len(s.Hosts) >= len(f.nodes)
+	})
+}
+
 func (f *fleet) waitReady(n *process) {
 	f.t.Helper()
 	f.eventually(n.name+" ready", func() bool { return f.isReady(n) })
