Add review case 8: a target's 503 without X-Not-Executed is passed on

Cause: relayResponse passes on each status of a target, also one that callers read as a promise that the target has not made.

--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -22,9 +22,11 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(e *env) (broken bool, err error){
-	"resume": caseResume,
-	"paths":  casePaths,
-	"prefix": casePrefix,
+	"resume":  caseResume,
+	"paths":   casePaths,
+	"prefix":  casePrefix,
+	"options": caseOptions,
+	"promise": casePromise,
 }
 
 // caseLimit is the longest time that a case may take.
