--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -24,7 +24,7 @@
 var cases = map[string]func(e *env) (broken bool, err error){
 	"resume":  caseResume,
 	"paths":   casePaths,
-	"prefix":  casePrefix,
+	"segment": caseSegment,
 	"options": caseOptions,
 	"promise": casePromise,
 }
