Don't pass on a target's status as a promise that the request has not run

Cause: relayResponse relayed each status of a target. The exchange knows that a response without X-Not-Executed and other than 421 may be one of a request that has run, and the relay did not ask which statuses callers take for the opposite.

The host's log had status 200 for each relayed response; it has the status of the response now.

408, 421, 429 and 503 without that statement count as a run: the request is sent to another target where its route allows that, and else answered 502 without the receipt, which promises nothing. Responses that are too large to buffer as well.

--- a/internal/request/bmentry/handler.go
+++ b/internal/request/bmentry/handler.go
@@ -158,6 +158,7 @@
 	keys            []uint64 // of crashKeys, once computed
 	lastTarget      string   // name of the target granted last
 	refusalSource   basilmoor.RefusalSource
+	status          int  // of the target's response that is relayed; 0 before
 	endsWithConn    bool // the answer has no length or chunks: the caller sees its end in that of the connection
 }
 
@@ -182,7 +183,7 @@
 	switch {
 	case err == nil:
 		c.closeInOrder()
-		c.logEnd("done", "", http.StatusOK)
+		c.logEnd("done", "", c.status)
 	case errors.As(err, &answer):
 		c.refusalSource = answer.Source
 		c.logEnd("answered", answer.Reason, answer.Status)
--- a/internal/request/bmentry/handler_test.go
+++ b/internal/request/bmentry/handler_test.go
@@ -492,6 +492,15 @@
 				"target": "t0",
 			},
 		},
+		"relayed failure": {
+			behaviours: []string{answers500},
+			want: map[string]any{
+				"outcome": "done",
+				"status":  500.0,
+				"sends":   1.0,
+				"target":  "t0",
+			},
+		},
 		"old view": {
 			age: 4000,
 			want: map[string]any{
--- a/internal/request/bmentry/relay.go
+++ b/internal/request/bmentry/relay.go
@@ -1,6 +1,7 @@
 package bmentry
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 
@@ -42,8 +43,20 @@
 	return "target answered " + http.StatusText(e.Status)
 }
 
+// unconfirmedRefusalError means that a target answered with a status that promises
+// callers that their request has not run and never will, without stating that it did
+// not run the request. Only the status of the host's own answer may promise that.
+type unconfirmedRefusalError struct {
+	Status int
+}
+
+func (e *unconfirmedRefusalError) Error() string {
+	return fmt.Sprintf("target answered with status %d and does not state that it did not run the request", e.Status)
+}
+
 // relayResponse relays a response that is not an event stream. A 5xx response
-// of a route that allows retries is returned as a *serverError instead.
+// of a route that allows retries is returned as a *serverError instead, and one whose
+// status promises what the target has not stated as an *unconfirmedRefusalError.
 func (c *call) relayResponse(permit basilmoor.Permit, resp *bmexchange.Response, sent basilmoor.Millis) error {
 	buf := c.handler.buffers.newBuffer()
 	defer buf.release()
@@ -52,7 +65,8 @@
 		c.observeFailure(permit, err, len(body) > 0)
 		return err
 	}
-	if !whole {
+	promises := promisesNotRun(resp.Status)
+	if !whole && !promises {
 		buf.release()
 		return c.relayLarge(permit, resp, body, sent)
 	}
@@ -61,6 +75,12 @@
 		return err
 	}
 	c.observeFinished(permit, resp, sent, delivery{}, survived)
+	if promises {
+		c.handler.cfg.Metrics.Add("responses.unconfirmed-refusals", 1)
+		return &unconfirmedRefusalError{
+			Status: resp.Status,
+		}
+	}
 	relay := func() error {
 		c.writeHeader(resp)
 		_, err := c.w.Write(body)
@@ -154,6 +174,7 @@
 		// caller would take that for the end.
 		resetOnClose(c.r.Context(), true)
 	}
+	c.status = resp.Status
 	c.w.WriteHeader(resp.Status)
 }
 
--- a/internal/request/bmentry/status_error.go
+++ b/internal/request/bmentry/status_error.go
@@ -42,6 +42,16 @@
 	}
 }
 
+// promisesNotRun reports whether callers take a status for the promise that no target has
+// run or will run their request, so that they send it again.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // newFinalError returns the answer to a request that is invalid or that a target
 // may have run. It makes no promise that sending the request again is safe.
 func newFinalError(status int, reason basilmoor.Reason, detail string) *statusError {
