Keep the deaths under a request beyond the broker's term

Cause: deaths before a conviction are known to the pools of one broker's term. A session without a batch for 350 ms is given up, and the next broker, and the local pools meanwhile, begin without them. A broker that hands over forgets as well.

Each host keeps the deaths under digests (History), its own and those that the broker tells all sessions, with the answers that clear them, and tells the next broker; a new pool begins with them. Works because merging depends neither on the order nor on the number of reports, and a verdict on the order of deaths in time.

TestLogLineOfARequest reads the one line 'request ended' instead of the only line, because a broken connection is logged as well.

--- a/internal/request/bmentry/crash.go
+++ b/internal/request/bmentry/crash.go
@@ -58,7 +58,23 @@
 	if !errors.As(err, &broken) || broken.ContextDone {
 		return false
 	}
-	return c.probe(permit, answered) == bmcrash.Dead
+	v := c.probe(permit, answered)
+	c.handler.cfg.Metrics.Add("targets.broke-off."+v.String(), 1)
+	if v != bmcrash.Dead {
+		c.logBrokenOff(permit, v)
+	}
+	return v == bmcrash.Dead
+}
+
+// logBrokenOff logs that a target closed the connection of a request and is not known to
+// have died, so that the request is not blamed.
+func (c *call) logBrokenOff(permit basilmoor.Permit, v bmcrash.Verdict) {
+	c.handler.cfg.Log.Info().
+		Str("target", permit.Target().Incarnation()).
+		Str("request", c.info.ID).
+		Uint64("digest", c.crashKeys()[0]).
+		Str("verdict", v.String()).
+		Msg("target broke off the request")
 }
 
 // endedWithTargetError means that a response without a marked end ended because its
@@ -153,6 +169,7 @@
 	cfg.Metrics.Add("targets.died", 1)
 	cfg.Log.Warn().
 		Str("target", p.permit.Target().Name).
+		Str("incarnation", p.permit.Target().Incarnation()).
 		Str("request", p.request).
 		Uint64("digest", p.keys[0]).
 		Strs("parts", p.parts).
--- a/internal/request/bmentry/handler_test.go
+++ b/internal/request/bmentry/handler_test.go
@@ -467,6 +467,21 @@
 	}
 }
 
+// endOfRequest returns the only line of the log that tells the end of a request.
+func endOfRequest(t *testing.T, log io.Reader) map[string]any {
+	t.Helper()
+	var ends []map[string]any
+	for lines := json.NewDecoder(log); lines.More(); {
+		var line map[string]any
+		require.NoError(t, lines.Decode(&line))
+		if line["message"] == "request ended" {
+			ends = append(ends, line)
+		}
+	}
+	require.Len(t, ends, 1)
+	return ends[0]
+}
+
 // The log line of a request must have the fields that docs/OPERATIONS.md uses to
 // find the cause of a failure.
 func TestLogLineOfARequest(t *testing.T) {
@@ -518,8 +533,7 @@
 			_, _, err := f.post(t, "/once/x", "k")
 			require.NoError(t, err)
 			f.close()
-			var line map[string]any
-			require.NoError(t, json.Unmarshal(f.log.Bytes(), &line))
+			line := endOfRequest(t, &f.log)
 			for field, value := range tt.want {
 				require.Equal(t, value, line[field], field)
 			}
--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -12,6 +12,7 @@
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
 	"basilmoor.example/basilmoor/internal/fleet/bmview"
 	"basilmoor.example/basilmoor/internal/schedule/bmgrantpb"
+	"basilmoor.example/basilmoor/internal/schedule/bmquarantine"
 	"basilmoor.example/basilmoor/internal/schedule/bmrollout"
 )
 
@@ -41,6 +42,7 @@
 
 	views     ViewSource
 	crashes   basilmoor.CrashRegistry
+	history   *bmquarantine.History // of the host, shared with its client
 	metrics   *bmmetrics.Registry
 	tolerance Tolerance
 	wallClock func() int64 // in ms, for times that other hosts read
@@ -92,6 +94,7 @@
 		log:       log,
 		views:     views,
 		crashes:   crashes,
+		history:   bmquarantine.NewHistory(),
 		metrics:   metrics,
 		tolerance: tolerance,
 		wallClock: bmclock.UnixMillis,
@@ -137,6 +140,7 @@
 		if !ok {
 			p = b.newPool(spec, b.holdOff)
 			b.pools[spec.Name] = p
+			b.applyQuarantine(now, spec.Name, p)
 		}
 		targets := b.view.Targets(spec.Name)
 		if spec.Engine == nil {
@@ -281,6 +285,7 @@
 		s.pending.Proof = proof
 	}
 	b.forwardCrashes(now, s, batch.GetCrashes())
+	b.learnDeaths(now, s, batch.GetDeaths())
 	for _, o := range batch.GetObservations() {
 		b.observe(now, decodeObservation(s.host, s.dataCentre, o))
 	}
--- a/internal/schedule/bmgrant/client.go
+++ b/internal/schedule/bmgrant/client.go
@@ -149,6 +149,7 @@
 		if !ok {
 			p = c.broker.newPool(pool, 0)
 			c.localPools[pool.Name] = p
+			c.applyQuarantine(now, pool.Name, p)
 		}
 		targets := c.broker.targetsWithoutBroker(now, c.view, pool.Name)
 		if pool.Engine != nil {
@@ -423,6 +424,9 @@
 	if o.Target == "" {
 		o.Target = e.target.Name
 	}
+	if o.TargetDied {
+		c.recordDeath(e)
+	}
 	if c.uplink == nil {
 		if p, ok := c.localPools[e.demand.Pool]; ok {
 			now := c.clock.Now()
--- a/internal/schedule/bmgrant/crashes.go
+++ b/internal/schedule/bmgrant/crashes.go
@@ -56,6 +56,7 @@
 	count(b.metrics, news)
 	lifts := liftHolds(b.crashes, b.metrics, b.log, pool, news.answered)
 	b.spreadCrashes(now, nil, bmpeer.EncodeCrashes(lifts))
+	b.spreadDeaths(now, nil, recordNews(now, b.history, news))
 	for _, h := range news.holds {
 		recordHold(b.crashes, b.log, pool, h)
 		b.spreadCrashes(now, nil, bmpeer.EncodeCrashes([]basilmoor.Crash{crashOf(h)}))
@@ -68,6 +69,7 @@
 	news := p.takeQuarantineNews()
 	count(c.metrics, news)
 	liftHolds(c.broker.crashes, c.metrics, c.log, pool, news.answered)
+	recordNews(now, c.broker.history, news)
 	for _, h := range news.holds {
 		recordHold(c.broker.crashes, c.log, pool, h)
 		for _, other := range c.localPools {
--- a/internal/schedule/bmgrant/elect.go
+++ b/internal/schedule/bmgrant/elect.go
@@ -169,6 +169,7 @@
 		pending: &bmgrantpb.HostBatch{
 			Hello:   hello,
 			Crashes: bmpeer.EncodeCrashes(c.broker.crashes.Recent()),
+			Deaths:  encodeDeaths(now, c.broker.history.Records(now)),
 		},
 		wake:  newWakeUp(),
 		ended: make(chan struct{}),
--- a/internal/schedule/bmgrant/prefill.go
+++ b/internal/schedule/bmgrant/prefill.go
@@ -35,6 +35,7 @@
 	if b.limitsPrefill && spec.Engine != nil {
 		p.LimitPrefill(spec.Engine.EventTokens)
 	}
+	p.restore(b.clock.Now(), b.knownDeaths(b.clock.Now()))
 	return p
 }
 
--- a/internal/schedule/bmgrant/quarantine.go
+++ b/internal/schedule/bmgrant/quarantine.go
@@ -40,6 +40,7 @@
 type quarantineNews struct {
 	answered []*grantedRequest // before the holds
 	holds    []bmquarantine.Hold
+	deaths   []bmquarantine.Record
 	trials   int // requests granted under a limit
 	cleared  int // keys cleared by an answer
 }
@@ -194,6 +195,7 @@
 			OnTrial:   r.onTrial,
 		})
 	}
+	p.recordDeaths(now, reported.incarnation, blamed)
 	if h, ok := p.quarantine.Died(now, reported.incarnation, blamed); ok {
 		p.refuseKeys([]uint64{h.Key})
 		p.news.holds = append(p.news.holds, h)
--- a/internal/schedule/bmgrant/session.go
+++ b/internal/schedule/bmgrant/session.go
@@ -47,6 +47,7 @@
 		}
 	}
 	s.pending.Crashes = bmpeer.EncodeCrashes(b.crashes.Recent())
+	s.pending.Deaths = encodeDeaths(now, b.history.Records(now))
 	b.updateViewShared()
 	b.applyView(now)
 	s.wake.signal()
--- a/internal/schedule/bmgrant/uplink.go
+++ b/internal/schedule/bmgrant/uplink.go
@@ -144,6 +144,7 @@
 		c.election.SuccessorAnnounced(decodeAnswer(successor).Broker)
 	}
 	c.broker.crashes.Merge(bmpeer.DecodeCrashes(batch.GetCrashes()))
+	c.broker.history.Merge(now, decodeDeaths(now, batch.GetDeaths()))
 	for _, r := range batch.GetRefusals() {
 		c.refuse(basilmoor.Refusal{
 			Request:    requestID(c.self.Host, r.GetNumber()),
--- a/internal/schedule/bmquarantine/evidence.go
+++ b/internal/schedule/bmquarantine/evidence.go
@@ -1,6 +1,10 @@
 package bmquarantine
 
-import "slices"
+import (
+	"slices"
+
+	"basilmoor.example/basilmoor"
+)
 
 // death is the death of a target.
 type death struct {
@@ -12,6 +16,8 @@
 type fatality struct {
 	*death
 
+	at         basilmoor.Millis
+	grantedAt  basilmoor.Millis // of the latest run with the key
 	generation int
 }
 
--- a/internal/schedule/bmquarantine/quarantine.go
+++ b/internal/schedule/bmquarantine/quarantine.go
@@ -17,8 +17,9 @@
 //   - Memory is bounded.
 //
 // The state is soft and owned by a pool of the broker or of a host. If the owner
-// dies, suspicion begins anew, and convictions are kept by the crash registry of
-// each host.
+// dies, suspicion of shared parts begins anew. Each host keeps the deaths under
+// digests in its [History] and tells them to the next owner, and convictions in its
+// crash registry.
 package bmquarantine
 
 import (
@@ -250,7 +251,6 @@
 				}
 				s = &suspicion{
 					digest:      i == 0,
-					firstDeath:  now,
 					lastDeath:   now,
 					established: established,
 					answeredAt:  q.survivals.last(k),
@@ -265,29 +265,34 @@
 		runs:   runs,
 	}
 	for k, at := range granted {
-		q.suspicions[k].add(now, d, at)
+		q.suspicions[k].add(fatality{
+			death:     d,
+			at:        now,
+			grantedAt: at,
+		})
 	}
 }
 
-// add counts a death under a key whose latest run was granted at a time.
-func (s *suspicion) add(now basilmoor.Millis, d *death, grantedAt basilmoor.Millis) {
+// add counts a death that is later than those before.
+func (s *suspicion) add(d fatality) {
+	if s.generation == 0 {
+		s.firstDeath = d.at
+	}
 	switch {
-	case s.generation == 0 || grantedAt >= s.lastDeath:
+	case s.generation == 0 || d.grantedAt >= s.lastDeath:
 		s.generation++
-	case grantedAt >= s.firstDeath:
+	case d.grantedAt >= s.firstDeath:
 		s.overlapping++
 	}
-	s.lastDeath = now
+	s.lastDeath = d.at
 	if len(s.targets) < maxTargetsPerSuspicion && !slices.Contains(s.targets, d.target) {
 		s.targets = append(s.targets, d.target)
 	}
 	if len(s.deaths) >= maxDeathsPerSuspicion {
 		s.deaths = slices.Delete(s.deaths, 0, 1)
 	}
-	s.deaths = append(s.deaths, fatality{
-		death:      d,
-		generation: s.generation,
-	})
+	d.generation = s.generation
+	s.deaths = append(s.deaths, d)
 }
 
 // convict returns the hold on a key. If it is a key that requests share, it explains
