Take a status line that is no answer for damage

Cause: net/http accepts any three digits and any version, and bmexchange skipped every status below 200 as an interim response. What followed was read as the next response, also the body of the head that was skipped.

Both programs check the status line now (bmresponse). A status outside of 100 to 599, 101, and another version than HTTP/1 are damage: the request may have run, and nothing after the head is read.

--- a/internal/request/bmdispatch/call.go
+++ b/internal/request/bmdispatch/call.go
@@ -10,6 +10,7 @@
 
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/request/bmrequest"
+	"basilmoor.example/basilmoor/internal/request/bmresponse"
 )
 
 // ErrStopped is the cause of the end of a context given to Do if the host stops, and
@@ -89,6 +90,9 @@
 		return c.fail(a, err)
 	}
 	defer func() { _ = res.Body.Close() }()
+	if err := bmresponse.CheckStatusLine(res); err != nil {
+		return c.fail(a, err)
+	}
 	c.status = res.StatusCode
 	if isNotRunResponse(res) {
 		return c.finishRefused(a, res)
--- a/internal/request/bmexchange/client.go
+++ b/internal/request/bmexchange/client.go
@@ -15,6 +15,7 @@
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/core/bmmemory"
 	"basilmoor.example/basilmoor/internal/core/bmmetrics"
+	"basilmoor.example/basilmoor/internal/request/bmresponse"
 	"basilmoor.example/basilmoor/internal/schedule/bmholdoff"
 )
 
@@ -219,6 +220,10 @@
 		if err != nil {
 			return err
 		}
+		if err := bmresponse.CheckStatusLine(resp); err != nil {
+			r.client.metrics.Add("exchange.impossible-statuses", 1)
+			return err
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
--- a/internal/request/bmexchange/client_test.go
+++ b/internal/request/bmexchange/client_test.go
@@ -253,6 +253,35 @@
 	}
 }
 
+// Guards against a status line that is no answer of the target's protocol and is passed on
+// as one, or skipped, so that the bytes after it are read as the answer.
+func TestImpossibleStatuses(t *testing.T) {
+	const rest = "\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
+	tests := map[string]string{
+		"000":                                 "HTTP/1.1 000 " + rest,
+		"000, then what looks like an answer": "HTTP/1.1 000 " + rest + okResponse("1", "four"),
+		"099":                                 "HTTP/1.1 099 None" + rest,
+		"a sign":                              "HTTP/1.1 +20 OK" + rest,
+		"600":                                 "HTTP/1.1 600 None" + rest,
+		"999":                                 "HTTP/1.1 999 None" + rest,
+		"two digits":                          "HTTP/1.1 20 OK" + rest,
+		"four digits":                         "HTTP/1.1 2000 OK" + rest,
+		"an upgrade that was not asked for":   "HTTP/1.1 101 Switching Protocols" + rest + okResponse("1", "four"),
+		"another version":                     "HTTP/2.0 200 OK" + rest,
+		"no version":                          "HTTP/0.9 200 OK" + rest,
+		"another protocol":                    "ICY 200 OK" + rest,
+	}
+	for name, answer := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newScriptedTarget(t, func(int, *http.Request) string { return answer })
+			s.closeAfterAnswer = true
+			body, err := sendAndRead(newTestClient(t), s.request("1"))
+			var broken *BrokenError
+			require.True(t, errors.As(err, &broken), "%q, %v", body, err)
+		})
+	}
+}
+
 // A refusal by the target must be a *RefusedError and a failed connection an
 // *UnsentError, because both permit sending the request elsewhere.
 func TestOutcomeOfSend(t *testing.T) {
--- a/internal/request/bmexchange/doc.go
+++ b/internal/request/bmexchange/doc.go
@@ -12,6 +12,8 @@
 //   - A response is returned only if it carries the id of its request, or if it
 //     has no id and states that the request was not run. Other responses on the
 //     connection are skipped.
+//   - A response has a status from 200 to 599. A head with any other is damage, and
+//     so is all that follows it.
 //   - A connection is reused only after a complete response with no bytes after
 //     it.
 package bmexchange
