Don't take the part of an answer to an unread upload for the whole

A plain reset was noticed before, in each order.

Cause: for an answer without a length or chunks the end of the connection is the only evidence. A read reports it as clean if it comes before the reset, and nobody asked whether the target had received the request.

At such an end, and again after the probe of the target, the connection's error and the bytes that the target's system has not acknowledged make the answer broken.

--- a/internal/request/bmentry/crash.go
+++ b/internal/request/bmentry/crash.go
@@ -98,14 +98,21 @@
 	}
 	verdict := c.probe(permit, answered)
 	c.handler.cfg.Metrics.Add("responses.unmarked-end."+verdict.String(), 1)
-	if verdict != bmcrash.Dead {
-		return verdict == bmcrash.Alive, nil
+	if verdict == bmcrash.Dead {
+		permit.Observe(basilmoor.Observation{
+			Stage:      basilmoor.StageFailed,
+			TargetDied: true,
+		})
+		return false, resp.Broken(&endedWithTargetError{})
 	}
-	permit.Observe(basilmoor.Observation{
-		Stage:      basilmoor.StageFailed,
-		TargetDied: true,
-	})
-	return false, resp.Broken(&endedWithTargetError{})
+	if err := resp.ConfirmEnd(); err != nil {
+		permit.Observe(basilmoor.Observation{
+			Stage:     basilmoor.StageFailed,
+			BadAnswer: true,
+		})
+		return false, err
+	}
+	return verdict == bmcrash.Alive, nil
 }
 
 // probe finds out whether the target has died, and logs its death. It returns
--- a/internal/request/bmexchange/conn.go
+++ b/internal/request/bmexchange/conn.go
@@ -136,6 +136,29 @@
 	return failed
 }
 
+// checkEnd returns an *EarlyEndError if a target that has ended its side has reset the
+// connection, or has not received all that was written. A read reports a clean end in
+// both cases: if the end comes before the reset, or if a write gets the error of the
+// reset first.
+func (c *conn) checkEnd() error {
+	if c.raw == nil {
+		return nil
+	}
+	e := &EarlyEndError{}
+	_ = c.raw.Control(func(fd uintptr) {
+		if n, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR); err == nil && n != 0 {
+			e.Err = syscall.Errno(n)
+		}
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			e.NotReceived = n
+		}
+	})
+	if e.Err == nil && e.NotReceived == 0 {
+		return nil
+	}
+	return e
+}
+
 // hasNoInput reports whether an idle connection has received neither bytes nor
 // the end of the stream.
 func (c *conn) hasNoInput() bool {
--- a/internal/request/bmexchange/errors.go
+++ b/internal/request/bmexchange/errors.go
@@ -41,6 +41,22 @@
 	return "the target sent more bytes than allowed"
 }
 
+// EarlyEndError means that a target ended a response that has no marked end, and did not
+// receive the whole request: what came of the response may be a part.
+type EarlyEndError struct {
+	NotReceived int   // bytes of the request
+	Err         error // of the connection; nil if it was not reset
+}
+
+func (e *EarlyEndError) Error() string {
+	return fmt.Sprintf("the target ended the response before it had %d bytes of the request: %v", e.NotReceived, e.Err)
+}
+
+// Unwrap returns the error of the connection.
+func (e *EarlyEndError) Unwrap() error {
+	return e.Err
+}
+
 // UnsignedError means that a target reported success without its signature. The
 // response may be that of another process, and must not be taken for a success.
 type UnsignedError struct{}
--- a/internal/request/bmexchange/response.go
+++ b/internal/request/bmexchange/response.go
@@ -38,6 +38,11 @@
 // a *BrokenError if the body is truncated.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	if errors.Is(err, io.EOF) && r.closeDelimited {
+		if early := r.conn.checkEnd(); early != nil {
+			return n, r.endedEarly(early)
+		}
+	}
 	if errors.Is(err, io.EOF) {
 		r.complete = true
 		return n, io.EOF
@@ -48,6 +53,25 @@
 	return n, err
 }
 
+// endedEarly returns the error of a response whose end is not that of the whole body.
+func (r *Response) endedEarly(cause error) *BrokenError {
+	r.client.metrics.Add("exchange.early-ends", 1)
+	return r.Broken(cause)
+}
+
+// ConfirmEnd returns a *BrokenError if a response without a marked end turns out to have
+// been broken off after Read has reported its end, because the target has reset the
+// connection meanwhile.
+func (r *Response) ConfirmEnd() error {
+	if !r.closeDelimited {
+		return nil
+	}
+	if early := r.conn.checkEnd(); early != nil {
+		return r.endedEarly(early)
+	}
+	return nil
+}
+
 // EndMarked reports whether the end of the body is marked by its length or by its
 // chunks, or whether the response can have no body. Otherwise it is the end of the
 // connection, which may also be the end of the target.
