node: pair responses with requests by name

Cause: bytes that come before a request are refused, but a copy that comes after its first byte was read as its answer, and nothing in a response named its request.

Targets name the request in Basilmoor-Request-Id. A response that names another one is not passed on, and a refusal without a name counts only as the first response on its connection: on a kept one it may be an earlier one. The connection is closed then. Targets that name nothing are served, but their refusals on kept connections promise nothing any more.

--- a/internal/request/bmdispatch/call.go
+++ b/internal/request/bmdispatch/call.go
@@ -23,6 +23,8 @@
 	errMissingDone     = errors.New("event stream ended without [DONE]")
 	errStreamGone      = errors.New("target no longer holds the stream")
 	errTargetRefused   = errors.New("target refused the request")
+	errForeignResponse = errors.New("response names another request")
+	errUnnamedRefusal  = errors.New("refusal on a reused connection does not name the request")
 )
 
 // call is the execution of one Do. Its methods run in the goroutine of Do,
@@ -93,6 +95,10 @@
 	if err := bmresponse.CheckStatusLine(res); err != nil {
 		return c.fail(a, err)
 	}
+	if err := c.checkOwner(a, res); err != nil {
+		a.exchange.discardConn()
+		return c.fail(a, err)
+	}
 	c.status = res.StatusCode
 	if isNotRunResponse(res) {
 		return c.finishRefused(a, res)
@@ -125,6 +131,22 @@
 	return res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(HeaderOutcome) == string(basilmoor.OutcomeNotRun)
 }
 
+// checkOwner returns an error if a response is not known to be that of this request. A
+// faulty target may write an earlier response once more on a kept connection. A refusal
+// counts there only if it names this request, since it promises that this one has not run.
+func (c *call) checkOwner(a *attempt, res *http.Response) error {
+	id := res.Header.Get(HeaderRequestID)
+	switch {
+	case id == string(c.state.ID()):
+		return nil
+	case id != "":
+		return errForeignResponse
+	case isNotRunResponse(res) && a.exchange.onReusedConn():
+		return errUnnamedRefusal
+	}
+	return nil
+}
+
 func (c *call) finishRefused(a *attempt, res *http.Response) Result {
 	a.exchange.close()
 	if err := c.state.TargetRefused(); err != nil {
--- a/internal/request/bmdispatch/doc.go
+++ b/internal/request/bmdispatch/doc.go
@@ -4,7 +4,8 @@
 // The package maintains these invariants:
 //   - The bytes of a request are written to at most one connection.
 //   - The outcome "not run" is reported only if no byte was written to a
-//     connection or if the target said so in its response.
+//     connection or if the target said so in a response that names the request, or
+//     that is the first one on its connection.
 //   - An interrupted engine stream is resumed on the same target. The request
 //     itself is never sent again.
 //   - A connection that delivers no byte within its time limit is closed.
--- a/internal/request/bmdispatch/exchange.go
+++ b/internal/request/bmdispatch/exchange.go
@@ -43,6 +43,7 @@
 
 	mu              sync.Mutex
 	conn            *conn
+	reused          bool             // conn had served a request before
 	closed          bool
 	expired         bool             // valid returned false for the first write
 	writeStarted    bool             // the first write has been permitted
@@ -69,7 +70,7 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*conn); ok {
-				e.attach(c)
+				e.attach(c, info.Reused)
 			}
 		},
 	})
@@ -77,13 +78,14 @@
 
 // attach makes e the current exchange of c. After the first write, it ignores
 // further connections, so that a retry by the transport cannot write.
-func (e *exchange) attach(c *conn) {
+func (e *exchange) attach(c *conn, reused bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.closed || e.writeStarted {
 		return
 	}
 	e.conn = c
+	e.reused = reused
 	e.lastActivity = e.clock.Now()
 	c.exchange.Store(e)
 }
@@ -150,6 +152,23 @@
 	return true
 }
 
+// onReusedConn reports whether the connection had served a request before.
+func (e *exchange) onReusedConn() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reused
+}
+
+// discardConn closes the connection, whose responses can't be told apart any more. The
+// transport may have lent it to another request already, which then fails.
+func (e *exchange) discardConn() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.conn != nil {
+		_ = e.conn.Close()
+	}
+}
+
 func (e *exchange) hasExpired() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/request/bmdispatch/response_test.go
+++ b/internal/request/bmdispatch/response_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -10,10 +11,10 @@
 	"basilmoor.example/basilmoor"
 )
 
-// sendTo dispatches a GET request to a target.
-func sendTo(d *Dispatcher, t *testing.T, target *rawTarget, sink Sink) Result {
+// sendAs dispatches a GET request with the given id to a target.
+func sendAs(t *testing.T, d *Dispatcher, id basilmoor.RequestID, target *rawTarget, sink Sink) Result {
 	t.Helper()
-	return d.Do(context.Background(), newGrantedRequest(t, "r"), target.target(basilmoor.ServiceTarget), Request{
+	return d.Do(context.Background(), newGrantedRequest(t, id), target.target(basilmoor.ServiceTarget), Request{
 		Method: http.MethodGet,
 		URI:    "/x",
 	}, sink, ignoreProgress)
@@ -31,10 +32,58 @@
 			})
 			d, _ := newTestDispatcher(t)
 			sink := &recordingSink{}
-			result := sendTo(d, t, target, sink)
+			result := sendAs(t, d, "r", target, sink)
 			require.Equal(t, basilmoor.OutcomeIncomplete, result.Outcome)
 			require.Equal(t, basilmoor.ReasonTargetFailed, result.Reason)
 			require.Zero(t, sink.status, "the head was passed on")
 		})
 	}
 }
+
+// Guards against a request that is taken for not run because its target writes an earlier
+// refusal once more on a kept connection, and against the answer of an earlier request:
+// the target runs the second request.
+func TestResponsesOfEarlierRequests(t *testing.T) {
+	const (
+		overloaded = "HTTP/1.1 429 X\r\nContent-Length: 0\r\n\r\n"
+		refusal    = "HTTP/1.1 503 X\r\nBasilmoor-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+		refusal1   = "HTTP/1.1 503 X\r\nBasilmoor-Outcome: not-run\r\nBasilmoor-Request-Id: r1\r\nContent-Length: 0\r\n\r\n"
+		refusal2   = "HTTP/1.1 503 X\r\nBasilmoor-Outcome: not-run\r\nBasilmoor-Request-Id: r2\r\nContent-Length: 0\r\n\r\n"
+		answer1    = "HTTP/1.1 200 OK\r\nBasilmoor-Request-Id: r1\r\nContent-Length: 2\r\n\r\nok"
+	)
+	tests := map[string]struct {
+		first, second string
+		want          basilmoor.Outcome // of the second request
+	}{
+		"overloaded, once more":                      {first: overloaded, second: overloaded, want: basilmoor.OutcomeIncomplete},
+		"a refusal, once more":                       {first: refusal, second: refusal, want: basilmoor.OutcomeIncomplete},
+		"a refusal that names the first, once more":  {first: refusal1, second: refusal1, want: basilmoor.OutcomeIncomplete},
+		"a refusal after an answer":                  {first: okResponse, second: refusal, want: basilmoor.OutcomeIncomplete},
+		"the answer to the first, once more":         {first: answer1, second: answer1, want: basilmoor.OutcomeIncomplete},
+		"a refusal that names the second":            {first: refusal1, second: refusal2, want: basilmoor.OutcomeNotRun},
+		"a refusal that names the second, as answer": {first: okResponse, second: refusal2, want: basilmoor.OutcomeNotRun},
+		"an answer that names nobody":                {first: refusal1, second: okResponse, want: basilmoor.OutcomeDone},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			target := newRawTarget(t, func(_ *rawTarget, head string) targetAction {
+				send := tt.second
+				if strings.Contains(head, "Basilmoor-Request-Id: r1") {
+					send = tt.first
+				}
+				return targetAction{
+					send:      send,
+					keepAlive: true,
+				}
+			})
+			d, _ := newTestDispatcher(t)
+			first := sendAs(t, d, "r1", target, &recordingSink{})
+			require.Equal(t, strings.Contains(tt.first, "200"), first.Outcome == basilmoor.OutcomeDone)
+			sink := &recordingSink{}
+			second := sendAs(t, d, "r2", target, sink)
+			require.Equal(t, 1, target.connections(), "the connection was not kept")
+			require.Equal(t, tt.want, second.Outcome)
+			require.Equal(t, tt.want == basilmoor.OutcomeDone, sink.status != 0)
+		})
+	}
+}
--- a/internal/request/bmexchange/client_test.go
+++ b/internal/request/bmexchange/client_test.go
@@ -39,6 +39,7 @@
 	listener         net.Listener
 	script           func(n int, r *http.Request) string
 	closeAfterAnswer bool // close the connection after the first answer
+	closeAfter       int  // close the connection after so many answers; 0 for never
 	requests         atomic.Int64
 	conns            atomic.Int64
 
@@ -83,11 +84,12 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		answer := s.script(int(s.requests.Add(1)), r)
+		n := int(s.requests.Add(1))
+		answer := s.script(n, r)
 		if answer == "" {
 			return
 		}
-		if _, err := io.WriteString(c, answer); err != nil || s.closeAfterAnswer {
+		if _, err := io.WriteString(c, answer); err != nil || s.closeAfterAnswer || n == s.closeAfter {
 			return
 		}
 		if s.endless != "" {
@@ -408,6 +410,46 @@
 	}
 }
 
+// Guards against a caller that is told that its request was not run, or whose request goes
+// on to another target, because a target writes an earlier refusal once more on a kept
+// connection and nothing after it.
+func TestRefusalOnceMore(t *testing.T) {
+	const named, unnamed = "HTTP/1.1 503 X\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	tests := map[string]struct {
+		first, second string
+		endless       bool // more of the same follow, instead of the end of the connection
+	}{
+		"with its id":              {first: named, second: named},
+		"without an id":            {first: unnamed, second: unnamed},
+		"again and again":          {first: named, second: named, endless: true},
+		"without an id, repeated":  {first: unnamed, second: unnamed, endless: true},
+		"after a whole answer":     {first: okResponse("1", "one"), second: named},
+		"twice, of which one late": {first: named, second: named + unnamed},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newScriptedTarget(t, func(_ int, r *http.Request) string {
+				if r.Header.Get("First") != "" {
+					return tt.first
+				}
+				if tt.endless {
+					return strings.Repeat(tt.second, 2*maxResponsesSkipped)
+				}
+				return tt.second
+			})
+			s.closeAfter = 2
+			c := newTestClient(t)
+			first := s.request("1")
+			first.Header.Set("First", "1")
+			_, _ = sendAndRead(c, first)
+			_, err := c.Send(context.Background(), s.request("2"))
+			var broken *BrokenError
+			require.True(t, errors.As(err, &broken), "%v", err)
+			require.EqualValues(t, 1, s.conns.Load(), "the connection was not kept")
+		})
+	}
+}
+
 // Guards against a probe of a target that is blamed for a time limit of the
 // caller that passed while a body was read.
 func TestEndOfContextWhileReadingTheBody(t *testing.T) {
--- a/internal/standin/bmstandin/http.go
+++ b/internal/standin/bmstandin/http.go
@@ -63,6 +63,13 @@
 	return true
 }
 
+// NameRequest makes the response name the request that it answers.
+func NameRequest(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(RequestIDHeader); id != "" {
+		w.Header().Set(RequestIDHeader, id)
+	}
+}
+
 // RejectNotRun sends status 503 and the header that states that the request
 // was not run. If leaving is set, it adds LeavingHeader.
 func RejectNotRun(w http.ResponseWriter, leaving bool, text string) {
--- a/internal/standin/bmstandinengine/engine.go
+++ b/internal/standin/bmstandinengine/engine.go
@@ -146,6 +146,7 @@
 	if !controlPaths[r.URL.Path] && e.process.Crashed() {
 		bmstandin.AbortResponse()
 	}
+	bmstandin.NameRequest(w, r)
 	e.mux.ServeHTTP(w, r)
 }
 
--- a/internal/standin/bmstandinservice/service.go
+++ b/internal/standin/bmstandinservice/service.go
@@ -112,6 +112,7 @@
 		h.ServeHTTP(w, r)
 		return
 	}
+	bmstandin.NameRequest(w, r)
 	s.serve(w, r)
 }
 
