Resume a stream only with what is its rest

Cause: the status 200 alone was taken for the evidence that the rest follows.

The response must be an event stream or of the media type with which the stream began, and its first event must come after the last one that was relayed, as far as ids are whole numbers. Else the caller's stream ends visibly broken.

The test target that sends remaining events declares them as an event stream now, like the one whose stream it resumes.

--- a/internal/request/bmdispatch/exchange.go
+++ b/internal/request/bmdispatch/exchange.go
@@ -43,7 +43,7 @@
 
 	mu              sync.Mutex
 	conn            *conn
-	reused          bool             // conn had served a request before
+	reused          bool // conn had served a request before
 	closed          bool
 	expired         bool             // valid returned false for the first write
 	writeStarted    bool             // the first write has been permitted
--- a/internal/request/bmentry/handler_test.go
+++ b/internal/request/bmentry/handler_test.go
@@ -312,6 +312,7 @@
 			}
 		}
 	case streamsRemaining:
+		w.Header().Set("Content-Type", "text/event-stream")
 		last := 0
 		_, _ = fmt.Sscan(r.Header.Get("Last"), &last)
 		for id := last + 1; id <= 4; id++ {
--- a/internal/request/bmentry/stream.go
+++ b/internal/request/bmentry/stream.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -43,7 +45,9 @@
 	call           *call
 	control        *http.ResponseController
 	headerSent     bool   // status and headers were written
+	mediaType      string // of the response whose header was relayed
 	lastEventID    string // of the last event that was relayed
+	resumed        bool   // the present target has been asked for the events after lastEventID
 	eventCount     int
 	lastArrival    basilmoor.Millis // of the latest events; 0 before the first
 	longestPause   basilmoor.Millis // longest time between arrivals
@@ -77,7 +81,12 @@
 					Elapsed: c.handler.cfg.Clock.Now() - sent,
 				})
 			}
-			if err := s.writeEvents(resp, chunk[:n]); err != nil {
+			err := s.writeEvents(resp, chunk[:n])
+			var misplaced *misplacedEventError
+			if errors.As(err, &misplaced) {
+				return s.broken(permit, resp, misplaced, true)
+			}
+			if err != nil {
 				c.observeFailure(permit, err, true)
 				return &callerLeftError{
 					Err: err,
@@ -148,6 +157,16 @@
 	return "the rest of the stream ended without a last chunk"
 }
 
+// misplacedEventError means that a target that was to resume a stream sent an event again.
+type misplacedEventError struct {
+	ID   int64
+	Last int64 // id of the last event that was relayed
+}
+
+func (e *misplacedEventError) Error() string {
+	return fmt.Sprintf("the stream goes on with event %d after event %d", e.ID, e.Last)
+}
+
 // eventTooLongError means that a target sent an event without an end.
 type eventTooLongError struct{}
 
@@ -161,7 +180,7 @@
 	if len(bytes.TrimSpace(s.partial)) == 0 {
 		return events == 0 && !resp.EndMarked()
 	}
-	return s.eventCount > 0 || !resp.EndMarked() || strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	return s.eventCount > 0 || !resp.EndMarked() || mediaTypeOf(resp) == eventStreamType
 }
 
 // logUnmarkedEnd counts and logs the end of a target's part of the stream, of the given
@@ -231,9 +250,11 @@
 		return nil
 	}
 	complete := s.partial[:n]
+	if err := s.checkPlace(complete); err != nil {
+		return err
+	}
 	if !s.headerSent {
-		s.headerSent = true
-		s.call.writeHeader(resp)
+		s.writeHeader(resp)
 	}
 	if _, err := s.call.w.Write(complete); err != nil {
 		return err
@@ -248,6 +269,61 @@
 	return nil
 }
 
+// writeHeader relays the status and headers of the first target's response.
+func (s *stream) writeHeader(resp *bmexchange.Response) {
+	s.headerSent = true
+	s.mediaType = mediaTypeOf(resp)
+	s.call.writeHeader(resp)
+}
+
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
+
+// mediaTypeOf returns the media type that a response declares, without its parameters.
+func mediaTypeOf(resp *bmexchange.Response) string {
+	mediaType, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(mediaType))
+}
+
+// isSameKind reports whether a response can go on with the stream: it declares a stream of
+// events, or what the first target has declared.
+func (s *stream) isSameKind(resp *bmexchange.Response) bool {
+	mediaType := mediaTypeOf(resp)
+	return mediaType == eventStreamType || mediaType == s.mediaType
+}
+
+// checkPlace returns a *misplacedEventError if the first events of a target that resumes
+// the stream don't follow on the last one that was relayed. Ids increase along a stream;
+// others than whole numbers can't be compared.
+func (s *stream) checkPlace(events []byte) error {
+	if !s.resumed {
+		return nil
+	}
+	s.resumed = false
+	last, err := strconv.ParseInt(s.lastEventID, 10, 64)
+	if err != nil {
+		return nil //nolint:nilerr // not a number
+	}
+	first, err := strconv.ParseInt(firstEventID(events), 10, 64)
+	if err != nil || first > last {
+		return nil //nolint:nilerr // not a number
+	}
+	return &misplacedEventError{
+		ID:   first,
+		Last: last,
+	}
+}
+
+// firstEventID returns the id of the first event that has one.
+func firstEventID(events []byte) string {
+	for line := range bytes.SplitSeq(events, []byte("\n")) {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(id))
+		}
+	}
+	return ""
+}
+
 // recordPause updates the longest time between arrivals of events, of which some have
 // just arrived together. A target's pause is only the time spent waiting for it: a caller
 // that reads slowly delays the next read. A pause that ends with several events came about
@@ -291,8 +367,7 @@
 // the stream. events is the number of events from the last target.
 func (s *stream) finish(permit basilmoor.Permit, resp *bmexchange.Response, sent basilmoor.Millis, events int, survived bool) error {
 	if !s.headerSent {
-		s.headerSent = true
-		s.call.writeHeader(resp)
+		s.writeHeader(resp)
 	}
 	if len(s.partial) > 0 {
 		if _, err := s.call.w.Write(s.partial); err != nil {
@@ -358,9 +433,11 @@
 		return err
 	}
 	defer resp.Close()
-	if resp.Status != http.StatusOK {
+	if resp.Status != http.StatusOK || !s.isSameKind(resp) {
+		c.handler.cfg.Metrics.Add("streams.not-resumed", 1)
 		c.observeFinished(permit, resp, sent, delivery{}, false)
-		return errors.Errorf("target %s answered the request to resume the stream with status %d", c.lastTarget, resp.Status)
+		return errors.Errorf("target %s answered the request to resume the stream with status %d and content type %q", c.lastTarget, resp.Status, mediaTypeOf(resp))
 	}
+	s.resumed = true
 	return s.relayEvents(permit, resp, sent)
 }
