--- a/internal/request/bmdispatch/response_test.go
+++ b/internal/request/bmdispatch/response_test.go
@@ -87,3 +87,25 @@
 		})
 	}
 }
+
+// Guards against an answer that is made from a head that broke off: whatever lines came, a
+// head without its end is none.
+func TestHeadsThatBreakOff(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 0\r\n\r\n"
+	for n := range len(head) {
+		for _, reset := range []bool{false, true} {
+			target := newRawTarget(t, func(_ *rawTarget, _ string) targetAction {
+				return targetAction{
+					send:  head[:n],
+					reset: reset,
+				}
+			})
+			d, _ := newTestDispatcher(t)
+			sink := &recordingSink{}
+			result := sendAs(t, d, "r", target, sink)
+			require.NotEqual(t, basilmoor.OutcomeDone, result.Outcome, "after %q", head[:n])
+			require.NotEqual(t, basilmoor.OutcomeNotRun, result.Outcome, "after %q", head[:n])
+			require.Zero(t, sink.status, "after %q", head[:n])
+		}
+	}
+}
