Count the deaths of targets that the probe does not find dead

Cause: a death was inferred from one connection attempt after the break.

A host keeps the requests whose targets broke off for 30 s. A target that is listed with a later start under the same name had ended, and the request is blamed with the time of the break. Hosts tell the broker each death that they know of, so that one that it has forgotten the request of counts too. Works for replicas that return under their ids, whose starts the store tells.

--- a/internal/request/bmentry/crash.go
+++ b/internal/request/bmentry/crash.go
@@ -4,8 +4,6 @@
 	"context"
 	"slices"
 
-	"github.com/pkg/errors"
-
 	"basilmoor.example/basilmoor"
 	"basilmoor.example/basilmoor/internal/request/bmcrash"
 	"basilmoor.example/basilmoor/internal/request/bmexchange"
@@ -54,8 +52,7 @@
 // scheduler weighs the death: a single host knows too few of the requests that ran on
 // the target.
 func (c *call) targetDied(permit basilmoor.Permit, err error, answered bool) bool {
-	var broken *bmexchange.BrokenError
-	if !errors.As(err, &broken) || broken.ContextDone {
+	if !isBrokenOff(err) {
 		return false
 	}
 	v := c.probe(permit, answered)
--- a/internal/request/bmentry/run.go
+++ b/internal/request/bmentry/run.go
@@ -322,13 +322,22 @@
 		stage = basilmoor.StageFinished
 	}
 	var refused *bmexchange.RefusedError
+	died := stage == basilmoor.StageFailed && c.targetDied(permit, err, answered)
 	permit.Observe(basilmoor.Observation{
 		Stage:      stage,
 		BadAnswer:  stage == basilmoor.StageFailed && !errors.As(err, &refused),
-		TargetDied: stage == basilmoor.StageFailed && c.targetDied(permit, err, answered),
+		TargetDied: died,
+		BrokenOff:  stage == basilmoor.StageFailed && !died && isBrokenOff(err),
 	})
 }
 
+// isBrokenOff reports whether a target closed the connection of a request, or spoiled its
+// response, before the request's time was over.
+func isBrokenOff(err error) bool {
+	var broken *bmexchange.BrokenError
+	return errors.As(err, &broken) && !broken.ContextDone
+}
+
 // endedFromOutside reports whether the caller disconnected or the host has ended
 // the request, so that its failure says nothing about the target.
 func (c *call) endedFromOutside() bool {
--- a/internal/schedule/bmgrant/broker.go
+++ b/internal/schedule/bmgrant/broker.go
@@ -285,10 +285,11 @@
 		s.pending.Proof = proof
 	}
 	b.forwardCrashes(now, s, batch.GetCrashes())
-	b.learnDeaths(now, s, batch.GetDeaths())
 	for _, o := range batch.GetObservations() {
 		b.observe(now, decodeObservation(s.host, s.dataCentre, o))
 	}
+	// The deaths among the observations are known now, with all requests that they blame.
+	b.learnDeaths(now, s, batch.GetDeaths())
 	for _, c := range batch.GetCancels() {
 		if p, ok := b.pools[c.GetPool()]; ok {
 			b.deliver(p.Cancel(now, requestID(s.host, c.GetNumber())))
--- a/internal/schedule/bmgrant/client.go
+++ b/internal/schedule/bmgrant/client.go
@@ -39,6 +39,8 @@
 	quotas     *quotas          // spending of this host; enforced while there is no broker
 	restarted  bool             // spending before the start has yet to be assumed
 
+	brokenOff []brokenOff // the latest requests whose targets broke off and may have died
+
 	uplink   *uplink // nil without a broker
 	election *bmelection.Election
 	electing bool // an action of the election is in progress
@@ -129,6 +131,7 @@
 	c.election.SetHosts(v.Hosts())
 	c.broker.views.SetStandbyAge(standbyAge(c.election.Rank()))
 	c.applyView(c.clock.Now())
+	c.blameRestarts(c.clock.Now())
 }
 
 func (c *Client) applyView(now basilmoor.Millis) {
@@ -424,8 +427,11 @@
 	if o.Target == "" {
 		o.Target = e.target.Name
 	}
-	if o.TargetDied {
+	switch {
+	case o.TargetDied:
 		c.recordDeath(e)
+	case o.BrokenOff:
+		c.noteBrokenOff(e)
 	}
 	if c.uplink == nil {
 		if p, ok := c.localPools[e.demand.Pool]; ok {
--- a/internal/schedule/bmgrant/deaths.go
+++ b/internal/schedule/bmgrant/deaths.go
@@ -65,7 +65,9 @@
 	if len(records) == 0 {
 		return
 	}
-	b.log.Info().Str("peer", from.host).Int("deaths", len(records)).Uint64("digest", records[len(records)-1].Digest).Msg("deaths learned from a host")
+	if !from.local {
+		b.log.Info().Str("peer", from.host).Int("deaths", len(records)).Uint64("digest", records[len(records)-1].Digest).Msg("deaths learned from a host")
+	}
 	b.spreadDeaths(now, from, records)
 	open := slices.DeleteFunc(records, func(r bmquarantine.Record) bool { return b.crashes.Suspect(r.Digest) })
 	for name, p := range b.pools {
@@ -88,21 +90,92 @@
 	}
 }
 
-// recordDeath keeps the death of the target of this host's own request. If the session
-// with the broker ends first, the next broker learns of it from no other host.
+// recordDeath records the death of the target of this host's own request. The broker may
+// have forgotten the request, or may end before it has told any other host.
 func (c *Client) recordDeath(e *entry) {
 	now := c.clock.Now()
+	if r, blamed := e.deathAt(now); blamed {
+		c.tellDeaths(now, []bmquarantine.Record{r})
+	}
+}
+
+// tellDeaths keeps deaths that this host has found out, and tells the broker.
+func (c *Client) tellDeaths(now basilmoor.Millis, records []bmquarantine.Record) {
+	c.broker.history.Merge(now, records)
+	if c.uplink != nil {
+		c.uplink.pending.Deaths = append(c.uplink.pending.Deaths, encodeDeaths(now, records)...)
+		c.uplink.wake.signal()
+	}
+}
+
+// deathAt returns the record of the death of the request's target at a time. blamed is
+// false if the request had been answered before.
+func (e *entry) deathAt(now basilmoor.Millis) (r bmquarantine.Record, blamed bool) {
 	if len(e.demand.CrashKeys) == 0 || e.firstToken > 0 && now-e.grantedAt-e.firstToken >= settleTime {
+		return bmquarantine.Record{}, false
+	}
+	return bmquarantine.Record{
+		Digest:    e.demand.CrashKeys[0],
+		Target:    e.target.Incarnation(),
+		At:        now,
+		GrantedAt: e.grantedAt,
+	}, true
+}
+
+const (
+	// restartTime is the longest time from the end of a connection until its target, if it
+	// has died, is listed again as a process that has just started.
+	restartTime = 30 * basilmoor.Second
+
+	// maxBrokenOff bounds the requests that are kept for that time.
+	maxBrokenOff = 256
+)
+
+// brokenOff is a request whose target closed the connection and was not found to have
+// died.
+type brokenOff struct {
+	target basilmoor.Target
+	death  bmquarantine.Record // if the target did die
+}
+
+// noteBrokenOff keeps a request whose target broke off, if a later start of that target
+// can be told from the present one.
+func (c *Client) noteBrokenOff(e *entry) {
+	r, blamed := e.deathAt(c.clock.Now())
+	if !blamed || e.target.Born == 0 {
 		return
 	}
-	c.broker.history.Merge(now, []bmquarantine.Record{
-		{
-			Digest:    e.demand.CrashKeys[0],
-			Target:    e.target.Incarnation(),
-			At:        now,
-			GrantedAt: e.grantedAt,
-		},
+	if len(c.brokenOff) >= maxBrokenOff {
+		c.brokenOff = slices.Delete(c.brokenOff, 0, 1)
+	}
+	c.brokenOff = append(c.brokenOff, brokenOff{
+		target: e.target,
+		death:  r,
+	})
+}
+
+// blameRestarts records the deaths of targets that broke off requests and have started
+// again under their names since. Nothing else tells of a death if the address of a dead
+// target still accepts connections, or answers nothing.
+func (c *Client) blameRestarts(now basilmoor.Millis) {
+	var deaths []bmquarantine.Record
+	c.brokenOff = slices.DeleteFunc(c.brokenOff, func(b brokenOff) bool {
+		restarted := c.targets[b.target.Name].Born > b.target.Born
+		if restarted {
+			deaths = append(deaths, b.death)
+		}
+		return restarted || now-b.death.At >= restartTime
 	})
+	if len(deaths) == 0 {
+		return
+	}
+	c.metrics.Add("targets.restarted-after-break", int64(len(deaths)))
+	c.log.Warn().Str("incarnation", deaths[0].Target).Uint64("digest", deaths[0].Digest).Int("requests", len(deaths)).Msg("target that broke off has started again")
+	c.tellDeaths(now, deaths)
+	for name, p := range c.localPools {
+		c.deliver(p.restore(now, deaths))
+		c.applyQuarantine(now, name, p)
+	}
 }
 
 func encodeDeaths(now basilmoor.Millis, records []bmquarantine.Record) []*bmgrantpb.Death {
--- a/internal/schedule/bmgrant/failover_test.go
+++ b/internal/schedule/bmgrant/failover_test.go
@@ -112,6 +112,8 @@
 
 	restarted bool // Options.AssumeSpending of hosts that are added
 
+	revision int64 // of the last change of the feed that hosts were told of
+
 	mu     sync.Mutex
 	silent map[string]bool // hosts that neither send nor receive anything
 	broken map[[2]string]bool
--- a/schedule.go
+++ b/schedule.go
@@ -201,6 +201,10 @@
 	// StageFailed is observed once more.
 	TargetDied bool
 
+	// BrokenOff is set on StageFailed if the target closed the connection and is not known
+	// to have died. A later start of the target shows that it had.
+	BrokenOff bool
+
 	// LongestPause is the longest time between two events of a streamed response
 	// from this target, on StageFinished; 0 if it had fewer than two.
 	LongestPause Millis
