--- a/review/harness-4/main.go
+++ b/review/harness-4/main.go
@@ -113,6 +113,7 @@
 	"spoiled-stream": playSpoiledStream,
 	"double-slash":   playDoubleSlash,
 	"quota-kill":     playQuotaKill,
+	"quota-refund":   playQuotaRefund,
 }
 
 func main() {
--- a/review/harness-4/replica.go
+++ b/review/harness-4/replica.go
@@ -46,6 +46,8 @@
 	seq      int
 	born     int64
 	stop     chan struct{}
+	channels map[net.Conn]bool
+	down     bool // crashed or closed
 }
 
 func newReplica(id, service string, slots int, rec *record) (*replica, error) {
@@ -56,7 +58,7 @@
 	return &replica{
 		id: id, service: service, slots: slots, rec: rec, listener: l, address: l.Addr().String(),
 		events: 40, interval: 100 * time.Millisecond, work: 15 * time.Millisecond,
-		born: time.Now().UnixMilli(), stop: make(chan struct{}),
+		born: time.Now().UnixMilli(), stop: make(chan struct{}), channels: map[net.Conn]bool{},
 	}, nil
 }
 
@@ -102,9 +104,40 @@
 	})
 }
 
-func (r *replica) close() {
+// crash ends the replica: its port refuses connections, and its channels end.
+func (r *replica) crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down {
+		return
+	}
+	r.down = true
 	close(r.stop)
 	_ = r.listener.Close()
+	for c := range r.channels {
+		_ = c.Close()
+	}
+}
+
+func (r *replica) close() {
+	r.crash()
+}
+
+// track adds a channel, or reports that the replica is down.
+func (r *replica) track(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down {
+		return false
+	}
+	r.channels[c] = true
+	return true
+}
+
+func (r *replica) forget(c net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.channels, c)
 }
 
 func (r *replica) all() []run {
@@ -149,6 +182,10 @@
 
 func (r *replica) serve(c net.Conn) {
 	defer c.Close()
+	if !r.track(c) {
+		return
+	}
+	defer r.forget(c)
 	br := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(br)
