--- a/review/harness-4/entry.go
+++ b/review/harness-4/entry.go
@@ -13,7 +13,9 @@
 	"time"
 )
 
-// bounds are those of the site seedleaf-press.
+// contracts and bounds are those of the site seedleaf-press.
+var contracts = []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "quota", "platform"}
+
 var bounds = map[string]any{
 	"seed_lag_s": 3, "addr_reuse_s": 2, "stable_ms": 3000, "ack_timeout_ms": 4000, "catch_up_s": 4,
 	"drain_ms": 2000, "grace_s": 8, "loss_slack_ms": 200, "config_apply_ms": 2000, "rollback_slack_ms": 250,
@@ -22,6 +24,17 @@
 	"event_lag_ms": 120, "retry_after_s": 10,
 }
 
+// useDemands sets the contracts and bounds of the site mandacaru-docs-grown.
+func useDemands() {
+	contracts = []string{"base", "drain", "config", "cost", "retry", "recover", "health", "pool", "engine", "stream", "tenants", "quota", "rollout", "pressure", "platform"}
+	for name, figure := range map[string]any{
+		"stable_ms": 4000, "ack_timeout_ms": 6000, "catch_up_s": 6, "drain_ms": 3000, "config_apply_ms": 3000, "outer_ms": 6000,
+		"retry_slack": 212, "exposure_share": 0.1, "exposure_slack": 50, "rollback_ms": 5000, "recovery_s": 15, "event_lag_ms": 200,
+	} {
+		bounds[name] = figure
+	}
+}
+
 // entry is an entry host: one process with the command of deploy/system.toml.
 type entry struct {
 	name     string
@@ -120,7 +133,7 @@
 			"cpu_fraction": 0.4, "cpu_cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0,
 		},
 		"data_dir": nil, "discovery": "platform", "entry": "vip", "heartbeat_ms": 1200,
-		"contracts":       []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "quota", "platform"},
+		"contracts":       contracts,
 		"fault_tolerance": map[string]int{"machines": 1, "zones": 0, "regions": 0},
 		"bounds":          bounds,
 		"platform": map[string]any{
--- a/review/harness-4/main.go
+++ b/review/harness-4/main.go
@@ -110,10 +110,10 @@
 type play func(rec *record, root, dir string, trouble bool) (bool, error)
 
 var plays = map[string]play{
-	"spoiled-stream": playSpoiledStream,
-	"double-slash":   playDoubleSlash,
-	"quota-kill":     playQuotaKill,
-	"quota-refund":   playQuotaRefund,
+	"quota-kill":   playQuotaKill,
+	"slow-reader":  playSlowReader,
+	"bad-version":  playBadVersion,
+	"quota-refund": playQuotaRefund,
 }
 
 func main() {
--- a/review/harness-4/quota_kill.go
+++ b/review/harness-4/quota_kill.go
@@ -114,14 +114,10 @@
 
 // overQuota reports whether in some window more tokens ran than are allowed.
 func overQuota(rec *record, replicas []*replica) (bool, error) {
-	var all []run
-	for _, r := range replicas {
-		all = append(all, r.all()...)
-	}
+	all := sortedRuns(replicas)
 	if len(all) == 0 {
 		return false, fmt.Errorf("no request ran")
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i].began < all[j].began })
 	most, from := 0, time.Duration(0)
 	for i, first := range all {
 		sum := 0
@@ -138,6 +134,16 @@
 	return float64(most) > quotaAllowed, nil
 }
 
+// sortedRuns returns the runs of replicas in the order of their begin.
+func sortedRuns(replicas []*replica) []run {
+	var all []run
+	for _, r := range replicas {
+		all = append(all, r.all()...)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].began < all[j].began })
+	return all
+}
+
 // tokensOf returns the sum of the two numbers in X-Token-Usage.
 func tokensOf(x run) int {
 	sum := 0
--- a/review/harness-4/replica.go
+++ b/review/harness-4/replica.go
@@ -4,10 +4,10 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -38,7 +38,9 @@
 	events   int           // of a stream
 	interval time.Duration // between two events
 	work     time.Duration // of a plain request
-	spoiler  *spoiler      // of a replica in trouble; nil for none
+	slow     bool          // reads bodies slowly
+	version  string
+	fails    float64 // the portion of its answers to plain requests that are failures
 
 	listener net.Listener
 	mu       sync.Mutex
@@ -57,7 +59,7 @@
 	}
 	return &replica{
 		id: id, service: service, slots: slots, rec: rec, listener: l, address: l.Addr().String(),
-		events: 40, interval: 100 * time.Millisecond, work: 15 * time.Millisecond,
+		events: 40, interval: 100 * time.Millisecond, work: 15 * time.Millisecond, version: "v1",
 		born: time.Now().UnixMilli(), stop: make(chan struct{}), channels: map[net.Conn]bool{},
 	}, nil
 }
@@ -97,7 +99,7 @@
 		return // the entry changes when more than seq_num changes
 	}
 	s.put("servers/"+r.id, map[string]any{
-		"backend": r.service, "address": r.address, "zone": "z1", "version": "v1", "slots": r.slots,
+		"backend": r.service, "address": r.address, "zone": "z1", "version": r.version, "slots": r.slots,
 		"lifecycle": "ready", "cold_left_ms": 0, "phase": "colocated",
 		"models":  []map[string]any{{"name": "m", "version": 1, "adapter_ids": []string{}}},
 		"seq_num": 1, "born": r.born,
@@ -192,18 +194,18 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(req.Body)
-		if err != nil {
+		if err := r.readBody(req); err != nil {
+			r.rec.line("cut    %s: the request %s ended in its body: %v", r.id, req.Header.Get("X-Attempt-Id"), err)
 			return
 		}
-		if !r.answer(c, br, req, body) {
+		if !r.answer(c, br, req) {
 			return
 		}
 	}
 }
 
 // answer serves one request, and reports whether the channel stays open.
-func (r *replica) answer(c net.Conn, br *bufio.Reader, req *http.Request, _ []byte) bool {
+func (r *replica) answer(c net.Conn, br *bufio.Reader, req *http.Request) bool {
 	attempt := req.Header.Get("X-Attempt-Id")
 	if req.Method == http.MethodGet && req.URL.Path == "/healthz" {
 		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Replica-Id: %s\r\nX-Replica-Load: %d,0,%d\r\nContent-Length: 0\r\n\r\n", r.id, r.active(), r.slots)
@@ -221,7 +223,7 @@
 	x := r.begin(req, from)
 	head := fmt.Sprintf("X-Attempt-Id: %s\r\nX-Response-Signature: sig.%s.%s\r\nX-Replica-Load: %d,0,%d\r\n", attempt, r.id, attempt, r.active(), r.slots)
 	if req.Header.Get("X-Model-Id") != "" {
-		return r.stream(c, br, req, x, head)
+		return r.stream(c, br, x, head)
 	}
 	gone := watchClose(c, br)
 	select {
@@ -234,6 +236,11 @@
 		r.end(x, "the channel was closed")
 		return false
 	}
+	if rand.Float64() < r.fails {
+		r.end(x, "failed")
+		_, err := fmt.Fprintf(c, "HTTP/1.1 500 Internal Server Error\r\n%sContent-Length: 0\r\n\r\n", head)
+		return err == nil
+	}
 	body := "answer to " + attempt
 	r.end(x, "answered")
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
@@ -275,51 +282,24 @@
 	return fmt.Sprintf("id: %d\ndata: %s part %d\n\n", n, attempt, n)
 }
 
-func wholeStream(attempt string, events int) string {
-	var b strings.Builder
-	for n := 1; n <= events; n++ {
-		b.WriteString(event(attempt, n))
-	}
-	return b.String()
-}
-
-// stream answers with events in chunks. A replica in trouble sends, from an event on,
-// bytes that are no answer until the caller closes the channel: it works on.
-func (r *replica) stream(c net.Conn, br *bufio.Reader, req *http.Request, x *run, head string) bool {
+// stream answers with events in chunks.
+func (r *replica) stream(c net.Conn, br *bufio.Reader, x *run, head string) bool {
 	gone := watchClose(c, br)
 	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", head); err != nil {
 		r.end(x, "the channel was closed")
 		return false
 	}
-	spoils := r.spoiler != nil && r.spoiler.spoils()
-	spoiled := false
-	for n := x.from + 1; ; n++ {
+	for n := x.from + 1; n <= r.events; n++ {
 		select {
 		case <-gone.closed:
 			r.end(x, fmt.Sprintf("the channel was closed before event %d", n))
 			return false
 		case <-time.After(r.interval):
 		}
-		if !spoiled && n > r.events {
-			break
-		}
-		if spoils && n > spoilEvent && !spoiled {
-			spoiled = true
-			r.rec.line("spoil  %s spoils %s from event %d on", r.id, x.attempt, n)
-		}
 		text := event(x.attempt, n)
-		out := fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
-		if spoiled {
-			out = "\x00\x01 no answer \x02\r\n"
-		}
-		if spoiled {
-			_ = c.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
-		}
-		if _, err := io.WriteString(c, out); err != nil {
-			if ne, ok := err.(net.Error); !ok || !ne.Timeout() {
-				r.end(x, fmt.Sprintf("the channel was closed before event %d", n))
-				return false
-			}
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text); err != nil {
+			r.end(x, fmt.Sprintf("the channel was closed before event %d", n))
+			return false
 		}
 	}
 	if !gone.stopWatching(c) {
@@ -330,3 +310,18 @@
 	_, err := io.WriteString(c, "0\r\n\r\n")
 	return err == nil
 }
+
+// engines returns replicas of the engine service.
+func engines(rec *record, count, events int, interval time.Duration) ([]*replica, error) {
+	var replicas []*replica
+	for n := range count {
+		r, err := newReplica(fmt.Sprintf("i-engine%02d", n), "engines", 6, rec)
+		if err != nil {
+			return nil, err
+		}
+		r.events = events
+		r.interval = interval
+		replicas = append(replicas, r)
+	}
+	return replicas, nil
+}
--- a/review/harness-4/store.go
+++ b/review/harness-4/store.go
@@ -85,17 +85,11 @@
 	s.wake()
 }
 
-// count returns the number of keys with a prefix.
-func (s *store) count(prefix string) int {
+// value returns the value of a key, empty if it does not exist.
+func (s *store) value(key string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := 0
-	for key := range s.items {
-		if strings.HasPrefix(key, prefix) {
-			n++
-		}
-	}
-	return n
+	return string(s.items[key].Value)
 }
 
 // awaitWrite waits until a key is written, and reports whether it was.
